--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+GO ?= go
+TOOL := $(GO) tool -modfile=tools/go.mod
+SEED ?= 1
+export GOFLAGS ?= -buildvcs=false
+
+.PHONY: setup build demo test lint measure invariants scale generate fuzz
+
+setup: ## download modules and build the tools
+	$(GO) mod download
+	$(GO) mod download -modfile=tools/go.mod
+	$(GO) build -o bin/ ./cmd/...
+
+build: ## build the programs into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+test: ## run all tests, with the race detector
+	$(GO) test -race ./...
+
+lint: ## formatter, vet, staticcheck, and stale generated code
+	bash scripts/lint.sh
+
+generate: ## generate Go code from the schema
+	$(TOOL) buf generate
+
+demo: build ## run stand-ins and three entry instances and print what became of each call
+	bash scripts/demo.sh
+
+measure: ## compare the policy with the naive baseline
+	$(GO) run ./internal/simtest/cmd/measure -seed $(SEED)
+
+invariants: ## run the fault schedules of each promise
+	$(GO) run ./internal/simtest/cmd/invariants -seed $(SEED)
+
+scale: ## measure the slopes of docs/CAPACITY.md
+	$(GO) run ./internal/simtest/cmd/scale -seed $(SEED)
--- /dev/null
+++ b/cmd/citrongate-standin/main.go
@@ -0,0 +1,26 @@
+// Command citrongate-standin runs small stand-ins for the outside systems that
+// citrongate meets: platform, model engine, plain service and callers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/citrongate/citrongate/internal/version"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:                  "citrongate-standin",
+		Usage:                 "stand-ins for platform, engines, services and callers",
+		Version:               version.Version,
+		EnableShellCompletion: true,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/pkg/node/action.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/store"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// Action is an output of a Node: something that an edge must do.
+type Action interface{ isAction() }
+
+// Ran says whether a refused request ran.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Dispatch tells the upstream edge to send the request. It is emitted at most
+// once per request unless a DispatchFailed came between. The edge reports
+// DispatchFailed only if no byte was handed to the upstream's connection.
+type Dispatch struct {
+	ID       RequestID
+	Upstream string
+	Address  string
+	// Remaining is the time left until the deadline.
+	Remaining time.Duration
+}
+
+// Refuse tells the caller edge that the request ends without an answer.
+type Refuse struct {
+	ID         RequestID
+	Code       string
+	Ran        Ran
+	Reason     string
+	Remedy     string
+	RetryAfter time.Duration
+}
+
+// ReplyRecorded answers a non-idempotent call with a recorded outcome.
+type ReplyRecorded struct {
+	ID      RequestID
+	Outcome *pb.BindingOutcome
+}
+
+// CancelUpstream tells the upstream edge to cancel a dispatched request.
+type CancelUpstream struct{ ID RequestID }
+
+// RunForwarded registers a non-idempotent call that another instance forwarded
+// to this one. The edge keeps its body under ID for the Dispatch that follows.
+type RunForwarded struct {
+	ID   RequestID
+	Call *pb.BindingCall
+}
+
+// SendFrame sends a frame to another instance. Frames may be lost.
+type SendFrame struct {
+	To      Incarnation
+	Address string
+	Frame   *pb.Frame
+}
+
+// StoreCall performs a call to the object API.
+type StoreCall struct {
+	Call store.CallID
+	Op   store.Op
+}
+
+// ListInstances reads the platform's instance list.
+type ListInstances struct{}
+
+// SendOrder sends an order to an upstream.
+type SendOrder struct {
+	Order         uint64
+	Upstream      string
+	Address       string
+	FencingNumber uint64
+	Verb          string
+	Argument      string
+}
+
+// ChangeDone answers an ApplyChange.
+type ChangeDone struct {
+	Change uint64
+	// Accepted is true if the change is in the store; Revision is then its revision.
+	Accepted bool
+	Revision uint64
+	// Code is empty or one of "conflict", "invalid", "store_unavailable", "outcome_unknown".
+	Code string
+	// Problems lists everything that is wrong with the change.
+	Problems []string
+}
+
+// ConfigInForce reports that a new configuration revision is in force.
+type ConfigInForce struct{ Revision uint64 }
+
+// Count adds one to a counter, for example ("refusals", "shed_overload").
+type Count struct{ Name, Reason string }
+
+// Drained reports that no work is left after a Drain.
+type Drained struct{}
+
+func (Dispatch) isAction()       {}
+func (Refuse) isAction()         {}
+func (ReplyRecorded) isAction()  {}
+func (CancelUpstream) isAction() {}
+func (RunForwarded) isAction()   {}
+func (SendFrame) isAction()      {}
+func (StoreCall) isAction()      {}
+func (ListInstances) isAction()  {}
+func (SendOrder) isAction()      {}
+func (ChangeDone) isAction()     {}
+func (ConfigInForce) isAction()  {}
+func (Count) isAction()          {}
+func (Drained) isAction()        {}
--- /dev/null
+++ b/pkg/node/event.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/store"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// RequestID identifies a request within one instance. It is never used twice
+// by the same incarnation.
+type RequestID uint64
+
+// Incarnation identifies one run of an instance. It is drawn from the system's
+// random generator and is never zero and never used twice.
+type Incarnation uint64
+
+// Event is an input of a Node.
+type Event interface{ isEvent() }
+
+// SubmitRequest is a request from an authenticated caller.
+type SubmitRequest struct {
+	ID           RequestID
+	Organisation string
+	Kind         string
+	// Model is empty for calls to plain services.
+	Model  string
+	Labels map[string]string
+	// PromptTokens is the estimated prompt length; 0 for plain services.
+	PromptTokens uint32
+	// MaxOutputTokens is the caller's bound; 0 means the kind's.
+	MaxOutputTokens uint32
+	// Remaining is the time left until the deadline; 0 means the kind's default.
+	Remaining time.Duration
+	// Prefix is the digest of the prompt's prefix; 0 if none.
+	Prefix uint64
+	// IdempotencyKey is set for non-idempotent calls.
+	IdempotencyKey string
+	// Body and ContentType are set for non-idempotent calls only, since these
+	// may be forwarded to the home of their key.
+	Body        []byte
+	ContentType string
+}
+
+// CallerGone reports that the caller's connection closed before the answer ended.
+type CallerGone struct{ ID RequestID }
+
+// DispatchFailed reports that no byte of the request reached the upstream's
+// connection (connect refused or timed out).
+type DispatchFailed struct{ ID RequestID }
+
+// UpstreamFirstToken reports the first token, or the first byte of a plain
+// service's answer.
+type UpstreamFirstToken struct{ ID RequestID }
+
+// UpstreamTokens reports how many output tokens have arrived in all. The edge
+// may coalesce these reports.
+type UpstreamTokens struct {
+	ID    RequestID
+	Total uint32
+}
+
+// UpstreamResult says how a dispatched request ended at its upstream.
+type UpstreamResult uint8
+
+// Results of a dispatched request.
+const (
+	// ResultComplete means that the end marker and the request id were seen.
+	ResultComplete UpstreamResult = iota + 1
+	// ResultRefused means that the upstream refused explicitly before it started.
+	ResultRefused
+	// ResultBroken means that the connection broke and the stream could not be resumed.
+	ResultBroken
+	// ResultMismatched means that the answer carried another request's id.
+	ResultMismatched
+	// ResultDeadline means that the deadline passed during the answer.
+	ResultDeadline
+)
+
+// UpstreamDone ends a dispatched request.
+type UpstreamDone struct {
+	ID           RequestID
+	Result       UpstreamResult
+	OutputTokens uint32
+	// CachedPromptTokens is the prefix-cache hit reported by the engine.
+	CachedPromptTokens uint32
+	// Outcome is the answer of a non-idempotent call, for its record.
+	Outcome *pb.BindingOutcome
+}
+
+// FrameReceived is a frame from another instance.
+type FrameReceived struct{ Frame *pb.Frame }
+
+// StoreDone is the result of a StoreCall.
+type StoreDone struct {
+	Call   store.CallID
+	Result store.Result
+}
+
+// ListedInstance is one line of the platform's instance list.
+type ListedInstance struct {
+	// Name is the instance's name; for upstreams the configuration object's name.
+	Name string
+	// Incarnation distinguishes restarts of the same name.
+	Incarnation string
+	Upstream    bool
+	// PeerAddress is set for entry instances.
+	PeerAddress string
+	Leaving     bool
+}
+
+// InstanceList is the result of a ListInstances action. OK is false if the
+// platform did not answer.
+type InstanceList struct {
+	OK        bool
+	Instances []ListedInstance
+}
+
+// OrderDone is the result of a SendOrder action.
+type OrderDone struct {
+	Order  uint64
+	Status OrderStatus
+}
+
+// OrderStatus says what is known of an order to an upstream.
+type OrderStatus uint8
+
+// Statuses of an order.
+const (
+	OrderApplied OrderStatus = iota + 1
+	OrderRefusedFencing
+	OrderNotSent
+	OrderUnknown
+)
+
+// CacheEvents reports prefix digests that an engine cached or evicted. Events
+// are late and have gaps, so they are hints.
+type CacheEvents struct {
+	Upstream string
+	Cached   []uint64
+	Evicted  []uint64
+	// Gap is true if events were lost before these.
+	Gap bool
+}
+
+// ApplyChange is an operator's change of one or more objects.
+type ApplyChange struct {
+	// Change identifies the answer; it is local to the instance.
+	Change uint64
+	Puts   []*pb.Object
+	// Deletes name objects to remove; meta.version is the condition.
+	Deletes []*pb.ObjectMeta
+	// Conditional is true if the versions in puts must match (0: must not exist).
+	Conditional bool
+	DryRun      bool
+}
+
+// Drain starts a planned stop.
+type Drain struct{}
+
+// Tick drives all timers. The daemon sends one every 20 ms.
+type Tick struct{}
+
+func (SubmitRequest) isEvent()      {}
+func (CallerGone) isEvent()         {}
+func (DispatchFailed) isEvent()     {}
+func (UpstreamFirstToken) isEvent() {}
+func (UpstreamTokens) isEvent()     {}
+func (UpstreamDone) isEvent()       {}
+func (FrameReceived) isEvent()      {}
+func (StoreDone) isEvent()          {}
+func (InstanceList) isEvent()       {}
+func (OrderDone) isEvent()          {}
+func (CacheEvents) isEvent()        {}
+func (ApplyChange) isEvent()        {}
+func (Drain) isEvent()              {}
+func (Tick) isEvent()               {}
--- /dev/null
+++ b/pkg/scheduler/types.go
@@ -0,0 +1,195 @@
+// Package scheduler decides for one pool of upstreams which waiting request is
+// dispatched next, to which upstream, and which requests are shed. It owns the
+// queues, the learned concurrency limits and the record of permits. It does no
+// I/O and reads no clock.
+//
+// Invariants:
+//   - a permit is granted at most once per submitted attempt;
+//   - no request is granted while a request of a higher tier waits that could
+//     use the same upstream;
+//   - when a request is shed, no request of a lower tier that shares an
+//     upstream with it is left waiting.
+package scheduler
+
+import "time"
+
+// MaxTiers is the number of tier ranks; rank 0 is the most urgent.
+const MaxTiers = 16
+
+// GlobalID identifies a request across instances.
+type GlobalID struct {
+	// Entry is the incarnation of the instance that holds the request.
+	Entry uint64
+	// Sequence is the request's number at that instance.
+	Sequence uint64
+}
+
+// Descriptor is what the pool knows of a waiting request.
+type Descriptor struct {
+	ID GlobalID
+	// Attempt is echoed in the decision, so that an entry can ignore answers
+	// to an earlier attempt.
+	Attempt uint32
+	// Tier is the rank of the tier; 0 is the most urgent.
+	Tier uint8
+	// Kind and Org are numbers that the caller of the package interned.
+	Kind, Org uint32
+	// Class is an index into Topology.Classes.
+	Class uint32
+	// Prompt is the number of prompt tokens; 0 for plain services.
+	Prompt uint32
+	// OutMean and OutHigh are the mean and the 0.9 quantile of the predicted output tokens.
+	OutMean, OutHigh uint32
+	// Deadline is on the local monotonic clock.
+	Deadline time.Duration
+	// Prefix is the digest of the prompt prefix; 0 if none.
+	Prefix uint64
+}
+
+// Config holds the constants of a pool.
+type Config struct {
+	// TargetTTFT and TargetInterToken are targets for the 95th percentile.
+	TargetTTFT, TargetInterToken time.Duration
+	// MaxQueue bounds the descriptors that wait.
+	MaxQueue int
+	// Seed makes all random choices repeatable.
+	Seed uint64
+	// Share divides every upstream's limit; 1 for an owner, the number of live
+	// entries for the local pool that an entry uses when no owner is reachable.
+	Share int
+}
+
+// Upstream describes one upstream of the pool.
+type Upstream struct {
+	Name string
+	// Service is true for plain services, whose limit is fixed.
+	Service bool
+	// Concurrency is the limit to start from; MaxConcurrency bounds learning.
+	Concurrency, MaxConcurrency uint32
+	// PrefillTokensPerSecond and DecodePerToken are priors; 0 takes a default.
+	PrefillTokensPerSecond float64
+	DecodePerToken         time.Duration
+	// Leaving upstreams receive no grant.
+	Leaving bool
+}
+
+// Class is a set of eligible upstreams, as indices into Topology.Upstreams.
+type Class struct {
+	Upstreams []uint32
+}
+
+// FlowLimit bounds the work of one kind or organisation in the pool; 0 means no limit.
+type FlowLimit struct {
+	// Weight is the fair-queueing weight; 0 means 1.
+	Weight   float64
+	InFlight uint32
+	Queued   uint32
+}
+
+// Topology is the configuration of a pool. Upstreams keep their learned state
+// across changes by name. A class index keeps its meaning within one topology
+// only; Remap[i] gives the new index of old class i, or -1 if it is gone.
+type Topology struct {
+	Upstreams []Upstream
+	Classes   []Class
+	Remap     []int32
+	// Kinds and Orgs return the limits of a flow. They must be fast and must not allocate.
+	Kinds func(kind uint32) FlowLimit
+	Orgs  func(org uint32) FlowLimit
+}
+
+// InFlight is a dispatched request reported by an entry after a change of owner.
+type InFlight struct {
+	Descriptor Descriptor
+	// Upstream is an index into Topology.Upstreams.
+	Upstream     uint32
+	OutputTokens uint32
+	Age          time.Duration
+}
+
+// Observation is what an entry saw at one upstream over a window.
+type Observation struct {
+	Entry    uint64
+	Upstream uint32
+	// Streams are in progress, of which Stalled produced no token in the window.
+	Streams, Stalled uint32
+	// InterToken is the mean time between tokens in the window.
+	InterToken time.Duration
+}
+
+// Outcome says how a permit ended.
+type Outcome uint8
+
+// Outcomes of a permit.
+const (
+	// Unused means that nothing was dispatched.
+	Unused Outcome = iota + 1
+	// Complete means that the answer was whole and in time.
+	Complete
+	// Late means that the deadline passed.
+	Late
+	// Broken means that the answer was cut.
+	Broken
+	// ConnectRefused means that the upstream's connection was refused before the first byte.
+	ConnectRefused
+	// Refused means that the upstream refused explicitly.
+	Refused
+	// Canceled means that the caller went away.
+	Canceled
+)
+
+// Completion ends a permit.
+type Completion struct {
+	ID           GlobalID
+	Outcome      Outcome
+	OutputTokens uint32
+	TTFT         time.Duration
+	// InterToken is the mean time between tokens; 0 if unknown.
+	InterToken time.Duration
+	// CachedPrompt is the number of prompt tokens found in the prefix cache.
+	CachedPrompt uint32
+}
+
+// ShedReason says why a waiting request was shed.
+type ShedReason uint8
+
+// Reasons of a shed decision.
+const (
+	Overload ShedReason = iota + 1
+	Expired
+	Infeasible
+	LimitInFlight
+	LimitQueue
+	NoUpstream
+)
+
+// Decision is an output of Pool.Step: a grant if Reason is 0, else a shed.
+type Decision struct {
+	ID      GlobalID
+	Attempt uint32
+	// Upstream is an index into Topology.Upstreams, for grants.
+	Upstream uint32
+	Reason   ShedReason
+	// RetryAfter is an estimate of when the same request could be accepted.
+	RetryAfter time.Duration
+}
+
+// TierSummary counts the work of one tier.
+type TierSummary struct {
+	Waiting, InFlight uint32
+}
+
+// UpstreamSummary shows the learned state of one upstream.
+type UpstreamSummary struct {
+	Name            string
+	Limit, InFlight uint32
+	// TTFT and InterToken are smoothed observations.
+	TTFT, InterToken time.Duration
+	Straggler        bool
+}
+
+// Summary is a snapshot of a pool for metrics and status.
+type Summary struct {
+	Tiers     [MaxTiers]TierSummary
+	Upstreams []UpstreamSummary
+}
