simtest: add virtual-time loop, fake engine and fake service

Cause: decision packages need a deterministic peer to be run against. Change: event loop ordered by time and sequence, engine with continuous batching, bounded memory and a prefix cache, service that counts runs. Tested: go test ./internal/simtest.

--- /dev/null
+++ b/internal/simtest/engine_test.go
@@ -0,0 +1,97 @@
+package simtest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+func testEngine(loop *Loop) *Engine {
+	return NewEngine(loop, EngineConfig{
+		StepBase: 10 * time.Millisecond, StepPerSequence: time.Millisecond,
+		PrefillPerToken: 100 * time.Microsecond, ChunkTokens: 100,
+		MemoryTokens: 1000, CacheTokens: 200, MaxSequences: 8, LoadInterval: time.Second,
+	})
+}
+
+// TestEngineStepTimes guards against an engine whose time does not follow its
+// step costs, which would make every measurement meaningless.
+func TestEngineStepTimes(t *testing.T) {
+	loop := NewLoop(1)
+	engine := testEngine(loop)
+	var first, done time.Duration
+	engine.Submit(EngineRequest{
+		ID: scheduler.GlobalID{Sequence: 1}, Prompt: 150, Output: 3,
+		OnFirstToken: func() { first = loop.Now() },
+		OnDone:       func(EngineResult, uint32, uint32) { done = loop.Now() },
+	})
+	loop.RunUntil(time.Second)
+	require.Equal(t, 35*time.Millisecond, first) // (10 + 10) + (10 + 5) ms
+	require.Equal(t, 57*time.Millisecond, done)  // two decode steps of 11 ms
+	require.Equal(t, uint64(150), engine.PrefillDone)
+	require.Zero(t, engine.memory)
+}
+
+// TestEnginePrefixCacheAndMemory guards against a cache that never hits or
+// grows without bound, and against admission beyond the KV memory.
+func TestEnginePrefixCacheAndMemory(t *testing.T) {
+	loop := NewLoop(1)
+	engine := testEngine(loop)
+	var cached []uint32
+	submit := func(id, prefix uint64) {
+		engine.Submit(EngineRequest{
+			ID: scheduler.GlobalID{Sequence: id}, Prompt: 150, Output: 300, Prefix: prefix, PrefixTokens: 100,
+			OnDone: func(_ EngineResult, _, hit uint32) { cached = append(cached, hit) },
+		})
+		require.LessOrEqual(t, engine.memory, engine.MemoryTokens)
+	}
+	for i, prefix := range []uint64{1, 2, 3} {
+		submit(uint64(i), prefix)
+	}
+	require.Equal(t, 3, engine.InProgress())
+	loop.RunUntil(time.Minute)
+	submit(10, 3)
+	loop.RunUntil(2 * time.Minute)
+	submit(11, 1)
+	loop.RunUntil(3 * time.Minute)
+	require.Equal(t, []uint32{0, 0, 0, 100, 0}, cached)
+}
+
+// TestEngineKillAndCancel guards against callbacks of streams that ended.
+func TestEngineKillAndCancel(t *testing.T) {
+	loop := NewLoop(1)
+	engine := testEngine(loop)
+	results := map[uint64]EngineResult{}
+	for id := uint64(1); id <= 2; id++ {
+		engine.Submit(EngineRequest{
+			ID: scheduler.GlobalID{Sequence: id}, Prompt: 10, Output: 50,
+			OnDone: func(result EngineResult, _, _ uint32) { results[id] = result },
+		})
+	}
+	loop.RunUntil(100 * time.Millisecond)
+	require.Equal(t, uint32(10), engine.Cancel(scheduler.GlobalID{Sequence: 1}))
+	engine.Kill()
+	require.False(t, engine.Submit(EngineRequest{}))
+	loop.RunUntil(time.Minute)
+	require.Equal(t, map[uint64]EngineResult{2: StreamBroken}, results)
+}
+
+// TestServiceCountsRuns guards against a fake that hides a repeated run.
+func TestServiceCountsRuns(t *testing.T) {
+	loop := NewLoop(1)
+	service := NewService(loop, ServiceConfig{Duration: time.Second, Concurrency: 1})
+	whole := 0
+	for id := uint64(1); id <= 3; id++ {
+		service.Call(scheduler.GlobalID{Sequence: id}, "key", func(ok bool) {
+			if ok {
+				whole++
+			}
+		})
+	}
+	loop.RunUntil(time.Minute)
+	require.Equal(t, 3, whole)
+	require.Equal(t, 3, service.KeyRuns["key"])
+	require.Equal(t, 1, service.Runs[scheduler.GlobalID{Sequence: 2}])
+}
