scheduler: queues, fair queueing, limits, permits, shedding, stragglers

Change: Pool with strict tiers, two-level start-time fair queueing, cascade on shed, latest-start heap, adaptive limits, placement with prefix hints, quarantine and probes. Found by the differential test and fixed: the cascade must be transitive, since the work it sheds may share another upstream with a still lower tier; a request refused at submission must cascade when the refusal is reported, since lower tiers may be submitted in between; an adopted request must not correct tags that it was never charged to.

--- /dev/null
+++ b/pkg/scheduler/fairness.go
@@ -0,0 +1,227 @@
+package scheduler
+
+import "time"
+
+// Fair queueing is start-time fair queueing at two levels: kinds inside a tier
+// and organisations inside a kind. A flow's tag is the start tag of its next
+// request while it waits, and the finish tag of its last request otherwise.
+// Tags are in 1/tagUnit tokens of cost per unit of weight; at ten million
+// tokens a second an int64 lasts for decades.
+const tagUnit = 256
+
+// maxLag bounds how far a flow can fall behind the virtual time while the
+// upstreams of its class are busy or dead. Without a bound such a flow would
+// hold the rest of its tier back for as long as it was blocked.
+const maxLag = 1 << 18 * tagUnit
+
+// decodeCost is the cost of one output token in prompt tokens. A decode step
+// of a batch of 30 takes about 20 ms and a prompt token 0.05 to 0.1 ms, so one
+// output token takes as much of an engine as about 8 prompt tokens.
+const decodeCost = 8
+
+// maxIdleFlows bounds the flows that are remembered only for their tag.
+const maxIdleFlows = 1024
+
+type kindKey struct {
+	tier uint8
+	kind uint32
+}
+
+type orgKey struct {
+	tier uint8
+	kind uint32
+	org  uint32
+}
+
+func hashKind(k kindKey) uint64 { return mix(uint64(k.tier)<<32 | uint64(k.kind) + 1<<40) }
+
+func hashOrg(k orgKey) uint64 {
+	return mix(mix(uint64(k.tier)<<32|uint64(k.kind)) ^ uint64(k.org)<<8)
+}
+
+// limitState counts the work of one kind or one organisation over all tiers.
+type limitState[Q any] struct {
+	number uint32
+	limit  FlowLimit
+	// refs is the number of flows that refer to this state.
+	refs             int
+	inFlight, queued uint32
+	// parked lists the queues that wait for the in-flight limit.
+	parked []Q
+	// blocked is the last time at which the limit held work back; it is valid
+	// if everBlocked is set.
+	blocked     time.Duration
+	everBlocked bool
+}
+
+func (s *limitState[Q]) atLimit() bool {
+	return s.limit.InFlight > 0 && s.inFlight >= s.limit.InFlight
+}
+
+// heldBackSince reports whether the limit held work back at or after t.
+func (s *limitState[Q]) heldBackSince(t time.Duration) bool {
+	return len(s.parked) > 0 || s.everBlocked && s.blocked >= t
+}
+
+// kindFlow is a kind of request in one tier.
+type kindFlow struct {
+	key    kindKey
+	state  *limitState[*kindQueue]
+	weight float64
+	tag    int64
+	// virtual is the greatest start tag granted among the organisations.
+	virtual int64
+	// orgWeight is the sum of the weights of the organisations that wait.
+	orgWeight float64
+	waiting   int
+	cost      int64
+	queues    []*kindQueue
+	orgs      int // organisation flows that refer to this flow
+}
+
+// orgFlow is an organisation in one kind and tier.
+type orgFlow struct {
+	key      orgKey
+	kind     *kindFlow
+	state    *limitState[*orgQueue]
+	weight   float64
+	tag      int64
+	waiting  int
+	inFlight int
+	cost     int64
+	queues   []*orgQueue
+	// idleNext and idleListed place the flow in Pool.idleOrgs.
+	idleNext   *orgFlow
+	idleListed bool
+}
+
+func weightOf(limit FlowLimit) float64 {
+	if limit.Weight <= 0 {
+		return 1
+	}
+	return limit.Weight
+}
+
+func tagOf(cost int64, weight float64) int64 {
+	return int64(float64(cost) * tagUnit / weight)
+}
+
+// startWaiting counts one more waiting request. A flow that had none starts
+// at the virtual time, so that it cannot save up service while it is idle.
+func (f *orgFlow) startWaiting(t *tierState, cost int64) {
+	k := f.kind
+	if k.waiting == 0 {
+		k.tag = max(k.tag, t.virtual)
+		t.weight += k.weight
+	}
+	if f.waiting == 0 {
+		f.tag = max(f.tag, k.virtual)
+		k.orgWeight += f.weight
+	}
+	f.waiting++
+	k.waiting++
+	f.cost += cost
+	k.cost += cost
+	f.state.queued++
+	k.state.queued++
+}
+
+func (f *orgFlow) stopWaiting(t *tierState, cost int64) {
+	k := f.kind
+	f.waiting--
+	k.waiting--
+	f.cost -= cost
+	k.cost -= cost
+	f.state.queued--
+	k.state.queued--
+	if f.waiting == 0 {
+		k.orgWeight = settle(k.orgWeight-f.weight, k.waiting)
+	}
+	if k.waiting == 0 {
+		t.weight = settle(t.weight-k.weight, t.waiting)
+	}
+}
+
+// settle removes rounding errors from a sum of weights once nothing waits.
+func settle(weight float64, waiting int) float64 {
+	if waiting == 0 {
+		return 0
+	}
+	return max(0, weight)
+}
+
+// charge advances the tags of a flow whose request was granted.
+func (f *orgFlow) charge(t *tierState, cost int64) {
+	k := f.kind
+	t.virtual = max(t.virtual, k.tag)
+	k.tag = max(k.tag, t.virtual-maxLag) + tagOf(cost, k.weight)
+	k.virtual = max(k.virtual, f.tag)
+	f.tag = max(f.tag, k.virtual-maxLag) + tagOf(cost, f.weight)
+}
+
+// correct adds the difference between the true and the expected cost.
+func (f *orgFlow) correct(difference int64) {
+	f.kind.tag += tagOf(difference, f.kind.weight)
+	f.tag += tagOf(difference, f.weight)
+}
+
+// reorder restores the heaps after the tags of a flow changed.
+func (p *Pool) reorder(f *orgFlow) {
+	for _, queue := range f.queues {
+		if queue.position >= 0 {
+			queue.kind.orgs.fix(queue.position, f.tag)
+		}
+	}
+	for _, queue := range f.kind.queues {
+		if queue.position >= 0 {
+			p.tiers[f.key.tier].lines[queue.class].kinds.fix(queue.position, f.kind.tag)
+		}
+	}
+}
+
+// unparkKind makes the queues of a kind eligible after its limit has room.
+func (p *Pool) unparkKind(now time.Duration, s *limitState[*kindQueue]) {
+	if len(s.parked) == 0 || s.atLimit() {
+		return
+	}
+	s.blocked, s.everBlocked = now, true
+	for _, queue := range s.parked {
+		queue.parked = false
+		if queue.orgs.len() > 0 {
+			t := &p.tiers[queue.flow.key.tier]
+			p.nextTie++
+			t.lines[queue.class].kinds.push(queue.flow.tag, p.nextTie, queue)
+		}
+	}
+	s.parked = s.parked[:0]
+}
+
+// unparkOrg makes the queues of an organisation eligible after its limit has room.
+func (p *Pool) unparkOrg(now time.Duration, s *limitState[*orgQueue]) {
+	if len(s.parked) == 0 || s.atLimit() {
+		return
+	}
+	s.blocked, s.everBlocked = now, true
+	for _, queue := range s.parked {
+		queue.parked = false
+		p.activate(queue)
+	}
+	s.parked = s.parked[:0]
+}
+
+// startFlight counts a request in flight against tier, kind and organisation.
+func (p *Pool) startFlight(f *orgFlow) {
+	f.inFlight++
+	f.state.inFlight++
+	f.kind.state.inFlight++
+	p.tiers[f.key.tier].flight++
+}
+
+func (p *Pool) endFlight(now time.Duration, f *orgFlow) {
+	f.inFlight--
+	f.state.inFlight--
+	f.kind.state.inFlight--
+	p.tiers[f.key.tier].flight--
+	p.unparkKind(now, f.kind.state)
+	p.unparkOrg(now, f.state)
+}
--- /dev/null
+++ b/pkg/scheduler/permits.go
@@ -0,0 +1,285 @@
+package scheduler
+
+import "time"
+
+const (
+	// entryGrace is how long the permits of a dead entry count as in flight,
+	// because its engines notice the closed connections only after a while.
+	entryGrace = 2 * time.Second
+	// lapseGrace is how long after its deadline a permit is taken back if it
+	// was never released, for example because a frame was lost.
+	lapseGrace = 10 * time.Second
+)
+
+// grantTier grants waiting requests of one tier while its classes have free
+// upstreams. Because tiers are served in order, a request of a lower tier only
+// finds capacity that no waiting request of a higher tier can use.
+func (p *Pool) grantTier(now time.Duration, t *tierState, out []Decision) []Decision {
+	for t.waiting > 0 {
+		r := p.nextOf(now, t)
+		if r == nil {
+			break
+		}
+		u := p.place(r)
+		out = append(out, p.grant(now, r, u))
+	}
+	return out
+}
+
+// nextOf returns the request that the tier grants next, or nil if no class has
+// both a free upstream and a request that may start.
+func (p *Pool) nextOf(now time.Duration, t *tierState) *request {
+	var best *request
+	var bestTag int64
+	for _, c := range t.active {
+		if p.classes[c].free == 0 {
+			continue
+		}
+		l := &t.lines[c]
+		r := p.first(now, l)
+		if r == nil {
+			continue
+		}
+		if tag := l.kinds.entries[0].key; best == nil || tag < bestTag {
+			best, bestTag = r, tag
+		}
+	}
+	return best
+}
+
+// grant makes a waiting request in flight at an upstream.
+func (p *Pool) grant(now time.Duration, r *request, u *upstream) Decision {
+	flow := r.orgFlow
+	p.dequeue(r)
+	flow.charge(&p.tiers[r.Tier], r.cost)
+	p.reorder(flow)
+	cached := p.hints.lookup(r.Prefix).tokens(uint32(u.index), r.Prompt)
+	p.hints.learn(r.Prefix, u.index, 0)
+	p.attach(now, r, u, max(0, int64(r.Prompt)-cached))
+	return Decision{ID: r.ID, Attempt: r.Attempt, Upstream: uint32(u.index)}
+}
+
+// attach counts a request in flight at an upstream.
+func (p *Pool) attach(now time.Duration, r *request, u *upstream, prefill int64) {
+	r.state, r.upstream, r.granted, r.started = stateInFlight, u, now, false
+	p.startFlight(r.orgFlow)
+	u.inFlight++
+	r.inFlightOf = u.inFlight
+	r.prefill = prefill
+	u.pendingPrefill += prefill
+	r.ahead = u.pendingPrefill
+	r.awaitPrev, r.awaitNext = u.awaitTail, nil
+	if u.awaitTail != nil {
+		u.awaitTail.awaitNext = r
+	} else {
+		u.awaitHead = r
+	}
+	u.awaitTail = r
+	p.nextTie++
+	p.lapse.push(int64(max(r.Deadline, now)+lapseGrace), p.nextTie, r)
+	p.refresh(u)
+}
+
+// start takes a request off the list of those without a first token.
+func (u *upstream) start(r *request) {
+	if r.started {
+		return
+	}
+	r.started = true
+	u.pendingPrefill -= r.prefill
+	if r.awaitPrev != nil {
+		r.awaitPrev.awaitNext = r.awaitNext
+	} else {
+		u.awaitHead = r.awaitNext
+	}
+	if r.awaitNext != nil {
+		r.awaitNext.awaitPrev = r.awaitPrev
+	} else {
+		u.awaitTail = r.awaitPrev
+	}
+	r.awaitPrev, r.awaitNext = nil, nil
+}
+
+// Adopt records a request that an entry dispatched under an earlier owner. It
+// ends a waiting state of the same request. Reports for an unknown upstream or
+// for a request that is known to be in flight are ignored.
+func (p *Pool) Adopt(now time.Duration, f InFlight) {
+	r := p.requests.get(f.Descriptor.ID)
+	if int(f.Upstream) >= len(p.upstreams) || f.Descriptor.Tier >= MaxTiers || r != nil && r.state == stateInFlight {
+		return
+	}
+	if r != nil {
+		p.discard(r)
+	}
+	r = p.newRequest(now, f.Descriptor)
+	r.orgFlow = p.orgFlowFor(r.Tier, r.Kind, r.Org)
+	u := p.upstreams[f.Upstream]
+	p.attach(now, r, u, int64(r.Prompt))
+	r.granted, r.adopted = now-f.Age, true
+	if f.OutputTokens > 0 {
+		u.start(r)
+	}
+	p.hints.learn(r.Prefix, u.index, 0)
+}
+
+// FirstToken reports the first token of a request in flight. The time to first
+// token counts from dispatch.
+func (p *Pool) FirstToken(now time.Duration, id GlobalID, ttft time.Duration) {
+	r := p.requests.get(id)
+	if r == nil || r.state != stateInFlight || r.started {
+		return
+	}
+	p.observeFirst(now, r, ttft)
+}
+
+func (p *Pool) observeFirst(now time.Duration, r *request, ttft time.Duration) {
+	u := r.upstream
+	u.start(r)
+	u.lastSign = now
+	if u.Service {
+		return
+	}
+	smooth(&u.ttft, float64(ttft), smoothing)
+	if r.ahead > 0 && !u.quarantined {
+		// The share of the step time that is not prefill is small for long
+		// prompts and must not be taken for slow prefill of short ones.
+		if perToken := float64(ttft) / float64(r.ahead); r.ahead >= minPrefillSample {
+			smooth(&u.prefillPerToken, perToken, slowSmoothing)
+		}
+	}
+	p.sampleLimit(now, u, float64(ttft), float64(p.config.TargetTTFT))
+	p.observeProbe(now, r, ttft <= p.config.TargetTTFT)
+}
+
+// minPrefillSample is the least number of prompt tokens from which the prefill
+// speed is learned.
+const minPrefillSample = 512
+
+// Release ends a permit. Costs are corrected by the true number of tokens.
+func (p *Pool) Release(now time.Duration, c Completion) {
+	r := p.requests.get(c.ID)
+	if r == nil || r.state != stateInFlight {
+		return
+	}
+	u := r.upstream
+	p.notePressure(u)
+	p.learnOutcome(now, r, c)
+	p.endPermit(now, r, p.trueCost(r, c))
+}
+
+func (p *Pool) trueCost(r *request, c Completion) int64 {
+	switch c.Outcome {
+	case Unused, ConnectRefused, Refused:
+		return 0
+	}
+	prompt := uint32(0)
+	if r.started || c.OutputTokens > 0 {
+		prompt = r.Prompt - min(c.CachedPrompt, r.Prompt)
+	}
+	return costOf(prompt, c.OutputTokens)
+}
+
+func costOf(prompt, output uint32) int64 {
+	return max(1, int64(prompt)+decodeCost*int64(output))
+}
+
+// learnOutcome updates what is known of the upstream.
+func (p *Pool) learnOutcome(now time.Duration, r *request, c Completion) {
+	u := r.upstream
+	switch c.Outcome {
+	case Complete, Late:
+		u.lastSign = now
+		u.broken = 0
+		u.learnSlot(p.trueCost(r, c), now-r.granted)
+		if !r.started && c.TTFT > 0 {
+			p.observeFirst(now, r, c.TTFT)
+		}
+		if c.InterToken > 0 && !u.Service {
+			p.observeInterToken(now, r, float64(c.InterToken))
+		}
+		if c.CachedPrompt > 0 {
+			p.hints.learn(r.Prefix, u.index, c.CachedPrompt)
+		}
+	case ConnectRefused:
+		p.quarantine(now, u)
+	case Broken, Refused:
+		u.broken++
+		if u.broken >= brokenInARow {
+			p.quarantine(now, u)
+		}
+	}
+	if r.probe && c.Outcome != Complete {
+		u.probing = nil
+	}
+}
+
+func (p *Pool) observeInterToken(now time.Duration, r *request, interToken float64) {
+	u := r.upstream
+	if u.interToken == 0 || len(u.reports) == 0 {
+		smooth(&u.interToken, interToken, smoothing)
+	}
+	if !u.quarantined && u.suspectSince == 0 {
+		smooth(&u.profile[bucketOf(r.inFlightOf)], interToken, slowSmoothing)
+	}
+	p.sampleLimit(now, u, interToken, float64(p.config.TargetInterToken))
+}
+
+// endPermit removes a request in flight from all counts.
+func (p *Pool) endPermit(now time.Duration, r *request, cost int64) {
+	u, flow := r.upstream, r.orgFlow
+	u.start(r)
+	u.inFlight--
+	if u.probing == r {
+		u.probing = nil
+	}
+	p.lapse.remove(r.position)
+	if !r.adopted {
+		flow.correct(cost - r.cost)
+		p.reorder(flow)
+	}
+	p.endFlight(now, flow)
+	p.rest(flow)
+	p.forget(r)
+	p.refresh(u)
+}
+
+// forget frees the record of a request that no structure refers to any more.
+func (p *Pool) forget(r *request) {
+	p.requests.remove(r.ID)
+	*r = request{position: -1}
+	p.freeRequests.put(r)
+}
+
+// lapsePermits takes back permits that should have been released long ago.
+func (p *Pool) lapsePermits(now time.Duration) {
+	for p.lapse.len() > 0 && time.Duration(p.lapse.entries[0].key) <= now {
+		r := p.lapse.entries[0].item
+		p.endPermit(now, r, r.cost)
+	}
+}
+
+// DropEntry drops the waiting requests of an entry that is dead. Its permits
+// count as in flight for a grace period.
+func (p *Pool) DropEntry(now time.Duration, entry uint64) {
+	var dropped []*request
+	for _, s := range p.requests.slots {
+		if s.value != nil && s.key.Entry == entry {
+			dropped = append(dropped, s.value)
+		}
+	}
+	for _, r := range dropped {
+		if r.state == stateWaiting {
+			p.discard(r)
+		} else {
+			p.lapse.fix(r.position, int64(now+entryGrace))
+		}
+	}
+	for _, u := range p.upstreams {
+		for i := range u.reports {
+			if u.reports[i].Entry == entry {
+				u.reports = append(u.reports[:i], u.reports[i+1:]...)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/placement.go
@@ -0,0 +1,187 @@
+package scheduler
+
+import "time"
+
+// serviceTime is the time from dispatch to the last token on one upstream, at
+// the given number of requests in flight there.
+func (u *upstream) serviceTime(prompt, output uint32, inFlight uint32) time.Duration {
+	if u.Service {
+		return time.Duration(u.slotTime)
+	}
+	return time.Duration(float64(prompt)*u.prefillPerToken + float64(output)*u.expectedInterToken(inFlight))
+}
+
+// finishCost estimates the time in nanoseconds until a request would finish on
+// an upstream: prompts that wait there, its own prompt without the probably
+// cached part, and its output.
+func (u *upstream) finishCost(r *request, cached int64) float64 {
+	if u.Service {
+		return u.slotTime * float64(u.inFlight+1) / max(1, u.limit)
+	}
+	prefill := float64(u.pendingPrefill+max(0, int64(r.Prompt)-cached)) * u.prefillPerToken
+	return prefill + float64(r.OutMean)*u.expectedInterToken(u.inFlight+1)
+}
+
+// place returns the free upstream with the least expected finish time, or nil.
+// Equal times go to the upstream with the smaller part of its limit in use.
+func (p *Pool) place(r *request) *upstream {
+	hints := p.hints.lookup(r.Prefix)
+	var best *upstream
+	var bestCost, bestLoad float64
+	for _, index := range p.classes[r.Class].upstreams {
+		u := p.upstreams[index]
+		if !u.free {
+			continue
+		}
+		cost := u.finishCost(r, hints.tokens(index, r.Prompt))
+		load := float64(u.inFlight) / u.limit
+		if best == nil || cost < bestCost || cost == bestCost && load < bestLoad {
+			best, bestCost, bestLoad = u, cost, load
+		}
+	}
+	return best
+}
+
+// bestServiceTimes returns the service times for the mean and the high output
+// prediction on the best usable upstream of a class. The mean is for an idle
+// upstream, the high one for the present load.
+func (p *Pool) bestServiceTimes(c *class, prompt, mean, high uint32) (idle, loaded time.Duration) {
+	idle, loaded = Never, Never
+	for _, index := range c.upstreams {
+		u := p.upstreams[index]
+		if u.Leaving {
+			continue
+		}
+		idle = min(idle, u.serviceTime(prompt, mean, 1))
+		loaded = min(loaded, u.serviceTime(prompt, high, uint32(u.limit)))
+	}
+	return idle, loaded
+}
+
+const (
+	// hintSets times hintWays bounds the prefixes that are remembered.
+	hintSets = 2048
+	hintWays = 4
+)
+
+// hint says that an upstream probably has a prefix in its cache.
+type hint struct {
+	prefix   uint64
+	upstream int32
+	// tokens is the cached length that was seen, 0 if not known yet.
+	tokens uint32
+	used   uint64
+}
+
+// hintTable is a bounded set of hints, evicted least recently used within sets.
+type hintTable struct {
+	sets  [][hintWays]hint
+	seed  uint64
+	clock uint64
+}
+
+func newHintTable(seed uint64) hintTable {
+	return hintTable{sets: make([][hintWays]hint, hintSets), seed: seed}
+}
+
+// hintSet is the set that holds all hints of one prefix.
+type hintSet struct {
+	prefix uint64
+	ways   *[hintWays]hint
+}
+
+func (t *hintTable) lookup(prefix uint64) hintSet {
+	if prefix == 0 {
+		return hintSet{}
+	}
+	return hintSet{prefix, &t.sets[mix(prefix^t.seed)%hintSets]}
+}
+
+// tokens returns the length that is probably cached at an upstream. Until a
+// length was seen, half of the prompt is assumed.
+func (s hintSet) tokens(upstream uint32, prompt uint32) int64 {
+	if s.ways == nil {
+		return 0
+	}
+	for i := range s.ways {
+		h := &s.ways[i]
+		if h.prefix != s.prefix || h.upstream != int32(upstream) {
+			continue
+		}
+		if h.tokens == 0 {
+			return int64(prompt / 2)
+		}
+		return int64(min(h.tokens, prompt))
+	}
+	return 0
+}
+
+// learn records a prefix at an upstream; tokens is 0 if the length is not known.
+func (t *hintTable) learn(prefix uint64, upstream int, tokens uint32) {
+	set := t.lookup(prefix)
+	if set.ways == nil {
+		return
+	}
+	t.clock++
+	victim := &set.ways[0]
+	for i := range set.ways {
+		h := &set.ways[i]
+		if h.prefix == prefix && h.upstream == int32(upstream) {
+			h.used = t.clock
+			if tokens > 0 {
+				h.tokens = tokens
+			}
+			return
+		}
+		if h.used < victim.used {
+			victim = h
+		}
+	}
+	*victim = hint{prefix, int32(upstream), tokens, t.clock}
+}
+
+func (t *hintTable) forget(prefix uint64, upstream int) {
+	set := t.lookup(prefix)
+	if set.ways == nil {
+		return
+	}
+	for i := range set.ways {
+		if h := &set.ways[i]; h.prefix == prefix && h.upstream == int32(upstream) {
+			*h = hint{}
+		}
+	}
+}
+
+// remap follows upstreams to their new numbers and drops those that are gone.
+func (t *hintTable) remap(old, current []*upstream) {
+	if len(old) == 0 {
+		return
+	}
+	for s := range t.sets {
+		for w := range t.sets[s] {
+			h := &t.sets[s][w]
+			if h.prefix == 0 {
+				continue
+			}
+			u := old[h.upstream]
+			if u.index < len(current) && current[u.index] == u {
+				h.upstream = int32(u.index)
+			} else {
+				*h = hint{}
+			}
+		}
+	}
+}
+
+// CacheEvent takes in a cache event of an upstream: a prefix was cached or
+// evicted there. Events are hints; they may be late or missing.
+func (p *Pool) CacheEvent(upstream uint32, prefix uint64, cached bool) {
+	if int(upstream) >= len(p.upstreams) {
+		return
+	}
+	if cached {
+		p.hints.learn(prefix, int(upstream), 0)
+	} else {
+		p.hints.forget(prefix, int(upstream))
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/pool.go
@@ -0,0 +1,208 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of a Config.
+const (
+	defaultTargetTTFT       = 980 * time.Millisecond
+	defaultTargetInterToken = 54 * time.Millisecond
+	defaultMaxQueue         = 8192
+)
+
+// Never is returned by NextWake when nothing is due.
+const Never = time.Duration(math.MaxInt64)
+
+// Pool schedules the requests of one pool of upstreams. It is used by one
+// goroutine. All times are on one monotonic clock and must not decrease.
+type Pool struct {
+	config    Config
+	topology  Topology
+	upstreams []*upstream
+	classes   []class
+	hints     hintTable
+
+	requests   table[GlobalID, request]
+	kindStates table[uint32, limitState[*kindQueue]]
+	orgStates  table[uint32, limitState[*orgQueue]]
+	kindFlows  table[kindKey, kindFlow]
+	orgFlows   table[orgKey, orgFlow]
+	idleOrgs   idleList
+
+	tiers   [MaxTiers]tierState
+	waiting int
+	nextTie uint64
+	// expiry orders waiting requests by latest start, lapse orders requests in
+	// flight by the time at which their permit is taken back.
+	expiry, lapse minHeap[*request]
+	// pending holds shed decisions that Step has not returned yet.
+	pending []Decision
+	// overloaded holds new requests that were not admitted since the last Step.
+	overloaded []refusal
+
+	cautiousUntil  time.Duration
+	nextCheck      time.Duration
+	nextCapacities time.Duration
+	quarantined    int
+
+	freeRequests   freeList[request]
+	freeKindStates freeList[limitState[*kindQueue]]
+	freeOrgStates  freeList[limitState[*orgQueue]]
+	freeKindFlows  freeList[kindFlow]
+	freeOrgFlows   freeList[orgFlow]
+	freeKindQueues freeList[kindQueue]
+	freeOrgQueues  freeList[orgQueue]
+}
+
+// New returns a pool without upstreams. Zero fields of the configuration take
+// defaults.
+func New(config Config) *Pool {
+	if config.TargetTTFT <= 0 {
+		config.TargetTTFT = defaultTargetTTFT
+	}
+	if config.TargetInterToken <= 0 {
+		config.TargetInterToken = defaultTargetInterToken
+	}
+	if config.MaxQueue <= 0 {
+		config.MaxQueue = defaultMaxQueue
+	}
+	config.Share = max(1, config.Share)
+	return &Pool{
+		config:     config,
+		hints:      newHintTable(config.Seed),
+		requests:   newTable[GlobalID, request](hashID),
+		kindStates: newTable[uint32, limitState[*kindQueue]](hashUint32),
+		orgStates:  newTable[uint32, limitState[*orgQueue]](hashUint32),
+		kindFlows:  newTable[kindKey, kindFlow](hashKind),
+		orgFlows:   newTable[orgKey, orgFlow](hashOrg),
+	}
+}
+
+// Submit adds a waiting request. A repeated submission of the same attempt is
+// ignored. A later attempt replaces an earlier one: a waiting request keeps its
+// place, and a permit of the earlier attempt ends as unused, because an entry
+// submits again only if it dispatched nothing.
+func (p *Pool) Submit(now time.Duration, d Descriptor) {
+	p.sweepIdle()
+	if known := p.requests.get(d.ID); known != nil {
+		if d.Attempt <= known.Attempt {
+			return
+		}
+		if known.state == stateWaiting {
+			known.Attempt = d.Attempt
+			return
+		}
+		p.Release(now, Completion{ID: d.ID, Outcome: Unused})
+	}
+	if d.Tier >= MaxTiers || int(d.Class) >= len(p.classes) || !p.classes[d.Class].usable {
+		p.refuse(d, NoUpstream, 0)
+		return
+	}
+	if state := p.kindStates.get(d.Kind); state != nil && queueFull(state.limit, state.queued) {
+		p.refuse(d, LimitQueue, limitRetryAfter)
+		return
+	}
+	if state := p.orgStates.get(d.Org); state != nil && queueFull(state.limit, state.queued) {
+		p.refuse(d, LimitQueue, limitRetryAfter)
+		return
+	}
+	p.admit(now, d)
+}
+
+func queueFull(limit FlowLimit, queued uint32) bool {
+	return limit.Queued > 0 && queued >= limit.Queued
+}
+
+// Withdraw removes a waiting request whose caller is gone. It has no effect on
+// a request in flight, which its entry ends with Release.
+func (p *Pool) Withdraw(_ time.Duration, id GlobalID) {
+	if r := p.requests.get(id); r != nil && r.state == stateWaiting {
+		p.discard(r)
+	}
+}
+
+// Step sheds and grants what is due and appends the decisions to out. Shed
+// decisions of lower tiers precede those of the tier that caused them.
+func (p *Pool) Step(now time.Duration, out []Decision) []Decision {
+	if now >= p.nextCapacities {
+		p.updateCapacities(now)
+	}
+	if p.cautiousUntil != 0 && now >= p.cautiousUntil {
+		p.cautiousUntil = 0
+		p.refreshAll()
+	}
+	p.lapsePermits(now)
+	p.expire(now)
+	p.shedOverloaded()
+	if now >= p.nextCheck {
+		p.nextCheck = now + stragglerCheckInterval
+		p.checkStragglers(now)
+	}
+	out = append(out, p.pending...)
+	p.pending = p.pending[:0]
+	for tier := range p.tiers {
+		out = p.grantTier(now, &p.tiers[tier], out)
+	}
+	if p.quarantined > 0 {
+		out = p.probe(now, out)
+	}
+	return out
+}
+
+// NextWake returns the time at which Step must be called even if nothing is
+// submitted or released before, or Never.
+func (p *Pool) NextWake(now time.Duration) time.Duration {
+	if len(p.pending) > 0 || len(p.overloaded) > 0 {
+		return now
+	}
+	wake := Never
+	if p.expiry.len() > 0 {
+		// A request is expired once its latest start has passed.
+		wake = min(wake, time.Duration(p.expiry.entries[0].key)+1)
+	}
+	if p.lapse.len() > 0 {
+		wake = min(wake, time.Duration(p.lapse.entries[0].key), p.nextCheck)
+	}
+	if p.quarantined > 0 && p.waiting > 0 {
+		wake = min(wake, p.nextCheck)
+	}
+	if p.cautiousUntil != 0 {
+		wake = min(wake, p.cautiousUntil)
+	}
+	return max(wake, now)
+}
+
+// SetCautious halves all limits until the given time. A new owner does so until
+// the entries have reported their requests in flight; a call with until not
+// after now ends it.
+func (p *Pool) SetCautious(now, until time.Duration) {
+	p.cautiousUntil = until
+	if until <= now {
+		p.cautiousUntil = 0
+	}
+	p.refreshAll()
+}
+
+// SetShare changes Config.Share.
+func (p *Pool) SetShare(_ time.Duration, share int) {
+	p.config.Share = max(1, share)
+	p.refreshAll()
+}
+
+// Summary returns a snapshot for metrics and status. It allocates.
+func (p *Pool) Summary() Summary {
+	var s Summary
+	for i := range p.tiers {
+		s.Tiers[i] = TierSummary{Waiting: uint32(p.tiers[i].waiting), InFlight: p.tiers[i].flight}
+	}
+	for _, u := range p.upstreams {
+		s.Upstreams = append(s.Upstreams, UpstreamSummary{
+			Name: u.Name, Limit: p.limitOf(u), InFlight: u.inFlight,
+			TTFT: time.Duration(u.ttft), InterToken: time.Duration(u.interToken),
+			Straggler: u.quarantined,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/scheduler/topology.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"math/bits"
+	"time"
+)
+
+// class is a set of eligible upstreams with derived data.
+type class struct {
+	upstreams []uint32
+	// usable is false if every upstream of the class is leaving or gone.
+	usable bool
+	// free is the number of upstreams that can take a request now.
+	free int
+	// overlaps lists the classes that share a usable upstream with this one,
+	// itself included.
+	overlaps []overlap
+	// capacity is the cost per second that the upstreams can serve.
+	capacity float64
+}
+
+type overlap struct {
+	class uint32
+	// fraction of the other class's upstreams that belong to this class too.
+	fraction float64
+}
+
+// SetTopology replaces upstreams, classes and limits. Upstreams keep their
+// learned state by name. Waiting requests follow Topology.Remap (nil means that
+// class numbers are unchanged); those without a class are shed with NoUpstream. Requests in flight at an upstream that is
+// gone keep their permits until they are released.
+func (p *Pool) SetTopology(now time.Duration, t Topology) {
+	p.shedOverloaded() // the refusals refer to the old classes
+	moved := p.takeWaiting()
+	old := p.upstreams
+	p.topology = t
+	p.upstreams = make([]*upstream, len(t.Upstreams))
+	for i, config := range t.Upstreams {
+		u := findUpstream(old, config.Name)
+		if u == nil {
+			u = newUpstream(config)
+		}
+		u.Upstream = config
+		u.bound()
+		u.index, u.present = i, true
+		u.classes = u.classes[:0]
+		p.upstreams[i] = u
+	}
+	for _, u := range old {
+		if u.index >= len(p.upstreams) || p.upstreams[u.index] != u {
+			p.detach(u)
+		}
+	}
+	p.hints.remap(old, p.upstreams)
+	p.buildClasses()
+	for i := range p.tiers {
+		p.tiers[i].lines = make([]line, len(t.Classes))
+		for c := range p.tiers[i].lines {
+			p.tiers[i].lines[c].active = -1
+		}
+	}
+	p.refreshLimits(now)
+	p.refreshAll()
+	p.updateCapacities(now)
+	p.requeue(moved, t.Remap)
+}
+
+func findUpstream(list []*upstream, name string) *upstream {
+	for _, u := range list {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+// detach takes an upstream that is no longer configured out of placement.
+func (p *Pool) detach(u *upstream) {
+	u.present, u.free = false, false
+	u.classes = nil
+	if u.quarantined {
+		u.quarantined = false
+		p.quarantined--
+	}
+}
+
+func (p *Pool) buildClasses() {
+	p.classes = make([]class, len(p.topology.Classes))
+	words := (len(p.upstreams) + 63) / 64
+	sets := make([][]uint64, len(p.classes))
+	for c := range p.classes {
+		sets[c] = make([]uint64, words)
+		for _, index := range p.topology.Classes[c].Upstreams {
+			if int(index) >= len(p.upstreams) {
+				continue
+			}
+			u := p.upstreams[index]
+			p.classes[c].upstreams = append(p.classes[c].upstreams, index)
+			u.classes = append(u.classes, uint32(c))
+			u.free = false // refreshAll counts it again
+			if !u.Leaving {
+				sets[c][index/64] |= 1 << (index % 64)
+				p.classes[c].usable = true
+			}
+		}
+	}
+	for c := range p.classes {
+		for other := range p.classes {
+			if shared, size := intersection(sets[c], sets[other]); shared > 0 {
+				p.classes[c].overlaps = append(p.classes[c].overlaps,
+					overlap{uint32(other), float64(shared) / float64(size)})
+			}
+		}
+	}
+}
+
+// takeWaiting removes all waiting requests from the queues, in order of arrival
+// within each tier and class.
+func (p *Pool) takeWaiting() []*request {
+	var moved []*request
+	for i := range p.tiers {
+		for c := range p.tiers[i].lines {
+			for r := p.tiers[i].lines[c].head; r != nil; r = p.tiers[i].lines[c].head {
+				p.dequeue(r)
+				moved = append(moved, r)
+			}
+		}
+	}
+	// Queues refer to old class numbers, so flows start with none.
+	p.eachFlow(func(f *orgFlow) {
+		f.queues = f.queues[:0]
+		f.kind.queues = f.kind.queues[:0]
+	})
+	p.eachKindState(func(s *limitState[*kindQueue]) { s.parked = s.parked[:0] })
+	return moved
+}
+
+func (p *Pool) requeue(moved []*request, remap []int32) {
+	for _, r := range moved {
+		index := int64(r.Class)
+		if remap != nil {
+			index = -1
+			if int(r.Class) < len(remap) {
+				index = int64(remap[r.Class])
+			}
+		}
+		if index < 0 || index >= int64(len(p.classes)) || !p.classes[index].usable {
+			p.decideShed(r, NoUpstream, 0)
+			continue
+		}
+		r.Class = uint32(index)
+		p.enqueue(r)
+	}
+}
+
+// refreshLimits reads the limits and weights of all known flows again.
+func (p *Pool) refreshLimits(now time.Duration) {
+	p.eachKindState(func(s *limitState[*kindQueue]) {
+		s.limit = p.kindLimit(s.number)
+		p.unparkKind(now, s)
+	})
+	for _, s := range p.orgStates.slots {
+		if s.value != nil {
+			s.value.limit = p.orgLimit(s.key)
+			p.unparkOrg(now, s.value)
+		}
+	}
+	p.eachFlow(func(f *orgFlow) {
+		f.weight = weightOf(f.state.limit)
+		f.kind.weight = weightOf(f.kind.state.limit)
+	})
+}
+
+func (p *Pool) eachFlow(visit func(*orgFlow)) {
+	for _, s := range p.orgFlows.slots {
+		if s.value != nil {
+			visit(s.value)
+		}
+	}
+}
+
+func (p *Pool) eachKindState(visit func(*limitState[*kindQueue])) {
+	for _, s := range p.kindStates.slots {
+		if s.value != nil {
+			visit(s.value)
+		}
+	}
+}
+
+// intersection returns the number of common members and the size of b.
+func intersection(a, b []uint64) (shared, size int) {
+	for i := range a {
+		shared += bits.OnesCount64(a[i] & b[i])
+		size += bits.OnesCount64(b[i])
+	}
+	return shared, size
+}
