--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -297,7 +297,8 @@
 // capacityInterval is how often the capacities of classes are computed.
 const capacityInterval = 200 * time.Millisecond
 
-// updateCapacities derives the cost per second that each class can serve.
+// updateCapacities derives the cost per second that each class can serve, and
+// its best speeds.
 func (p *Pool) updateCapacities(now time.Duration) {
 	p.nextCapacities = now + capacityInterval
 	for _, u := range p.upstreams {
@@ -307,10 +308,24 @@
 		}
 	}
 	for c := range p.classes {
-		p.classes[c].capacity = 0
-		for _, index := range p.classes[c].upstreams {
-			p.classes[c].capacity += p.upstreams[index].capacity
+		p.updateClass(&p.classes[c])
+	}
+}
+
+func (p *Pool) updateClass(c *class) {
+	c.capacity = 0
+	first := true
+	for _, index := range c.upstreams {
+		u := p.upstreams[index]
+		if u.Leaving {
+			continue
+		}
+		c.capacity += u.capacity
+		idle, loaded := u.speedAt(1), u.speedAt(uint32(u.limit))
+		if !first {
+			idle, loaded = idle.least(c.idle), loaded.least(c.loaded)
 		}
+		c.idle, c.loaded, first = idle, loaded, false
 	}
 }
 
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -2,13 +2,28 @@
 
 import "time"
 
-// serviceTime is the time from dispatch to the last token on one upstream, at
-// the given number of requests in flight there.
-func (u *upstream) serviceTime(prompt, output uint32, inFlight uint32) time.Duration {
+// speed is the time in nanoseconds that a request takes on an upstream: fixed,
+// for each prompt token, and for each output token.
+type speed struct {
+	fixed, perPrompt, perOutput float64
+}
+
+func (s speed) serviceTime(prompt, output uint32) time.Duration {
+	return time.Duration(s.fixed + float64(prompt)*s.perPrompt + float64(output)*s.perOutput)
+}
+
+// least takes the smaller value of each part.
+func (s speed) least(other speed) speed {
+	return speed{
+		min(s.fixed, other.fixed), min(s.perPrompt, other.perPrompt), min(s.perOutput, other.perOutput),
+	}
+}
+
+func (u *upstream) speedAt(inFlight uint32) speed {
 	if u.Service {
-		return time.Duration(u.slotTime)
+		return speed{fixed: u.slotTime}
 	}
-	return time.Duration(float64(prompt)*u.prefillPerToken + float64(output)*u.expectedInterToken(inFlight))
+	return speed{perPrompt: u.prefillPerToken, perOutput: u.expectedInterToken(inFlight)}
 }
 
 // finishCost estimates the time in nanoseconds until a request would finish on
@@ -42,22 +57,6 @@
 	return best
 }
 
-// bestServiceTimes returns the service times for the mean and the high output
-// prediction on the best usable upstream of a class. The mean is for an idle
-// upstream, the high one for the present load.
-func (p *Pool) bestServiceTimes(c *class, prompt, mean, high uint32) (idle, loaded time.Duration) {
-	idle, loaded = Never, Never
-	for _, index := range c.upstreams {
-		u := p.upstreams[index]
-		if u.Leaving {
-			continue
-		}
-		idle = min(idle, u.serviceTime(prompt, mean, 1))
-		loaded = min(loaded, u.serviceTime(prompt, high, uint32(u.limit)))
-	}
-	return idle, loaded
-}
-
 const (
 	// hintSets times hintWays bounds the prefixes that are remembered.
 	hintSets = 2048
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -27,7 +27,8 @@
 // admit queues a new request, or sheds it if it cannot start in time.
 func (p *Pool) admit(now time.Duration, d Descriptor) {
 	c := &p.classes[d.Class]
-	idle, loaded := p.bestServiceTimes(c, d.Prompt, d.OutMean, max(d.OutMean, d.OutHigh))
+	idle := c.idle.serviceTime(d.Prompt, d.OutMean)
+	loaded := c.loaded.serviceTime(d.Prompt, max(d.OutMean, d.OutHigh))
 	slack := d.Deadline - now - idle
 	if slack < 0 {
 		p.refuse(d, Infeasible, 0)
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -17,6 +17,9 @@
 	overlaps []overlap
 	// capacity is the cost per second that the upstreams can serve.
 	capacity float64
+	// idle and loaded are the speeds of the best upstreams of the class with
+	// one request and with as many as the limit.
+	idle, loaded speed
 }
 
 type overlap struct {
