store: call budget with priorities and backoff

Cause: the object API's limits grow more slowly than the fleet. Ruled out: one shared priority; a flood of claims would delay a lease renewal. Change: token bucket, five priorities, bounded queue and wait, full jitter. A lost answer counts as a failure, since a slow store must not be called faster.

--- a/pkg/store/budget.go
+++ b/pkg/store/budget.go
@@ -1,6 +1,11 @@
 package store
 
-import "time"
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
 
 // Priority orders calls that wait for the budget; smaller values go first.
 type Priority uint8
@@ -13,6 +18,8 @@
 	PriorityConfigRead
 	PriorityClaim
 	PriorityCleanup
+
+	priorityCount
 )
 
 // Reason says which part of the system asked for a call; it labels counters.
@@ -63,6 +70,24 @@
 	Seed uint64
 }
 
+func (c BudgetConfig) withDefaults() BudgetConfig {
+	c.CallsPerSecond = defaulted(c.CallsPerSecond, 20)
+	c.Burst = max(1, defaulted(c.Burst, c.CallsPerSecond))
+	c.MaxWaiting = defaulted(c.MaxWaiting, 1024)
+	c.MaxWait = defaulted(c.MaxWait, 2*time.Second)
+	c.BackoffBase = defaulted(c.BackoffBase, 100*time.Millisecond)
+	c.BackoffMax = defaulted(c.BackoffMax, 5*time.Second)
+	return c
+}
+
+func defaulted[T comparable](value, standard T) T {
+	var zero T
+	if value == zero {
+		return standard
+	}
+	return value
+}
+
 // CallCount is how many calls of one kind and reason were started.
 type CallCount struct {
 	Kind   OpKind
@@ -70,26 +95,185 @@
 	Calls  uint64
 }
 
+type countKey struct {
+	kind   OpKind
+	reason Reason
+}
+
+type waitingCall struct {
+	call     Call
+	rejectAt time.Duration
+}
+
 // Budget decides when calls to the object API start: a token bucket with
 // priorities, and after failures a pause that grows exponentially with full jitter.
-type Budget struct{}
+type Budget struct {
+	cfg      BudgetConfig
+	waiting  [priorityCount][]waitingCall
+	length   int
+	rejected []Call
+
+	tokens     float64
+	refilledAt time.Duration
+
+	backoff  *Backoff
+	resumeAt time.Duration
+
+	counts map[countKey]uint64
+}
 
 // NewBudget returns a Budget with a full bucket.
-func NewBudget(cfg BudgetConfig) *Budget { return &Budget{} }
+func NewBudget(cfg BudgetConfig) *Budget {
+	cfg = cfg.withDefaults()
+	return &Budget{
+		cfg:     cfg,
+		tokens:  cfg.Burst,
+		backoff: NewBackoff(cfg.BackoffBase, cfg.BackoffMax, cfg.Seed),
+		counts:  map[countKey]uint64{},
+	}
+}
 
-// Submit queues a call. The calls that Step rejects were never started.
-func (b *Budget) Submit(now time.Duration, c Call) {}
+// Submit queues a call. When too many calls wait, the newest call of the least
+// important priority is rejected by the next Step.
+func (b *Budget) Submit(now time.Duration, c Call) {
+	p := min(c.Priority, priorityCount-1)
+	b.waiting[p] = append(b.waiting[p], waitingCall{call: c, rejectAt: now + b.cfg.MaxWait})
+	b.length++
+	if b.length <= b.cfg.MaxWaiting {
+		return
+	}
+	for p := len(b.waiting) - 1; p >= 0; p-- {
+		if last := len(b.waiting[p]) - 1; last >= 0 {
+			b.rejected = append(b.rejected, b.waiting[p][last].call)
+			b.waiting[p] = b.waiting[p][:last]
+			b.length--
+			return
+		}
+	}
+}
 
 // Step returns the calls to start now, and the calls that were rejected because
 // they waited too long or too many waited. For a rejected call the node hands
 // a Result with status Unavailable to the component that asked for it.
-func (b *Budget) Step(now time.Duration) (start, rejected []Call) { return nil, nil }
+func (b *Budget) Step(now time.Duration) (start, rejected []Call) {
+	b.refill(now)
+	rejected = append(b.rejected, b.rejectLate(now)...)
+	b.rejected = nil
+	for now >= b.resumeAt && b.tokens >= 1 {
+		call, ok := b.pop()
+		if !ok {
+			break
+		}
+		b.tokens--
+		b.counts[countKey{call.Op.Kind, call.Reason}]++
+		start = append(start, call)
+	}
+	return start, rejected
+}
 
-// OnResult tells the budget how a started call ended.
-func (b *Budget) OnResult(now time.Duration, s Status) {}
+func (b *Budget) refill(now time.Duration) {
+	if now <= b.refilledAt {
+		return
+	}
+	b.tokens = min(b.cfg.Burst, b.tokens+(now-b.refilledAt).Seconds()*b.cfg.CallsPerSecond)
+	b.refilledAt = now
+}
+
+func (b *Budget) rejectLate(now time.Duration) []Call {
+	var late []Call
+	for p := range b.waiting {
+		// Calls of one priority are in order of arrival, so the late ones come first.
+		n := 0
+		for n < len(b.waiting[p]) && b.waiting[p][n].rejectAt <= now {
+			late = append(late, b.waiting[p][n].call)
+			n++
+		}
+		b.waiting[p] = slices.Delete(b.waiting[p], 0, n)
+		b.length -= n
+	}
+	return late
+}
+
+func (b *Budget) pop() (Call, bool) {
+	for p := range b.waiting {
+		if len(b.waiting[p]) > 0 {
+			call := b.waiting[p][0].call
+			b.waiting[p] = slices.Delete(b.waiting[p], 0, 1)
+			b.length--
+			return call, true
+		}
+	}
+	return Call{}, false
+}
+
+// OnResult tells the budget how a started call ended. A lost answer counts as a
+// failure too: a store that is too slow to answer must not be called faster.
+func (b *Budget) OnResult(now time.Duration, s Status) {
+	switch s {
+	case Unavailable, Throttled, Unknown:
+		b.resumeAt = max(b.resumeAt, now+b.backoff.Next())
+	default:
+		b.backoff.Reset()
+	}
+}
 
 // NextWake returns when Step has something to do; a negative value means never.
-func (b *Budget) NextWake(now time.Duration) time.Duration { return -1 }
+func (b *Budget) NextWake(now time.Duration) time.Duration {
+	if len(b.rejected) > 0 {
+		return now
+	}
+	if b.length == 0 {
+		return -1
+	}
+	wake := max(now, b.resumeAt)
+	if b.tokens < 1 {
+		missing := (1 - b.tokens) / b.cfg.CallsPerSecond
+		refilled := b.refilledAt + time.Duration(missing*float64(time.Second)) + 1
+		wake = max(wake, refilled)
+	}
+	for p := range b.waiting {
+		if len(b.waiting[p]) > 0 {
+			wake = min(wake, b.waiting[p][0].rejectAt)
+		}
+	}
+	return max(now, wake)
+}
 
 // Counts returns the started calls by kind and reason, in a fixed order.
-func (b *Budget) Counts() []CallCount { return nil }
+func (b *Budget) Counts() []CallCount {
+	out := make([]CallCount, 0, len(b.counts))
+	for k, n := range b.counts {
+		out = append(out, CallCount{Kind: k.kind, Reason: k.reason, Calls: n})
+	}
+	slices.SortFunc(out, func(x, y CallCount) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Reason, y.Reason))
+	})
+	return out
+}
+
+// Backoff yields pauses that grow exponentially with full jitter.
+type Backoff struct {
+	base, max time.Duration
+	failures  int
+	random    *rand.Rand
+}
+
+// NewBackoff returns a Backoff whose first pause is up to base and whose
+// longest is up to maximum.
+func NewBackoff(base, maximum time.Duration, seed uint64) *Backoff {
+	return &Backoff{base: base, max: maximum, random: rand.New(rand.NewPCG(seed, 0x73746f7265))}
+}
+
+// Next returns the pause after one more failure.
+func (b *Backoff) Next() time.Duration {
+	// 30 doublings exceed any maximum in use and cannot overflow.
+	bound := min(b.max, b.base<<min(b.failures, 30))
+	if bound <= 0 {
+		bound = b.max
+	}
+	b.failures++
+	return time.Duration(b.random.Int64N(int64(bound) + 1))
+}
+
+// Reset starts again from the base after a success.
+func (b *Backoff) Reset() { b.failures = 0 }
