configstate: validation, acceptance through the store, catch-up

Ruled out: revisions without gaps: two writers that race can both have written a segment for revision n, so the loser takes a higher one instead of a segment that is not its own. Resolving a lost head update by one read: the update may still arrive, so the same update is sent again until the head has moved. Change: whole-set validation, Machine, clean-up of old segments, fake object API with faults (pkg/store/storetest).

--- a/pkg/configstate/machine.go
+++ b/pkg/configstate/machine.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -22,6 +24,27 @@
 	// MaxPushBytes bounds the segments in one ConfigPush; default 256 KiB.
 	// One segment is always sent.
 	MaxPushBytes int
+	// MaxQueuedChanges bounds the changes that wait; default 256.
+	MaxQueuedChanges int
+}
+
+func (c Config) withDefaults() Config {
+	if c.IDs == nil {
+		c.IDs = &store.IDSource{}
+	}
+	if c.ChangeTimeout == 0 {
+		c.ChangeTimeout = 10 * time.Second
+	}
+	if c.PullTimeout == 0 {
+		c.PullTimeout = 500 * time.Millisecond
+	}
+	if c.MaxPushBytes == 0 {
+		c.MaxPushBytes = 256 << 10
+	}
+	if c.MaxQueuedChanges == 0 {
+		c.MaxQueuedChanges = 256
+	}
+	return c
 }
 
 // Change is an operator's change of one or more objects.
@@ -74,43 +97,140 @@
 	// InForce is the revision that came into force since the last Output; 0 if
 	// none did. The node announces it to its peers.
 	InForce uint64
+	// BadSegments counts heads and segments that could not be applied because
+	// their content is not valid.
+	BadSegments uint64
+}
+
+type timer struct {
+	at  time.Duration
+	run func(now time.Duration)
 }
 
 // Machine owns the configuration in force at one instance.
-type Machine struct{}
+//
+// Invariants:
+//   - the revision in force never decreases;
+//   - a set comes into force only with every segment that its head names;
+//   - a change is reported accepted only after its head update is known to be
+//     in effect, and refused as unavailable only if it never will be.
+type Machine struct {
+	cfg     Config
+	current *Set
+	// held are the segments of current.
+	held   segments
+	out    Output
+	calls  map[store.CallID]func(now time.Duration, r store.Result)
+	timers []timer
+
+	readingHead bool
+	pull        pullSession
+	changes     changeQueue
+	cleanup     cleanup
+	retry       *store.Backoff
+}
 
 // New returns a Machine with the empty set of revision 0 in force.
-func New(cfg Config) *Machine { return &Machine{} }
+func New(cfg Config) *Machine {
+	cfg = cfg.withDefaults()
+	return &Machine{
+		cfg:     cfg,
+		current: NewSet(0, nil),
+		calls:   map[store.CallID]func(time.Duration, store.Result){},
+		retry:   store.NewBackoff(50*time.Millisecond, 2*time.Second, cfg.Seed),
+	}
+}
 
 // Current returns the set in force. It is immutable and never nil.
-func (m *Machine) Current() *Set { return nil }
-
-// Apply starts a change; its Done follows in a later Output.
-func (m *Machine) Apply(now time.Duration, c Change) {}
+func (m *Machine) Current() *Set { return m.current }
 
-// ReadHead reads the head from the store, unless a read is in progress.
-func (m *Machine) ReadHead(now time.Duration) {}
+// Take returns and clears what must be done.
+func (m *Machine) Take() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
 
 // OnStoreResult hands in the result of a call. It returns false if the call
 // is not one of this machine's.
 func (m *Machine) OnStoreResult(now time.Duration, id store.CallID, r store.Result) bool {
-	return false
+	handle, ok := m.calls[id]
+	if !ok {
+		return false
+	}
+	delete(m.calls, id)
+	handle(now, r)
+	return true
 }
 
-// OnPeerRevision tells the machine which revision a peer has in force.
-func (m *Machine) OnPeerRevision(now time.Duration, peer, revision uint64) {}
+// Step runs timers.
+func (m *Machine) Step(now time.Duration) {
+	var due []timer
+	var later []timer
+	for _, t := range m.timers {
+		if t.at <= now {
+			due = append(due, t)
+		} else {
+			later = append(later, t)
+		}
+	}
+	m.timers = later
+	for _, t := range due {
+		t.run(now)
+	}
+}
 
-// OnPull answers a peer's pull; nil if the peer lacks nothing.
-func (m *Machine) OnPull(p *pb.ConfigPull) *pb.ConfigPush { return nil }
+// NextWake returns when Step has something to do; a negative value means never.
+func (m *Machine) NextWake(now time.Duration) time.Duration {
+	wake := time.Duration(-1)
+	for _, t := range m.timers {
+		if wake < 0 || t.at < wake {
+			wake = t.at
+		}
+	}
+	if wake >= 0 {
+		wake = max(wake, now)
+	}
+	return wake
+}
 
-// OnPush takes the segments that a peer sent.
-func (m *Machine) OnPush(now time.Duration, peer uint64, p *pb.ConfigPush) {}
+func (m *Machine) after(at time.Duration, run func(now time.Duration)) {
+	m.timers = append(m.timers, timer{at: at, run: run})
+}
 
-// Step runs timers.
-func (m *Machine) Step(now time.Duration) {}
+func (m *Machine) call(op store.Op, priority store.Priority, reason store.Reason, handle func(now time.Duration, r store.Result)) {
+	id := m.cfg.IDs.Next()
+	m.calls[id] = handle
+	m.out.Calls = append(m.out.Calls, store.Call{ID: id, Op: op, Priority: priority, Reason: reason})
+}
 
-// NextWake returns when Step has something to do; a negative value means never.
-func (m *Machine) NextWake(now time.Duration) time.Duration { return -1 }
+// install brings the set of a head into force if all its segments are there
+// and it is newer than the one in force.
+func (m *Machine) install(head *pb.ConfigHead, from segments) bool {
+	if head.GetRevision() <= m.current.Revision {
+		return true
+	}
+	if !validHead(head) || !from.matches(head) {
+		return false
+	}
+	for i, segment := range from {
+		if segment != nil && !validSegment(segment, i, head.SegmentRevisions[i]) {
+			m.out.BadSegments++
+			return false
+		}
+	}
+	m.current = NewSet(head.GetRevision(), from.objects())
+	m.held = from
+	m.out.InForce = head.GetRevision()
+	return true
+}
 
-// Take returns and clears what must be done.
-func (m *Machine) Take() Output { return Output{} }
+// parseHead decodes a head; it returns false if it is not valid.
+func (m *Machine) parseHead(data []byte) (*pb.ConfigHead, bool) {
+	head := &pb.ConfigHead{}
+	if proto.Unmarshal(data, head) != nil || !validHead(head) {
+		m.out.BadSegments++
+		return nil, false
+	}
+	return head, true
+}
--- /dev/null
+++ b/pkg/configstate/validate.go
@@ -0,0 +1,272 @@
+package configstate
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/util/validation"
+	"k8s.io/apimachinery/pkg/util/validation/field"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// Ranges of fields.
+const (
+	maxRank         = 15
+	maxDeadlineMs   = 3_600_000
+	maxWeight       = 1e6
+	maxRate         = 1e9
+	maxConcurrency  = 65_536
+	maxOutputTokens = 10_000_000
+	// defaultConcurrency and defaultMaxConcurrency stand for 0 in an upstream.
+	defaultConcurrency    = 8
+	defaultMaxConcurrency = 256
+)
+
+// Problem is one thing that is wrong with a set.
+type Problem struct {
+	// Object is "<kind>/<name>", Field the path of the field within it.
+	Object, Field string
+	// Found says what is there, Allowed what may be there, Remedy what to do.
+	Found, Allowed, Remedy string
+}
+
+// String renders the problem as one line for an operator.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: %s: %s; allowed: %s; remedy: %s", p.Object, p.Field, p.Found, p.Allowed, p.Remedy)
+}
+
+// Validate checks a whole set and returns all its problems, in a fixed order.
+func Validate(objects []*pb.Object) []Problem {
+	v := &validator{
+		set:          NewSet(0, objects),
+		seen:         map[string]bool{},
+		tierOfRank:   map[uint32]string{},
+		ownerOfToken: map[string]string{},
+	}
+	ordered := slices.Clone(objects)
+	slices.SortStableFunc(ordered, func(a, b *pb.Object) int { return strings.Compare(objectName(a), objectName(b)) })
+	for _, o := range ordered {
+		v.checkObject(o)
+	}
+	return v.problems
+}
+
+func objectName(o *pb.Object) string {
+	return o.GetMeta().GetKind() + "/" + o.GetMeta().GetName()
+}
+
+type validator struct {
+	set          *Set
+	object       string
+	problems     []Problem
+	seen         map[string]bool
+	tierOfRank   map[uint32]string
+	ownerOfToken map[string]string
+}
+
+func (v *validator) report(path, found, allowed, remedy string) {
+	v.problems = append(v.problems, Problem{v.object, path, found, allowed, remedy})
+}
+
+func (v *validator) checkObject(o *pb.Object) {
+	v.object = objectName(o)
+	kind, name := o.GetMeta().GetKind(), o.GetMeta().GetName()
+	if !slices.Contains(Kinds, kind) {
+		v.report("meta.kind", strconv.Quote(kind), strings.Join(Kinds, ", "), "set meta.kind to one of these")
+		return
+	}
+	v.checkName("meta.name", name)
+	if v.seen[v.object] {
+		v.report("meta.name", "the object occurs twice", "one object for each kind and name", "remove or rename one of them")
+	}
+	v.seen[v.object] = true
+	v.checkLabels(kind, o.GetMeta().GetLabels())
+	if specKind(o) != kind {
+		v.report("spec", "the spec is missing or of another kind", "the spec of kind "+kind, "give the spec that belongs to the kind")
+		return
+	}
+	v.checkSpec(o)
+}
+
+func (v *validator) checkSpec(o *pb.Object) {
+	switch spec := o.GetSpec().(type) {
+	case *pb.Object_Tier:
+		v.checkTier(o.Meta.Name, spec.Tier)
+	case *pb.Object_Organisation:
+		v.checkOrganisation(spec.Organisation)
+	case *pb.Object_RequestKind:
+		v.checkRequestKind(spec.RequestKind)
+	case *pb.Object_Upstream:
+		v.checkUpstream(spec.Upstream)
+	case *pb.Object_Route:
+		v.checkSelector("requests", spec.Route.GetRequests())
+		v.checkSelector("upstreams", spec.Route.GetUpstreams())
+	case *pb.Object_Operator:
+		v.checkTokens(spec.Operator.GetTokenSha256())
+		if team := spec.Operator.GetTeam(); team != "" {
+			v.checkName("team", team)
+		}
+	}
+}
+
+const nameRange = "1 to 63 letters, digits, '-', '_' or '.', starting and ending with a letter or digit"
+
+// checkName checks a value that selectors compare with, so it must be a label value.
+func (v *validator) checkName(path, name string) {
+	if name == "" || len(validation.IsValidLabelValue(name)) > 0 {
+		v.report(path, strconv.Quote(name), nameRange, "choose another name")
+	}
+}
+
+// builtInLabels are set by citrongate for selectors and may not be given by operators.
+var builtInLabels = map[string][]string{
+	KindOrganisation: {"kind", "organisation", "tier", "model"},
+	KindRequestKind:  {"kind", "organisation", "tier", "model"},
+	KindUpstream:     {"name", "type", "failure-domain"},
+}
+
+func (v *validator) checkLabels(kind string, labels map[string]string) {
+	if len(labels) > MaxLabels {
+		v.report("meta.labels", fmt.Sprintf("%d labels", len(labels)), fmt.Sprintf("at most %d", MaxLabels), "remove labels")
+	}
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		path := "meta.labels[" + strconv.Quote(key) + "]"
+		if problems := validation.IsQualifiedName(key); len(problems) > 0 {
+			v.report(path, "the key is not valid", strings.Join(problems, "; "), "rename the label")
+		}
+		if problems := validation.IsValidLabelValue(labels[key]); len(problems) > 0 {
+			v.report(path, strconv.Quote(labels[key]), strings.Join(problems, "; "), "change the value")
+		}
+		if slices.Contains(builtInLabels[kind], key) {
+			v.report(path, "the key is built in", "keys other than "+strings.Join(builtInLabels[kind], ", "), "rename the label")
+		}
+	}
+}
+
+func (v *validator) checkRange(path string, value, low, high float64) {
+	if math.IsNaN(value) || value < low || value > high {
+		v.report(path, strconv.FormatFloat(value, 'g', -1, 64),
+			fmt.Sprintf("%s to %s", strconv.FormatFloat(low, 'f', -1, 64), strconv.FormatFloat(high, 'f', -1, 64)),
+			"choose a value in the range")
+	}
+}
+
+func (v *validator) checkTier(name string, t *pb.TierSpec) {
+	v.checkRange("rank", float64(t.GetRank()), 0, maxRank)
+	v.checkRange("default_deadline_ms", float64(t.GetDefaultDeadlineMs()), 0, maxDeadlineMs)
+	if other, taken := v.tierOfRank[t.GetRank()]; taken {
+		v.report("rank", fmt.Sprintf("%d is also the rank of Tier/%s", t.GetRank(), other), "a rank that no other tier has", "change one of the ranks")
+	}
+	v.tierOfRank[t.GetRank()] = name
+}
+
+func (v *validator) checkOrganisation(o *pb.OrganisationSpec) {
+	v.checkTokens(o.GetTokenSha256())
+	v.checkRange("weight", o.GetWeight(), 0, maxWeight)
+	v.checkLimits(o.GetLimits())
+	for i, kind := range o.GetAllowedKinds() {
+		v.checkReference(fmt.Sprintf("allowed_kinds[%d]", i), KindRequestKind, kind)
+	}
+}
+
+func (v *validator) checkRequestKind(k *pb.RequestKindSpec) {
+	v.checkReference("tier", KindTier, k.GetTier())
+	v.checkRange("weight", k.GetWeight(), 0, maxWeight)
+	v.checkLimits(k.GetLimits())
+	v.checkRange("max_output_tokens", float64(k.GetMaxOutputTokens()), 0, maxOutputTokens)
+	v.checkRange("default_deadline_ms", float64(k.GetDefaultDeadlineMs()), 0, maxDeadlineMs)
+	if k.GetModelCall() && k.GetNonIdempotent() {
+		v.report("non_idempotent", "true for a model call", "true only for calls to plain services", "set model_call or non_idempotent to false")
+	}
+}
+
+func (v *validator) checkUpstream(u *pb.UpstreamSpec) {
+	v.checkAddress("address", u.GetAddress())
+	v.checkName("failure_domain", u.GetFailureDomain())
+	switch u.GetType() {
+	case "engine":
+	case "service":
+		if len(u.GetModels()) > 0 {
+			v.report("models", "a plain service names models", "no models for type \"service\"", "remove the models or set type to \"engine\"")
+		}
+	default:
+		v.report("type", strconv.Quote(u.GetType()), "\"engine\" or \"service\"", "choose one of these")
+	}
+	for i, model := range u.GetModels() {
+		v.checkName(fmt.Sprintf("models[%d]", i), model)
+	}
+	v.checkConcurrency(u)
+	v.checkRange("prefill_tokens_per_second", u.GetPrefillTokensPerSecond(), 0, maxRate)
+	v.checkRange("decode_ms_per_token", u.GetDecodeMsPerToken(), 0, maxDeadlineMs)
+}
+
+func (v *validator) checkConcurrency(u *pb.UpstreamSpec) {
+	v.checkRange("concurrency", float64(u.GetConcurrency()), 0, maxConcurrency)
+	v.checkRange("max_concurrency", float64(u.GetMaxConcurrency()), 0, maxConcurrency)
+	if u.GetType() != "engine" {
+		return
+	}
+	start, bound := u.GetConcurrency(), u.GetMaxConcurrency()
+	if start == 0 {
+		start = defaultConcurrency
+	}
+	if bound == 0 {
+		bound = defaultMaxConcurrency
+	}
+	if start > bound {
+		v.report("concurrency", fmt.Sprintf("%d is above max_concurrency %d", start, bound),
+			fmt.Sprintf("at most max_concurrency (0 means %d)", defaultMaxConcurrency), "raise max_concurrency or lower concurrency")
+	}
+}
+
+// checkAddress checks an IP address and port; an IPv6 address is in brackets.
+func (v *validator) checkAddress(path, address string) {
+	i := strings.LastIndexByte(address, ':')
+	if i >= 0 {
+		host := address[:i]
+		inner, closed := strings.CutSuffix(host, "]")
+		inner, opened := strings.CutPrefix(inner, "[")
+		port, err := strconv.ParseUint(address[i+1:], 10, 16)
+		isV6 := strings.Contains(inner, ":")
+		if err == nil && port > 0 && opened == closed && opened == isV6 && len(validation.IsValidIP(field.NewPath(path), inner)) == 0 {
+			return
+		}
+	}
+	v.report(path, strconv.Quote(address), "an IP address and a port from 1 to 65535, such as 10.0.0.5:8000 or [fd00::5]:8000", "write the address of the upstream, without a host name")
+}
+
+func (v *validator) checkReference(path, kind, name string) {
+	if v.set.Get(kind, name) == nil {
+		v.report(path, strconv.Quote(name)+" does not exist", "the name of a "+kind, "create "+kind+"/"+name+" in the same change, or name another")
+	}
+}
+
+func (v *validator) checkLimits(l *pb.Limits) {
+	v.checkRange("limits.requests_per_second", l.GetRequestsPerSecond(), 0, maxRate)
+}
+
+func (v *validator) checkSelector(path, text string) {
+	if _, err := ParseSelector(text); err != nil {
+		v.report(path, err.Error(), fmt.Sprintf("a label selector of at most %d bytes and %d requirements", MaxSelectorBytes, MaxRequirements), "correct the selector")
+	}
+}
+
+// checkTokens checks token hashes. One token must not authenticate two owners.
+func (v *validator) checkTokens(hashes []string) {
+	for i, hash := range hashes {
+		path := fmt.Sprintf("token_sha256[%d]", i)
+		if len(hash) != 64 || strings.Trim(hash, "0123456789abcdef") != "" {
+			v.report(path, fmt.Sprintf("%d characters that are not such a hash", len(hash)), "64 lower-case hexadecimal digits", "write the SHA-256 of the token, never the token")
+			continue
+		}
+		if owner, taken := v.ownerOfToken[hash]; taken {
+			v.report(path, "also a token of "+owner, "a token that nothing else has", "issue another token")
+		}
+		v.ownerOfToken[hash] = v.object
+	}
+}
--- /dev/null
+++ b/pkg/store/storetest/fake.go
@@ -0,0 +1,196 @@
+// Package storetest is an in-memory object API with faults, for tests of the
+// packages that use the store.
+package storetest
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/citrongate/citrongate/pkg/store"
+)
+
+// Fault is how one call goes wrong.
+type Fault uint8
+
+// Faults.
+const (
+	// None lets the call succeed or conflict as usual.
+	None Fault = iota
+	// Outage refuses the call; nothing is written.
+	Outage
+	// LostBefore loses the request: no effect, answer Unknown.
+	LostBefore
+	// LostAfter loses the answer: the effect happens, answer Unknown.
+	LostAfter
+	// Late loses the answer and lets a write happen at a later RunLate.
+	Late
+	// Stale answers a read with an earlier state of the object.
+	Stale
+
+	// FaultCount is the number of faults.
+	FaultCount
+)
+
+// Object is one version of an object. Version 0 means that it does not exist.
+type Object struct {
+	Value   []byte
+	Version uint64
+}
+
+// Fake is an object API. Calls take effect in the order of Do and RunLate.
+type Fake struct {
+	// History holds all versions of each key, oldest first; deletions are
+	// entries of version 0.
+	History map[string][]Object
+	// Writes counts the writes that took effect.
+	Writes  int
+	version uint64
+	late    []store.Op
+}
+
+// New returns an empty Fake.
+func New() *Fake { return &Fake{History: map[string][]Object{}} }
+
+// Current returns the present version of a key.
+func (f *Fake) Current(key string) Object {
+	h := f.History[key]
+	if len(h) == 0 {
+		return Object{}
+	}
+	return h[len(h)-1]
+}
+
+// Do performs a call with a fault.
+func (f *Fake) Do(op store.Op, fault Fault) store.Result {
+	write := op.Kind == store.Create || op.Kind == store.Update || op.Kind == store.Delete
+	switch fault {
+	case Outage:
+		return store.Result{Status: store.Unavailable}
+	case LostBefore:
+		return store.Result{Status: store.Unknown}
+	case LostAfter:
+		f.do(op)
+		return store.Result{Status: store.Unknown}
+	case Late:
+		if write {
+			f.late = append(f.late, op)
+		}
+		return store.Result{Status: store.Unknown}
+	case Stale:
+		if op.Kind == store.Get {
+			return f.stale(op.Key)
+		}
+	}
+	return f.do(op)
+}
+
+// LateCount returns how many delayed writes have not happened yet.
+func (f *Fake) LateCount() int { return len(f.late) }
+
+// RunLate lets the delayed write i happen; its condition is checked now.
+func (f *Fake) RunLate(i int) {
+	op := f.late[i]
+	f.late = slices.Delete(f.late, i, i+1)
+	f.do(op)
+}
+
+func (f *Fake) stale(key string) store.Result {
+	h := f.History[key]
+	if len(h) < 2 {
+		return store.Result{Status: store.NotFound}
+	}
+	return found(h[len(h)-2])
+}
+
+func found(o Object) store.Result {
+	if o.Version == 0 {
+		return store.Result{Status: store.NotFound}
+	}
+	return store.Result{Status: store.OK, Value: o.Value, Version: o.Version}
+}
+
+func (f *Fake) do(op store.Op) store.Result {
+	now := f.Current(op.Key)
+	switch op.Kind {
+	case store.Get:
+		return found(now)
+	case store.List:
+		return f.list(op.Key)
+	case store.Create:
+		if now.Version != 0 {
+			return store.Result{Status: store.Conflict}
+		}
+		return f.write(op.Key, op.Value)
+	case store.Update:
+		if now.Version == 0 {
+			return store.Result{Status: store.NotFound}
+		}
+		if now.Version != op.Version {
+			return store.Result{Status: store.Conflict}
+		}
+		return f.write(op.Key, op.Value)
+	case store.Delete:
+		if now.Version == 0 {
+			return store.Result{Status: store.NotFound}
+		}
+		if now.Version != op.Version {
+			return store.Result{Status: store.Conflict}
+		}
+		f.History[op.Key] = append(f.History[op.Key], Object{})
+		f.Writes++
+	}
+	return store.Result{Status: store.OK}
+}
+
+func (f *Fake) write(key string, value []byte) store.Result {
+	f.version++
+	f.Writes++
+	f.History[key] = append(f.History[key], Object{Value: slices.Clone(value), Version: f.version})
+	return store.Result{Status: store.OK, Version: f.version}
+}
+
+func (f *Fake) list(prefix string) store.Result {
+	r := store.Result{Status: store.OK}
+	for key := range f.History {
+		if o := f.Current(key); strings.HasPrefix(key, prefix) && o.Version != 0 {
+			r.Entries = append(r.Entries, store.Entry{Key: key, Version: o.Version})
+		}
+	}
+	slices.SortFunc(r.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return r
+}
+
+// InFlight is a call on its way: first it happens at the store, then its result
+// is delivered, each at a time that the test chooses.
+type InFlight struct {
+	Call     store.Call
+	Happened bool
+	Result   store.Result
+}
+
+// Network holds the calls of one instance that are on their way.
+type Network struct {
+	Store *Fake
+	Calls []InFlight
+}
+
+// Send puts calls on their way.
+func (n *Network) Send(calls []store.Call) {
+	for _, c := range calls {
+		n.Calls = append(n.Calls, InFlight{Call: c})
+	}
+}
+
+// Advance lets call i happen at the store with a fault, or if it has happened
+// returns its result for delivery.
+func (n *Network) Advance(i int, fault Fault) (id store.CallID, r store.Result, deliver bool) {
+	c := &n.Calls[i]
+	if !c.Happened {
+		c.Happened = true
+		c.Result = n.Store.Do(c.Call.Op, fault)
+		return 0, store.Result{}, false
+	}
+	id, r = c.Call.ID, c.Result
+	n.Calls = slices.Delete(n.Calls, i, i+1)
+	return id, r, true
+}
