--- a/pkg/configstate/change.go
+++ b/pkg/configstate/change.go
@@ -60,14 +60,20 @@
 		return
 	}
 	q.sequence++
-	var seed [16]byte
-	binary.BigEndian.PutUint64(seed[:8], m.cfg.Incarnation)
-	binary.BigEndian.PutUint64(seed[8:], q.sequence)
-	r := &runningChange{change: c, deadline: now + m.cfg.ChangeTimeout, id: xxhash.Sum64(seed[:])}
+	r := &runningChange{change: c, deadline: now + m.cfg.ChangeTimeout, id: changeID(m.cfg.Incarnation, q.sequence)}
 	q.waiting = append(q.waiting, r)
 	m.startNext(now)
 }
 
+// changeID returns the id of an incarnation's n-th change. Incarnations are
+// random, so ids of different instances differ.
+func changeID(incarnation, n uint64) uint64 {
+	var seed [16]byte
+	binary.BigEndian.PutUint64(seed[:8], incarnation)
+	binary.BigEndian.PutUint64(seed[8:], n)
+	return xxhash.Sum64(seed[:])
+}
+
 func (m *Machine) startNext(now time.Duration) {
 	q := &m.changes
 	if q.running != nil || len(q.waiting) == 0 {
