--- a/pkg/configstate/selector.go
+++ b/pkg/configstate/selector.go
@@ -16,7 +16,7 @@
 )
 
 // Errors is the namespace of this package's errors.
-var Errors = errorx.NewNamespace("configstate")
+var Errors = errorx.NewNamespace("configstate").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 // ErrSelector is the type of errors of ParseSelector.
 var ErrSelector = Errors.NewType("selector")
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,13 +1,28 @@
 package routing
 
 import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/apimachinery/pkg/labels"
+
 	"github.com/citrongate/citrongate/pkg/configstate"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
-// Table is the compiled form of one configuration revision for one cell. It is
-// safe for concurrent use.
-type Table struct{}
+// Built-in labels of requests and upstreams.
+const (
+	labelKind          = "kind"
+	labelOrganisation  = "organisation"
+	labelTier          = "tier"
+	labelModel         = "model"
+	labelName          = "name"
+	labelType          = "type"
+	labelFailureDomain = "failure-domain"
+
+	typeEngine = "engine"
+)
 
 // Upstream is one upstream of a pool.
 type Upstream struct {
@@ -32,65 +47,354 @@
 }
 
 // ClassIndex returns the index of a class in Classes.
-func (p *Pool) ClassIndex(id ClassID) (uint32, bool) { return 0, false }
+func (p *Pool) ClassIndex(id ClassID) (uint32, bool) {
+	i, ok := slices.BinarySearchFunc(p.Classes, id, func(c Class, id ClassID) int {
+		switch {
+		case c.ID < id:
+			return -1
+		case c.ID > id:
+			return 1
+		}
+		return 0
+	})
+	return uint32(i), ok
+}
+
+// kindInfo is what Resolve needs of a request kind.
+type kindInfo struct {
+	object    *pb.Object
+	tier      string
+	rank      uint8
+	modelCall bool
+}
+
+// organisationInfo is what Resolve needs of an organisation.
+type organisationInfo struct {
+	object *pb.Object
+	// allowed is nil if all kinds are allowed.
+	allowed map[string]struct{}
+}
+
+// route is a compiled route.
+type route struct {
+	name      string
+	order     uint32
+	requests  labels.Selector
+	upstreams labels.Selector
+	// models maps each model to the engines that serve it; services is the
+	// destination of calls to plain services.
+	models   map[string]destination
+	services destination
+}
+
+// destination is a class with its pool; no upstreams means that there is none.
+type destination struct {
+	upstreams []int
+	class     ClassID
+	pool      PoolID
+}
+
+// Table is the compiled form of one configuration revision for one cell. It is
+// safe for concurrent use.
+type Table struct {
+	revision      uint64
+	kinds         map[string]*kindInfo
+	organisations map[string]*organisationInfo
+	upstreams     []*upstreamInfo
+	routes        []*route
+	models        map[string]struct{}
+	pools         []*Pool
+	poolByID      map[PoolID]*Pool
+	// keys are the label keys that some route's request selector names. Only
+	// their values decide which route matches.
+	keys  []string
+	cache *cache
+}
+
+// Revision returns the configuration revision that the table was built from.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Pools returns all pools, ordered by id. They must not be modified.
+func (t *Table) Pools() []*Pool { return t.pools }
+
+// Pool returns the pool with an id, or nil.
+func (t *Table) Pool(id PoolID) *Pool { return t.poolByID[id] }
 
 // Build compiles a set with all its upstreams.
-func Build(set *configstate.Set) (*Table, error) { return &Table{}, nil }
+func Build(set *configstate.Set) (*Table, error) { return BuildCell(set, nil) }
 
 // BuildCell compiles a set with only the upstreams of the given failure
 // domains; none means all.
 func BuildCell(set *configstate.Set, failureDomains []string) (*Table, error) {
-	return &Table{}, nil
+	t := &Table{
+		revision:      set.Revision,
+		kinds:         map[string]*kindInfo{},
+		organisations: map[string]*organisationInfo{},
+		models:        map[string]struct{}{},
+		poolByID:      map[PoolID]*Pool{},
+		cache:         newCache(),
+	}
+	t.addKinds(set)
+	t.addOrganisations(set)
+	t.addUpstreams(set, failureDomains)
+	if err := t.addRoutes(set); err != nil {
+		return nil, err
+	}
+	t.addPools()
+	return t, nil
 }
 
-// Revision returns the configuration revision that the table was built from.
-func (t *Table) Revision() uint64 { return 0 }
+func (t *Table) addKinds(set *configstate.Set) {
+	for name, o := range set.Kinds {
+		spec := o.GetRequestKind()
+		rank := set.Tiers[spec.GetTier()].GetTier().GetRank()
+		t.kinds[name] = &kindInfo{object: o, tier: spec.GetTier(), rank: uint8(rank), modelCall: spec.GetModelCall()}
+	}
+}
 
-// Resolve says where a request may go. Errors have the types ErrUnknownKind,
-// ErrUnknownOrganisation, ErrForbidden, ErrUnknownModel and ErrNoRoute.
-func (t *Table) Resolve(r Request) (Target, error) { return Target{}, nil }
+func (t *Table) addOrganisations(set *configstate.Set) {
+	for name, o := range set.Organisations {
+		info := &organisationInfo{object: o}
+		for _, kind := range o.GetOrganisation().GetAllowedKinds() {
+			if info.allowed == nil {
+				info.allowed = map[string]struct{}{}
+			}
+			info.allowed[kind] = struct{}{}
+		}
+		t.organisations[name] = info
+	}
+}
 
-// Pools returns all pools, ordered by id.
-func (t *Table) Pools() []*Pool { return nil }
+// upstreamInfo is an upstream with the labels that selectors see.
+type upstreamInfo struct {
+	Upstream
+	labels labels.Set
+	// signature numbers the distinct combinations of labels without the name.
+	signature int
+	pool      *Pool
+}
 
-// Pool returns the pool with an id, or nil.
-func (t *Table) Pool(id PoolID) *Pool { return nil }
-
-// Requirement is a selector's requirement that did not hold; empty if all did.
-type Requirement string
-
-// RouteExplanation says whether a route matches a request.
-type RouteExplanation struct {
-	Route string
-	Order uint32
-	// Failed is the first requirement that does not hold; empty if the route matches.
-	Failed Requirement
-	// Chosen is true for the first route that matches.
-	Chosen bool
-}
-
-// UpstreamExplanation says whether an upstream is eligible through the chosen route.
-type UpstreamExplanation struct {
-	Upstream string
-	// Failed is the first requirement that does not hold; empty if eligible.
-	Failed Requirement
-}
-
-// Explanation says how a request is resolved.
-type Explanation struct {
-	// Labels are the labels that selectors see.
-	Labels map[string]string
-	Tier   string
-	Rank   uint8
-	Routes []RouteExplanation
-	// Upstreams is empty if no route matches.
-	Upstreams []UpstreamExplanation
-	// KindLimits and OrganisationLimits are nil if none are set.
-	KindLimits, OrganisationLimits *pb.Limits
-	// Target is valid if Err is nil.
-	Target Target
-	Err    error
-}
-
-// Explain says how a request is resolved and why.
-func (t *Table) Explain(r Request) Explanation { return Explanation{} }
+func (t *Table) addUpstreams(set *configstate.Set, failureDomains []string) {
+	signatures := map[string]int{}
+	for name, o := range set.Upstreams {
+		spec := o.GetUpstream()
+		if len(failureDomains) > 0 && !slices.Contains(failureDomains, spec.GetFailureDomain()) {
+			continue
+		}
+		u := &upstreamInfo{
+			Upstream: Upstream{Name: name, Address: spec.GetAddress(), FailureDomain: spec.GetFailureDomain(), Spec: spec},
+			labels:   upstreamLabels(o),
+		}
+		text := u.labels.String()
+		if _, ok := signatures[text]; !ok {
+			signatures[text] = len(signatures)
+		}
+		u.signature = signatures[text]
+		u.labels[labelName] = name
+		t.upstreams = append(t.upstreams, u)
+		for _, model := range spec.GetModels() {
+			if spec.GetType() == typeEngine {
+				t.models[model] = struct{}{}
+			}
+		}
+	}
+	slices.SortFunc(t.upstreams, func(a, b *upstreamInfo) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// upstreamLabels returns the labels of an upstream except its name.
+func upstreamLabels(o *pb.Object) labels.Set {
+	spec := o.GetUpstream()
+	out := labels.Set{}
+	for k, v := range o.GetMeta().GetLabels() {
+		out[k] = v
+	}
+	out[labelType] = spec.GetType()
+	out[labelFailureDomain] = spec.GetFailureDomain()
+	return out
+}
+
+func (t *Table) addRoutes(set *configstate.Set) error {
+	keys := map[string]struct{}{}
+	for name, o := range set.Routes {
+		spec := o.GetRoute()
+		requests, err := configstate.ParseSelector(spec.GetRequests())
+		if err != nil {
+			return ErrBuild.Wrap(err, "Route/%s: requests", name)
+		}
+		upstreams, err := configstate.ParseSelector(spec.GetUpstreams())
+		if err != nil {
+			return ErrBuild.Wrap(err, "Route/%s: upstreams", name)
+		}
+		t.routes = append(t.routes, &route{name: name, order: spec.GetOrder(), requests: requests, upstreams: upstreams})
+		requirements, _ := requests.Requirements()
+		for _, r := range requirements {
+			keys[r.Key()] = struct{}{}
+		}
+	}
+	for key := range keys {
+		t.keys = append(t.keys, key)
+	}
+	slices.Sort(t.keys)
+	slices.SortFunc(t.routes, func(a, b *route) int {
+		if a.order != b.order {
+			return int(int64(a.order) - int64(b.order))
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	t.addDestinations()
+	return nil
+}
+
+// addDestinations matches upstream selectors. Routes with the same selector
+// share the result.
+func (t *Table) addDestinations() {
+	bySelector := map[string]*route{}
+	for _, r := range t.routes {
+		text := r.upstreams.String()
+		if same, ok := bySelector[text]; ok {
+			r.models, r.services = same.models, same.services
+			continue
+		}
+		bySelector[text] = r
+		t.matchUpstreams(r)
+	}
+}
+
+// matchUpstreams sorts the upstreams that a route's selector matches by what they serve.
+func (t *Table) matchUpstreams(r *route) {
+	r.models = map[string]destination{}
+	for _, i := range t.selectUpstreams(r.upstreams) {
+		spec := t.upstreams[i].Spec
+		if spec.GetType() != typeEngine {
+			r.services.upstreams = append(r.services.upstreams, i)
+			continue
+		}
+		for _, model := range spec.GetModels() {
+			d := r.models[model]
+			// An upstream may list a model twice.
+			if n := len(d.upstreams); n == 0 || d.upstreams[n-1] != i {
+				d.upstreams = append(d.upstreams, i)
+				r.models[model] = d
+			}
+		}
+	}
+	r.services.class = t.classOf(r.services.upstreams)
+	for model, d := range r.models {
+		d.class = t.classOf(d.upstreams)
+		r.models[model] = d
+	}
+}
+
+// selectUpstreams returns the indices of the upstreams that a selector matches,
+// ascending. Unless the selector names the upstream, upstreams with the same
+// labels are matched once.
+func (t *Table) selectUpstreams(s labels.Selector) []int {
+	byName := false
+	requirements, _ := s.Requirements()
+	for _, r := range requirements {
+		byName = byName || r.Key() == labelName
+	}
+	known := map[int]bool{}
+	var out []int
+	for i, u := range t.upstreams {
+		match, ok := known[u.signature]
+		if byName || !ok {
+			match = s.Matches(u.labels)
+			known[u.signature] = match
+		}
+		if match {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (t *Table) classOf(upstreams []int) ClassID {
+	d := xxhash.New()
+	for _, i := range upstreams {
+		_, _ = d.WriteString(t.upstreams[i].Name)
+		_, _ = d.Write([]byte{0})
+	}
+	return ClassID(d.Sum64())
+}
+
+// addPools computes the connected components of the destinations. A pool's id
+// is a digest of its first upstream's name, so that it stays the same when
+// other upstreams join or leave the pool.
+func (t *Table) addPools() {
+	parent := make([]int, len(t.upstreams))
+	for i := range parent {
+		parent[i] = i
+	}
+	find := func(i int) int {
+		for parent[i] != i {
+			parent[i] = parent[parent[i]]
+			i = parent[i]
+		}
+		return i
+	}
+	used := make([]bool, len(t.upstreams))
+	t.eachDestination(func(d destination) destination {
+		for _, i := range d.upstreams {
+			used[i] = true
+			// The smaller index, which is the smaller name, stays the root.
+			a, b := find(d.upstreams[0]), find(i)
+			parent[max(a, b)] = min(a, b)
+		}
+		return d
+	})
+	index := make([]uint32, len(t.upstreams))
+	for i, u := range t.upstreams {
+		if !used[i] {
+			continue
+		}
+		root := t.upstreams[find(i)]
+		if root.pool == nil {
+			root.pool = &Pool{ID: PoolID(xxhash.Sum64String("pool\x00" + root.Name))}
+			t.pools = append(t.pools, root.pool)
+			t.poolByID[root.pool.ID] = root.pool
+		}
+		u.pool = root.pool
+		index[i] = uint32(len(u.pool.Upstreams))
+		u.pool.Upstreams = append(u.pool.Upstreams, u.Upstream)
+	}
+	slices.SortFunc(t.pools, func(a, b *Pool) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	t.addClasses(index)
+}
+
+// addClasses gives every destination its pool and every pool its classes.
+// index maps upstreams to their positions in their pools.
+func (t *Table) addClasses(index []uint32) {
+	t.eachDestination(func(d destination) destination {
+		if len(d.upstreams) == 0 {
+			return d
+		}
+		pool := t.upstreams[d.upstreams[0]].pool
+		d.pool = pool.ID
+		at, known := pool.ClassIndex(d.class)
+		if known {
+			return d
+		}
+		class := Class{ID: d.class}
+		for _, i := range d.upstreams {
+			class.Upstreams = append(class.Upstreams, index[i])
+		}
+		pool.Classes = slices.Insert(pool.Classes, int(at), class)
+		return d
+	})
+}
+
+// eachDestination replaces every destination by the result of f.
+func (t *Table) eachDestination(f func(d destination) destination) {
+	for _, r := range t.routes {
+		r.services = f(r.services)
+		for model, d := range r.models {
+			r.models[model] = f(d)
+		}
+	}
+}
