membership: failure detection, ownership, leaving; node: Config

Cause: the node needs a view of its cell before it can compose pools. Ruled out: a full broadcast per interval, since its cost grows with the cell. Conclusion: base for pkg/node.

--- /dev/null
+++ b/pkg/membership/probe.go
@@ -0,0 +1,169 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// indirectPings is the number of members asked to ping a silent one, so that
+// one broken path alone does not make a member suspect.
+const indirectPings = 2
+
+// relayTime is how long a relayed ping waits for its answer.
+const relayTime = 2 * time.Second
+
+// relay is a ping sent on behalf of another member.
+type relay struct {
+	requester uint64
+	sequence  uint32
+	expires   time.Duration
+}
+
+// prober pings one member per interval.
+type prober struct {
+	sequence uint32
+	next     time.Duration
+	// round is the shuffled order of the current round; every member is pinged
+	// once per round, which bounds the detection time.
+	round []uint64
+
+	target   uint64
+	sent     uint32
+	sentAt   time.Duration
+	indirect bool
+
+	relays map[uint32]relay
+}
+
+func (p *prober) nextSequence() uint32 {
+	p.sequence++
+	return p.sequence
+}
+
+func (p *prober) cancel() { p.target = 0 }
+
+// Ping sends a ping to a member outside the regular round, for example to find
+// out whether the owner of a pool can be reached.
+func (v *View) Ping(incarnation uint64) {
+	if m, ok := v.members[incarnation]; ok {
+		v.ping(m, v.probe.nextSequence())
+	}
+}
+
+func (v *View) ping(m *member, sequence uint32) {
+	v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_Ping{Ping: &pb.Ping{
+		Sequence: sequence, Target: m.Incarnation, Updates: v.piggyback(m.Incarnation)}}})
+}
+
+func (v *View) tickProbe(now time.Duration) {
+	if v.probe.target != 0 && !v.probe.indirect && now-v.probe.sentAt >= v.cfg.PingInterval/2 {
+		v.askOthers()
+	}
+	if now < v.probe.next {
+		return
+	}
+	v.probe.next = max(v.probe.next+v.cfg.PingInterval, now)
+	v.failProbe(now)
+	v.dropRelays(now)
+	if m := v.nextTarget(); m != nil {
+		v.probe.target, v.probe.sent = m.Incarnation, v.probe.nextSequence()
+		v.probe.sentAt, v.probe.indirect = now, false
+		v.ping(m, v.probe.sent)
+	}
+}
+
+// askOthers asks other members to ping the silent target.
+func (v *View) askOthers() {
+	v.probe.indirect = true
+	for _, m := range v.pick(indirectPings, v.probe.target) {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_PingRequest{
+			PingRequest: &pb.PingRequest{Sequence: v.probe.sent, Target: v.probe.target}}})
+	}
+}
+
+// failProbe makes a target that answered neither way suspect, and tells it.
+func (v *View) failProbe(now time.Duration) {
+	m, ok := v.members[v.probe.target]
+	v.probe.cancel()
+	if !ok || m.State != Alive {
+		return
+	}
+	v.setState(now, m, Suspect)
+	v.ping(m, v.probe.nextSequence())
+}
+
+func (v *View) dropRelays(now time.Duration) {
+	for sequence, r := range v.probe.relays {
+		if now >= r.expires {
+			delete(v.probe.relays, sequence)
+		}
+	}
+}
+
+func (v *View) nextTarget() *member {
+	for range 2 {
+		for len(v.probe.round) > 0 {
+			id := v.probe.round[0]
+			v.probe.round = v.probe.round[1:]
+			if m, ok := v.members[id]; ok && m.State != Dead {
+				return m
+			}
+		}
+		v.probe.round = slices.Clone(v.order)
+		v.random.Shuffle(len(v.probe.round), func(i, j int) {
+			v.probe.round[i], v.probe.round[j] = v.probe.round[j], v.probe.round[i]
+		})
+	}
+	return nil
+}
+
+// OnPing answers a ping. A ping for another incarnation at this address is not
+// answered, so that the death of a predecessor is noticed.
+func (v *View) OnPing(now time.Duration, from uint64, ping *pb.Ping) {
+	v.Apply(now, ping.Updates)
+	if ping.Target != v.self.Incarnation {
+		return
+	}
+	address := v.addressOf(from)
+	if address == "" {
+		return
+	}
+	v.send(from, address, &pb.PeerMessage{Body: &pb.PeerMessage_Ack{Ack: &pb.Ack{
+		Sequence: ping.Sequence, Target: v.self.Incarnation, Updates: v.piggyback(from)}}})
+}
+
+func (v *View) addressOf(incarnation uint64) string {
+	m, _ := v.Find(incarnation)
+	return m.PeerAddress
+}
+
+// OnPingRequest pings a member on behalf of another.
+func (v *View) OnPingRequest(now time.Duration, from uint64, request *pb.PingRequest) {
+	m, ok := v.members[request.Target]
+	if !ok {
+		return
+	}
+	sequence := v.probe.nextSequence()
+	v.probe.relays[sequence] = relay{requester: from, sequence: request.Sequence, expires: now + relayTime}
+	v.ping(m, sequence)
+}
+
+// OnAck handles the answer to a ping, and passes it on if it was relayed.
+func (v *View) OnAck(now time.Duration, from uint64, ack *pb.Ack) {
+	v.Apply(now, ack.Updates)
+	v.trust()
+	v.contacts.answered(ack.Target)
+	if r, ok := v.probe.relays[ack.Sequence]; ok && ack.Target == from {
+		delete(v.probe.relays, ack.Sequence)
+		if address := v.addressOf(r.requester); address != "" {
+			v.send(r.requester, address, &pb.PeerMessage{Body: &pb.PeerMessage_Ack{Ack: &pb.Ack{
+				Sequence: r.sequence, Target: ack.Target}}})
+		}
+		return
+	}
+	if ack.Target == v.probe.target && ack.Sequence == v.probe.sent {
+		v.probe.cancel()
+	}
+}
--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,360 @@
+// Package membership keeps an instance's view of the other instances of its
+// cell (alive, suspect, leaving or dead), of two contacts in each other cell
+// and of leaving upstreams, and derives the owners of pools from it. It does no
+// I/O and reads no clock.
+//
+// Invariants:
+//   - the messages sent per ping interval do not depend on the cell's size,
+//     except for a reader's announcement and the announcement of a leave;
+//   - leaving is sticky: once known for an incarnation it is never undone;
+//   - a member's sequence number never decreases, and only the member itself
+//     raises it.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// State is the state of a member, apart from leaving.
+type State uint8
+
+// States of a member.
+const (
+	Alive State = iota + 1
+	Suspect
+	Dead
+)
+
+// String returns the state's name in lower case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
+
+// Member is what is known of one instance.
+type Member struct {
+	Incarnation uint64
+	// Sequence orders updates of the same incarnation.
+	Sequence uint32
+	State    State
+	Leaving  bool
+
+	PeerAddress, CallerAddress, AdminAddress string
+	FailureDomain, Cell                      string
+	// ConfigRevision is the configuration revision last reported by the member.
+	ConfigRevision uint64
+}
+
+// Config holds the constants of a View.
+type Config struct {
+	// Self describes this instance; its State is ignored.
+	Self Member
+	// PingInterval, DeadAfter and ListInterval as in the design, section 9.
+	PingInterval, DeadAfter, ListInterval time.Duration
+	// Seeds are peer addresses to join through.
+	Seeds []string
+	// Seed makes random choices repeatable.
+	Seed uint64
+	// IgnoreLeaving is a mutation for tests: leaving upstreams stay usable.
+	IgnoreLeaving bool
+}
+
+// Message is one message to another instance.
+type Message struct {
+	// To is 0 if the incarnation at the address is not known.
+	To      uint64
+	Address string
+	Body    *pb.PeerMessage
+}
+
+// pauseLimit is how late a tick may be before the instance no longer trusts
+// its view, since others may have declared it dead in the meantime.
+const pauseLimit = time.Second
+
+// settleTime is how long a starting instance waits for an answer to its joins
+// before it takes itself to be the first of its cell.
+const settleTime = 2 * time.Second
+
+// tombstoneTime is how long a dead member is remembered, so that late gossip
+// does not bring it back. Gossip of an update ends after a few ping intervals.
+const tombstoneTime = time.Minute
+
+type member struct {
+	Member
+	// since is when State was entered.
+	since time.Duration
+	// heard is when a frame of the member last arrived.
+	heard time.Duration
+}
+
+// View is one instance's view of its cell. It is not safe for concurrent use.
+type View struct {
+	cfg     Config
+	random  *rand.Rand
+	self    *member
+	members map[uint64]*member
+	// order lists the incarnations of members in ascending order, so that
+	// iteration does not depend on map order.
+	order    []uint64
+	contacts contactBook
+	gossip   gossipQueue
+	probe    prober
+	join     joiner
+	list     listReader
+	leaving  upstreamBook
+	out      []Message
+	epoch    uint64
+	started  bool
+	lastTick time.Duration
+	pausedAt time.Duration
+	paused   bool
+}
+
+// New returns a View that knows only the instance itself.
+func New(cfg Config) *View {
+	self := &member{Member: cfg.Self}
+	self.State = Alive
+	v := &View{
+		cfg:      cfg,
+		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		self:     self,
+		members:  map[uint64]*member{},
+		contacts: contactBook{},
+		leaving:  newUpstreamBook(),
+		epoch:    1,
+	}
+	v.probe.relays = map[uint32]relay{}
+	return v
+}
+
+// Self returns the instance's own entry.
+func (v *View) Self() Member { return v.self.Member }
+
+// SetConfigRevision sets the revision that is reported to other members.
+func (v *View) SetConfigRevision(revision uint64) { v.self.ConfigRevision = revision }
+
+// Epoch changes whenever the set of live, not leaving members changes.
+func (v *View) Epoch() uint64 { return v.epoch }
+
+// Members returns all known members of the cell with the instance itself
+// first, then the contacts in other cells.
+func (v *View) Members() []Member {
+	all := []Member{v.self.Member}
+	for _, id := range v.order {
+		all = append(all, v.members[id].Member)
+	}
+	return append(all, v.contacts.all()...)
+}
+
+// Live calls visit for each other member of the cell that is not dead.
+func (v *View) Live(visit func(Member)) {
+	for _, id := range v.order {
+		if m := v.members[id]; m.State != Dead {
+			visit(m.Member)
+		}
+	}
+}
+
+// LiveCount returns the number of live members that are not leaving, at least 1.
+func (v *View) LiveCount() int {
+	count := 0
+	if !v.self.Leaving {
+		count++
+	}
+	v.Live(func(m Member) {
+		if !m.Leaving {
+			count++
+		}
+	})
+	return max(count, 1)
+}
+
+// Find returns a member of the cell or a contact.
+func (v *View) Find(incarnation uint64) (Member, bool) {
+	if incarnation == v.self.Incarnation {
+		return v.self.Member, true
+	}
+	if m, ok := v.members[incarnation]; ok {
+		return m.Member, true
+	}
+	return v.contacts.find(incarnation)
+}
+
+// LastHeard returns when a frame of the member last arrived.
+func (v *View) LastHeard(incarnation uint64) (time.Duration, bool) {
+	m, ok := v.members[incarnation]
+	if !ok {
+		return 0, false
+	}
+	return m.heard, true
+}
+
+// Heard records that a frame of an instance arrived, whatever it contained.
+func (v *View) Heard(now time.Duration, from uint64, configRevision uint64) {
+	if m, ok := v.members[from]; ok {
+		m.heard = now
+		m.ConfigRevision = max(m.ConfigRevision, configRevision)
+		return
+	}
+	v.contacts.heard(from, configRevision)
+}
+
+// Trusted reports whether the view may be relied on for ownership. It is false
+// after a pause, until another member has answered.
+func (v *View) Trusted() bool { return !v.paused }
+
+// Leave marks this instance as leaving and tells every member of the cell.
+func (v *View) Leave(now time.Duration) {
+	if v.self.Leaving {
+		return
+	}
+	v.self.Leaving = true
+	v.changed()
+	v.announceSelf()
+}
+
+func (v *View) announceSelf() {
+	update := leavingUpdate(v.self.Member)
+	v.gossip.add(update, v.LiveCount())
+	v.Live(func(m Member) {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
+			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
+	})
+}
+
+// Outbox returns the messages to send and empties the list.
+func (v *View) Outbox() []Message {
+	out := v.out
+	v.out = nil
+	return out
+}
+
+func (v *View) send(to uint64, address string, body *pb.PeerMessage) {
+	v.out = append(v.out, Message{To: to, Address: address, Body: body})
+}
+
+func (v *View) changed() { v.epoch++ }
+
+// Tick drives all timers. It returns true if the instance was paused.
+func (v *View) Tick(now time.Duration) (paused bool) {
+	if !v.started {
+		v.started = true
+		v.start(now)
+	}
+	gap := now - v.lastTick
+	v.lastTick = now
+	if gap > pauseLimit {
+		v.resume(now, gap)
+		paused = true
+	}
+	if v.paused && now-v.pausedAt >= settleTime {
+		// Nobody answered: the instance is alone or cut off, which failure
+		// detection finds out by itself.
+		v.paused = false
+		v.changed()
+	}
+	v.tickProbe(now)
+	v.expire(now)
+	v.tickJoin(now)
+	v.tickContacts(now)
+	return paused
+}
+
+func (v *View) start(now time.Duration) {
+	v.lastTick = now
+	v.join.startedAt = now
+	v.list.heardAt = now
+	// A random phase spreads the pings of instances that start together.
+	v.probe.next = now + v.fraction(v.cfg.PingInterval)
+}
+
+func (v *View) fraction(d time.Duration) time.Duration {
+	return time.Duration(v.random.Float64() * float64(d))
+}
+
+// resume handles the end of a pause: timers that ran out during the pause say
+// nothing about the others, and the others may have declared this one dead.
+func (v *View) resume(now, gap time.Duration) {
+	v.probe.cancel()
+	for _, id := range v.order {
+		v.members[id].since += gap
+	}
+	if v.liveOthers() == 0 {
+		return
+	}
+	v.paused, v.pausedAt = true, now
+	v.changed()
+	for _, m := range v.pick(3, 0) {
+		v.ping(m, v.probe.nextSequence())
+	}
+}
+
+func (v *View) liveOthers() int {
+	count := 0
+	v.Live(func(Member) { count++ })
+	return count
+}
+
+func (v *View) trust() {
+	if v.paused {
+		v.paused = false
+		v.changed()
+	}
+}
+
+// expire declares suspects dead and forgets old tombstones.
+func (v *View) expire(now time.Duration) {
+	for _, id := range slices.Clone(v.order) {
+		m := v.members[id]
+		switch {
+		case m.State == Suspect && now-m.since >= v.cfg.DeadAfter:
+			v.setState(now, m, Dead)
+		case m.State == Dead && now-m.since >= tombstoneTime:
+			v.remove(id)
+		}
+	}
+}
+
+func (v *View) remove(id uint64) {
+	delete(v.members, id)
+	if at, found := slices.BinarySearch(v.order, id); found {
+		v.order = slices.Delete(v.order, at, at+1)
+	}
+}
+
+// setState changes a member's state and spreads it.
+func (v *View) setState(now time.Duration, m *member, state State) {
+	if m.State == state {
+		return
+	}
+	if (m.State == Dead) != (state == Dead) {
+		v.changed()
+	}
+	m.State, m.since = state, now
+	v.gossip.add(healthUpdate(m.Member), v.LiveCount())
+}
+
+// pick returns up to n distinct random live members other than except.
+func (v *View) pick(n int, except uint64) []*member {
+	var candidates []*member
+	for _, id := range v.order {
+		if m := v.members[id]; m.State != Dead && id != except {
+			candidates = append(candidates, m)
+		}
+	}
+	v.random.Shuffle(len(candidates), func(i, j int) {
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	})
+	return candidates[:min(n, len(candidates))]
+}
--- /dev/null
+++ b/pkg/node/config.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/configstate"
+)
+
+// Config holds the constants of one instance. Zero durations and counts take
+// the defaults named with each field.
+type Config struct {
+	// Name of the instance in status answers.
+	Name string
+	// Incarnation of this run; required.
+	Incarnation Incarnation
+	// PeerAddress, CallerAddress and AdminAddress are told to the other instances.
+	PeerAddress, CallerAddress, AdminAddress string
+	FailureDomain, Region                    string
+	// Cell whose instances share upstreams; the region if empty.
+	Cell string
+	// Seeds are peer addresses to join through before the instance list is known.
+	Seeds []string
+	// Bootstrap is a configuration set to start from, for tests and
+	// single-process use. If nil, the set is learned from peers or the store.
+	Bootstrap *configstate.Set
+
+	// PingInterval is the interval between failure-detection pings; 500 ms.
+	PingInterval time.Duration
+	// DeadAfter is the time from suspicion to death; 2 s.
+	DeadAfter time.Duration
+	// ListInterval is the interval at which a reader polls the instance list; 1 s.
+	ListInterval time.Duration
+	// OwnerTimeout is the time without an answer from a pool's owner before
+	// the fixed share is used; 300 ms.
+	OwnerTimeout time.Duration
+	// DiscoveryTTL is how long callers may use an old discovery answer; a
+	// draining instance accepts requests for this long. 5 s.
+	DiscoveryTTL time.Duration
+
+	// TargetTTFT and TargetInterToken are the latency targets of engines; 980 ms and 54 ms.
+	TargetTTFT, TargetInterToken time.Duration
+	// MaxQueue bounds the descriptors that one pool queues; 100,000.
+	MaxQueue int
+	// MaxRequests bounds the requests held by this instance; 8,192.
+	MaxRequests int
+	// MaxDeadline is the longest deadline that a caller may ask for; 600 s.
+	MaxDeadline time.Duration
+	// RetryBudgetPercent allows retries as a share of first attempts; 10. A
+	// negative value allows none.
+	RetryBudgetPercent int
+
+	// TicketTTL, RecordTTL and ClaimRetention bound the records of
+	// non-idempotent calls; 600 s, 3600 s and 168 h.
+	TicketTTL, RecordTTL, ClaimRetention time.Duration
+	// MaxRecords bounds the recorded outcomes kept in memory; 20,000.
+	MaxRecords int
+	// TicketSecret keys the MAC of this incarnation's tickets.
+	TicketSecret []byte
+	// CallsPerSecond is the budget of object API calls; 20.
+	CallsPerSecond float64
+	// WallClockOffset is the Unix time at process time zero. It is used for
+	// the retention of claims only, never for a decision.
+	WallClockOffset time.Duration
+}
+
+// withDefaults returns the configuration with defaults filled in.
+func (c Config) withDefaults() Config {
+	setDuration(&c.PingInterval, 500*time.Millisecond)
+	setDuration(&c.DeadAfter, 2*time.Second)
+	setDuration(&c.ListInterval, time.Second)
+	setDuration(&c.OwnerTimeout, 300*time.Millisecond)
+	setDuration(&c.DiscoveryTTL, 5*time.Second)
+	setDuration(&c.TargetTTFT, 980*time.Millisecond)
+	setDuration(&c.TargetInterToken, 54*time.Millisecond)
+	setDuration(&c.MaxDeadline, 600*time.Second)
+	setDuration(&c.TicketTTL, 600*time.Second)
+	setDuration(&c.RecordTTL, 3600*time.Second)
+	setDuration(&c.ClaimRetention, 168*time.Hour)
+	setInt(&c.MaxQueue, 100_000)
+	setInt(&c.MaxRequests, 8192)
+	setInt(&c.RetryBudgetPercent, 10)
+	setInt(&c.MaxRecords, 20_000)
+	if c.CallsPerSecond <= 0 {
+		c.CallsPerSecond = 20
+	}
+	if c.Cell == "" {
+		c.Cell = c.Region
+	}
+	return c
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func setInt(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
