dispatch: the entry's record of each request

Cause: at most one dispatch, permits and limits need one place that decides. Ruled out: a state per message type, which lets late messages revive a request. Change: pkg/dispatch with states, attempts, retry budget, limits, local fallback.

--- /dev/null
+++ b/pkg/dispatch/owner.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Pools returns the pools that have records, in order of first use.
+func (t *Table) Pools() []uint64 {
+	var pools []uint64
+	for _, id := range t.poolIDs {
+		if len(t.pools[id].records) > 0 {
+			pools = append(pools, id)
+		}
+	}
+	return pools
+}
+
+// Local reports whether a pool's requests use the fixed-share pool.
+func (t *Table) Local(pool uint64) bool {
+	p, ok := t.pools[pool]
+	return ok && p.local
+}
+
+// SetOwner tells the table which instance owns a pool. If the owner changed,
+// waiting requests move to the new one: they are withdrawn from the old holder
+// and handed over by the Sync that the caller sends when moved is true.
+func (t *Table) SetOwner(now time.Duration, pool, owner uint64) (moved bool) {
+	p := t.route(pool)
+	if p.owner == owner {
+		return false
+	}
+	p.owner, p.local = owner, false
+	return t.moveAll(now, p, "retries", OwnerGone)
+}
+
+// SetLocal tells the table that the owner of a pool cannot be reached, or that
+// it can be reached again. When it is back, waiting requests are withdrawn
+// from the local pool at once, so that the owner decides on all of them.
+func (t *Table) SetLocal(now time.Duration, pool uint64, local bool) (moved bool) {
+	p := t.route(pool)
+	if p.local == local || local && p.owner == t.cfg.Self {
+		return false
+	}
+	p.local = local
+	if local {
+		t.count("fallback", "owner_unreachable")
+		t.moveAll(now, p, "fallback", "moved_to_share")
+		return false
+	}
+	t.count("fallback", "owner_back")
+	return t.moveAll(now, p, "fallback", "moved_to_owner")
+}
+
+// moveAll gives every waiting record of a pool to the pool's present holder.
+// Moves to a new owner are not held back by the retry budget: there is one per
+// request and change of owner, and the new owner asks for them in any case.
+func (t *Table) moveAll(now time.Duration, p *poolRoute, counter, reason string) (moved bool) {
+	holder := p.holder(t.cfg.Self)
+	for _, r := range p.records {
+		moved = true
+		if r.State != Waiting || r.Holder == holder {
+			continue
+		}
+		t.withdraw(r)
+		r.Attempt++
+		r.Holder = holder
+		t.count(counter, reason)
+		r.offered = false
+		if holder.Local {
+			t.offer(now, r)
+		}
+	}
+	return moved && !holder.Local
+}
+
+// Waiting returns the number of requests of a pool that wait.
+func (t *Table) Waiting(pool uint64) int {
+	if p, ok := t.pools[pool]; ok {
+		return p.waiting
+	}
+	return 0
+}
+
+// WaitingSince returns the earliest time at which a request that still waits
+// at the pool's remote owner was offered.
+func (t *Table) WaitingSince(pool uint64) (since time.Duration, ok bool) {
+	p, known := t.pools[pool]
+	if !known || p.waiting == 0 {
+		return 0, false
+	}
+	for _, r := range p.records {
+		if r.State == Waiting && r.offered && !r.Holder.Local && (!ok || r.offeredAt < since) {
+			since, ok = r.offeredAt, true
+		}
+	}
+	return since, ok
+}
+
+// Sync lists the records of a pool for an owner. Waiting records are listed
+// only if the asking owner is the pool's owner in this instance's view; records
+// in flight are then released to it.
+func (t *Table) Sync(now time.Duration, pool, owner uint64) (waiting, inFlight []*Record) {
+	p, ok := t.pools[pool]
+	if !ok {
+		return nil, nil
+	}
+	holder := Holder{Owner: owner}
+	for _, r := range p.records {
+		switch {
+		case r.InFlight():
+			if p.owner == owner {
+				r.Holder = holder
+			}
+			inFlight = append(inFlight, r)
+		case p.owner == owner && r.Holder == holder && now >= r.notBefore:
+			t.markOffered(now, r)
+			waiting = append(waiting, r)
+		}
+	}
+	return waiting, inFlight
+}
+
+// Tick runs timers: delayed offers, repeated offers and deadlines.
+func (t *Table) Tick(now time.Duration) {
+	for _, id := range t.poolIDs {
+		for _, r := range slices.Clone(t.pools[id].records) {
+			t.tickRecord(now, r)
+		}
+	}
+}
+
+func (t *Table) tickRecord(now time.Duration, r *Record) {
+	switch {
+	case r.State == Waiting && now >= r.Deadline:
+		t.withdraw(r)
+		t.end(r, Refusal{Code: "expired_waiting", Ran: RanNo, Reason: "the deadline passed while the request waited",
+			Remedy: "retry later or send a later deadline", RetryAfter: time.Second})
+	case r.State == Waiting && !r.offered:
+		t.offer(now, r)
+	case r.State == Waiting && now >= r.resendAt:
+		r.resends = min(r.resends+1, 8)
+		r.resendAt = now + min(resendBase<<r.resends, resendMax) + t.jitter()
+		t.emit(Offer{Record: r})
+	case r.InFlight() && now >= r.Deadline+deadlineGrace:
+		t.emit(Cancel{ID: r.ID})
+		t.Finish(now, r.ID, DeadlinePassed, r.Tokens, 0)
+	}
+}
+
+// Drain is called when a planned stop starts. Nothing in progress is cut.
+func (t *Table) Drain(now time.Duration) {
+	if !t.cfg.CancelOnDrain {
+		return
+	}
+	for _, id := range t.poolIDs {
+		for _, r := range slices.Clone(t.pools[id].records) {
+			if r.InFlight() {
+				t.emit(Cancel{ID: r.ID})
+				t.Finish(now, r.ID, AnswerBroken, r.Tokens, 0)
+			}
+		}
+	}
+}
