internal/settings: INI settings checked against the schema

Cause: the daemon and `citrongate check` need settings whose rules live in one place, with all faults of a file reported together. Ruled out: ini.v1's struct mapping, since it stops at types and knows no ranges; a hand-written table beside settings.proto, since it would drift. Change: parser driven by the descriptors and the rule option, cross checks (TLS pairs, mutual TLS outside loopback, listeners, detection times), the generated page docs/CONFIGURATION.md with a test for staleness, and an example file.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,9 @@
 lint: ## formatter, vet, staticcheck, and stale generated code
 	bash scripts/lint.sh
 
-generate: ## generate Go code from the schema
+generate: ## generate Go code and docs/CONFIGURATION.md from the schema
 	$(TOOL) buf generate
+	$(GO) run ./internal/settings/gendoc docs/CONFIGURATION.md
 
 demo: build ## run stand-ins and three entry instances and print what became of each call
 	bash scripts/demo.sh
--- /dev/null
+++ b/internal/settings/problem.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	namespace = errorx.NewNamespace("settings")
+	// Invalid is the error type of settings that break at least one rule.
+	Invalid = namespace.NewType("invalid")
+	// Unreadable is the error type of a settings file that can't be read.
+	Unreadable = namespace.NewType("unreadable")
+
+	problemsProperty = errorx.RegisterProperty("problems")
+)
+
+// Problem is one fault of a settings file. Section and Key are empty where the
+// fault is not bound to one.
+type Problem struct {
+	Section, Key string
+	// Value is the value found; empty if there is none.
+	Value string
+	// What says what is wrong.
+	What string
+	// Allowed describes the accepted values; empty if the fault is of another type.
+	Allowed string
+	// Remedy says what to do.
+	Remedy string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", p.Section)
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key)
+		if p.Value != "" {
+			fmt.Fprintf(&b, " = %q", p.Value)
+		}
+		b.WriteString(": ")
+	}
+	b.WriteString(p.What)
+	if p.Allowed != "" {
+		fmt.Fprintf(&b, "; allowed: %s", p.Allowed)
+	}
+	if p.Remedy != "" {
+		fmt.Fprintf(&b, "; remedy: %s", p.Remedy)
+	}
+	return b.String()
+}
+
+// Problems returns the faults that an error of type Invalid carries.
+func Problems(err error) []Problem {
+	value, ok := errorx.ExtractProperty(err, problemsProperty)
+	if !ok {
+		return nil
+	}
+	problems, _ := value.([]Problem)
+	return problems
+}
+
+func invalid(name string, problems []Problem) error {
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		lines[i] = p.String()
+	}
+	return Invalid.New("%s: %d problems:\n%s", name, len(problems), strings.Join(lines, "\n")).
+		WithProperty(problemsProperty, problems)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,168 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+)
+
+const minimal = `[instance]
+name = entry-1
+failure_domain = zone-a
+region = region-1
+[listen]
+caller = 127.0.0.1:8080
+admin = 127.0.0.1:8081
+peer = 127.0.0.1:8082
+[platform]
+address = 127.0.0.1:8100
+`
+
+// TestDefaults guards against defaults that are not taken from the schema.
+func TestDefaults(t *testing.T) {
+	s, err := Parse("test.ini", []byte(minimal))
+	require.NoError(t, err)
+	require.Equal(t, "region-1", s.Instance.Cell, "the cell is the region if not set")
+	require.Equal(t, 2*time.Second, Duration(s.Platform.CallTimeout))
+	require.Equal(t, 20.0, s.Platform.CallsPerSecond)
+	require.EqualValues(t, 1<<20, s.Limits.MaxBodyBytes)
+	require.Equal(t, "info", s.Log.Level)
+}
+
+// TestAllFaultsTogether guards against a check that stops at the first fault.
+func TestAllFaultsTogether(t *testing.T) {
+	faulty := `region = misplaced
+[instance]
+name = -bad-
+region = region-1
+[listen]
+caller = localhost:80
+admin = 0.0.0.0:8081
+peer = 127.0.0.1:0
+[platform]
+address = 127.0.0.1:8100
+call_timeout = 1h
+calls_per_second = many
+[limits]
+max_requests = 3
+max_request = 30
+[log]
+level = loud
+[plattform]
+address = x
+`
+	_, err := Parse("test.ini", []byte(faulty))
+	require.True(t, errorx.IsOfType(err, Invalid))
+	want := []struct{ section, key, value string }{
+		{"instance", "name", "-bad-"},
+		{"instance", "failure_domain", ""},
+		{"listen", "caller", "localhost:80"},
+		{"listen", "admin", "0.0.0.0:8081"},
+		{"listen", "peer", "127.0.0.1:0"},
+		{"platform", "call_timeout", "1h"},
+		{"platform", "calls_per_second", "many"},
+		{"limits", "max_requests", "3"},
+		{"log", "level", "loud"},
+		{"", "region", "misplaced"},
+		{"limits", "max_request", "30"},
+		{"plattform", "", ""},
+	}
+	problems := Problems(err)
+	require.Len(t, problems, len(want))
+	for i, w := range want {
+		p := problems[i]
+		require.Equal(t, w, struct{ section, key, value string }{p.Section, p.Key, p.Value})
+		require.NotEmpty(t, p.Remedy)
+		require.Contains(t, err.Error(), p.String())
+	}
+	require.Contains(t, err.Error(), "a duration such as 500ms or 2s from 50ms to 60s")
+}
+
+// TestFaultsOfOneSetting guards against values that are accepted although the
+// daemon could not use them.
+func TestFaultsOfOneSetting(t *testing.T) {
+	dir := t.TempDir()
+	plain := filepath.Join(dir, "plain.pem")
+	require.NoError(t, os.WriteFile(plain, []byte("no certificate"), 0o600))
+	cases := []struct{ name, extra, want string }{
+		{"repeated key", "[log]\nlevel = info\nlevel = warn\n", "given more than once"},
+		{"repeated equal key", "[log]\nlevel = info\nlevel = info\n", "given more than once"},
+		{"key without certificate", "[peer]\nkey = " + plain + "\n", "given without certificate"},
+		{"missing file", "[peer]\nauthority = /nonexistent\n", "cannot be read"},
+		{"directory", "[peer]\nauthority = " + dir + "\n", "not a file"},
+		{"authority without certificate", "[peer]\nauthority = " + plain + "\n", "holds no PEM certificate"},
+		{"pair without certificate", "[peer]\ncertificate = " + plain + "\nkey = " + plain + "\n", "cannot be used"},
+		{"part of mutual TLS", "[peer]\nauthority = " + plain + "\n", "needs all of certificate, key and authority"},
+		{"short detection", "[peer]\nping_interval = 1s\ndead_after = 1s\n", "less than two ping intervals"},
+		{"bad seed", "[peer]\nseeds = 127.0.0.1:1, nowhere\n", "not an IP address and port"},
+		{"not a number", "[platform]\ncalls_per_second = NaN\n", "not a number"},
+		{"malformed line", "[log]\nlevel\n", "not valid INI"},
+		{"child section", "[log.more]\nlevel = info\n", "unknown section"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("test.ini", []byte(minimal+c.extra))
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+// TestPeerTLSOutsideLoopback guards against instances that talk in the clear
+// over a network.
+func TestPeerTLSOutsideLoopback(t *testing.T) {
+	source := strings.Replace(minimal, "peer = 127.0.0.1:8082", "peer = 10.0.0.1:8082", 1)
+	_, err := Parse("test.ini", []byte(source))
+	require.ErrorContains(t, err, "mutual TLS is required")
+	require.Len(t, Problems(err), 1)
+}
+
+// TestLoadReportsUnreadableFile guards against an error without a remedy.
+func TestLoadReportsUnreadableFile(t *testing.T) {
+	_, err := Load(filepath.Join(t.TempDir(), "absent.ini"))
+	require.True(t, errorx.IsOfType(err, Unreadable))
+	require.ErrorContains(t, err, "remedy")
+}
+
+// TestExampleFile guards against an example that the check rejects.
+func TestExampleFile(t *testing.T) {
+	_, err := Load("../../examples/entry.ini")
+	require.NoError(t, err)
+}
+
+// TestReferenceIsCurrent guards against a page that differs from the schema.
+func TestReferenceIsCurrent(t *testing.T) {
+	var want bytes.Buffer
+	require.NoError(t, WriteReference(&want))
+	got, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	require.NoError(t, err)
+	require.Equal(t, want.String(), string(got), "run make generate")
+}
+
+// FuzzParse guards against panics and against accepted settings whose values
+// break the rules or change when they are parsed again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimal))
+	f.Add([]byte(minimal + "[log]\nlevel = debug\n"))
+	f.Add([]byte("[instance]\nname = \"a\"\n[instance\n"))
+	f.Add([]byte("[peer]\nseeds = 127.0.0.1:1,[::1]:2\nping_interval = 1h\n"))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		if bytes.Contains(source, []byte("/")) {
+			t.Skip("file names would make the test depend on the machine")
+		}
+		first, err := Parse("fuzz.ini", source)
+		if err != nil {
+			require.NotEmpty(t, Problems(err))
+			return
+		}
+		again, err := Parse("again.ini", render(first.ProtoReflect()))
+		require.NoError(t, err)
+		require.True(t, proto.Equal(first, again))
+	})
+}
