--- a/cmd/citrongate-standin/main.go
+++ b/cmd/citrongate-standin/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -13,13 +15,16 @@
 )
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	app := &cli.Command{
 		Name:                  "citrongate-standin",
 		Usage:                 "stand-ins for platform, engines, services and callers",
 		Version:               version.Version,
 		EnableShellCompletion: true,
+		Commands:              []*cli.Command{platformCommand()},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
+	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
