standin engine and service, with their commands

Cause: the upstream edge and the tests need engines that batch, cache, resume and fail, and a service whose ledger shows what ran. Ruled out: a fixed time per request, since then slow engines and batches can't be told apart. Change: engine with step time from batch and prefill, bounded prefix cache, streams with resume and cancel, late load reports and cache events, orders with or without fencing check, fault control; service with a ledger per key and per request id; commands engine, service and ports.

--- /dev/null
+++ b/cmd/citrongate-standin/engine.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/citrongate/citrongate/internal/standin/engine"
+)
+
+func engineCommand() *cli.Command {
+	defaults := engine.Defaults()
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "language-model server with continuous batching, with a control API under /control/",
+		Description: `Answers consist of words that depend on the last message only; a message that
+contains tokens=N is answered with N tokens.
+
+Example:
+  citrongate-standin engine --listen 127.0.0.1:8201 --model small --step-base 20ms
+  curl -X POST -d '{"slowdown":5}' http://127.0.0.1:8201/control/state`,
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringSliceFlag{Name: "model", Value: []string{"small"}, Usage: "`NAME` of a loaded model; may be repeated"},
+			&cli.IntFlag{Name: "max-batch", Value: defaults.MaxBatch, Usage: "sequences processed together"},
+			&cli.IntFlag{Name: "max-waiting", Value: defaults.MaxWaiting, Usage: "sequences that may wait for the batch"},
+			&cli.DurationFlag{Name: "step-base", Value: defaults.StepBase, Usage: "time of a step without its sequences"},
+			&cli.DurationFlag{Name: "step-per-sequence", Value: defaults.StepPerSequence, Usage: "time that each decoding sequence adds to a step"},
+			&cli.FloatFlag{Name: "prefill-tokens-per-second", Value: defaults.PrefillTokensPerSecond, Usage: "speed of prefill"},
+			&cli.IntFlag{Name: "prefill-chunk", Value: defaults.PrefillChunk, Usage: "prompt tokens of one step at most"},
+			&cli.IntFlag{Name: "cache-blocks", Value: defaults.CacheBlocks, Usage: "capacity of the prefix cache in blocks of 16 tokens"},
+			&cli.DurationFlag{Name: "load-lag", Value: defaults.LoadLag, Usage: "age of load reports"},
+			&cli.DurationFlag{Name: "cache-event-lag", Value: defaults.CacheEventLag, Usage: "age of cache events when they are published"},
+			&cli.IntFlag{Name: "cache-event-gap", Value: defaults.CacheEventGap, Usage: "lose each `N`-th cache event; 0 for none"},
+			&cli.BoolFlag{Name: "check-fencing", Usage: "refuse orders with an old fencing number"},
+			&cli.DurationFlag{Name: "grace", Value: defaults.Grace, Usage: "time that a stream runs on without a reader"},
+		},
+		Action: runEngine,
+	}
+}
+
+func runEngine(ctx context.Context, command *cli.Command) error {
+	config := engine.Defaults()
+	config.Models = command.StringSlice("model")
+	config.MaxBatch = command.Int("max-batch")
+	config.MaxWaiting = command.Int("max-waiting")
+	config.StepBase = command.Duration("step-base")
+	config.StepPerSequence = command.Duration("step-per-sequence")
+	config.PrefillTokensPerSecond = command.Float("prefill-tokens-per-second")
+	config.PrefillChunk = command.Int("prefill-chunk")
+	config.CacheBlocks = command.Int("cache-blocks")
+	config.LoadLag = command.Duration("load-lag")
+	config.CacheEventLag = command.Duration("cache-event-lag")
+	config.CacheEventGap = command.Int("cache-event-gap")
+	config.CheckFencing = command.Bool("check-fencing")
+	config.Grace = command.Duration("grace")
+	if config.MaxBatch < 1 || config.PrefillChunk < 1 || config.PrefillTokensPerSecond <= 0 {
+		return cli.Exit("max-batch, prefill-chunk and prefill-tokens-per-second must be positive", 2)
+	}
+	e := engine.New(config)
+	go e.Run(ctx)
+	return serve(ctx, "engine", command.String("listen"), e.Handler())
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,172 @@
+// Package service is a stand-in for a plain HTTP service. Its ledger counts
+// each run per idempotency key and per request id, so that a test can tell
+// whether a call ran, and how often.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxBodyBytes bounds a request body.
+const maxBodyBytes = 16 << 20
+
+// Config holds the properties of the stand-in.
+type Config struct {
+	// Work is the time that each call takes.
+	Work time.Duration
+}
+
+// Faults is the state that the control API sets.
+type Faults struct {
+	// DelayMs is added to the time of each call.
+	DelayMs int64 `json:"delay_ms"`
+	// Fail makes each call answer 500 without running.
+	Fail bool `json:"fail"`
+	// DropRequests is the number of calls yet to be cut before they run.
+	DropRequests int64 `json:"drop_requests"`
+	// DropAnswers is the number of calls yet to be cut after they ran.
+	DropAnswers int64 `json:"drop_answers"`
+	// MismatchAnswers is the number of answers yet to carry another request's id.
+	MismatchAnswers int64 `json:"mismatch_answers"`
+}
+
+// Ledger counts runs since the start.
+type Ledger struct {
+	// ByKey counts runs per idempotency key, for calls that carried one.
+	ByKey map[string]int `json:"by_key"`
+	// ByRequest counts runs per request id.
+	ByRequest map[string]int `json:"by_request"`
+	// ByName counts runs per call name.
+	ByName map[string]int `json:"by_name"`
+}
+
+// Answer is the body of a successful call.
+type Answer struct {
+	Call           string `json:"call"`
+	RequestID      string `json:"request_id"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	// Run is the number of this run among all runs of the service.
+	Run int `json:"run"`
+	// Received is the request body.
+	Received string `json:"received"`
+}
+
+// Service is one stand-in.
+type Service struct {
+	config Config
+
+	mu     sync.Mutex
+	faults Faults
+	ledger Ledger
+	runs   int
+}
+
+// New returns a service with an empty ledger.
+func New(config Config) *Service {
+	return &Service{config: config, ledger: Ledger{ByKey: map[string]int{}, ByRequest: map[string]int{}, ByName: map[string]int{}}}
+}
+
+// Handler serves calls and the control API.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call/{name}", s.call)
+	mux.HandleFunc("GET /control/ledger", s.getLedger)
+	mux.HandleFunc("GET /control/state", s.getState)
+	mux.HandleFunc("POST /control/state", s.setState)
+	return mux
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	faults := s.take()
+	if faults.Fail {
+		http.Error(w, "the service fails by order of the control API", http.StatusInternalServerError)
+		return
+	}
+	if faults.DropRequests > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	answer := s.run(r, string(body))
+	time.Sleep(s.config.Work + time.Duration(faults.DelayMs)*time.Millisecond)
+	if faults.DropAnswers > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	id := answer.RequestID
+	if faults.MismatchAnswers > 0 {
+		id = "other-" + id
+	}
+	w.Header().Set("X-Request-Id", id)
+	writeJSON(w, answer)
+}
+
+// take returns the faults that apply to one call and uses up the counted ones.
+func (s *Service) take() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	applies := s.faults
+	if s.faults.Fail {
+		return applies
+	}
+	for _, left := range []*int64{&s.faults.DropRequests, &s.faults.DropAnswers, &s.faults.MismatchAnswers} {
+		*left = max(0, *left-1)
+	}
+	return applies
+}
+
+// run enters the call into the ledger.
+func (s *Service) run(r *http.Request, body string) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := Answer{
+		Call: r.PathValue("name"), RequestID: r.Header.Get("X-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), Received: body,
+	}
+	s.runs++
+	answer.Run = s.runs
+	s.ledger.ByName[answer.Call]++
+	s.ledger.ByRequest[answer.RequestID]++
+	if answer.IdempotencyKey != "" {
+		s.ledger.ByKey[answer.IdempotencyKey]++
+	}
+	return answer
+}
+
+func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.ledger)
+}
+
+func (s *Service) getState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.faults)
+}
+
+// setState changes the faults that the body names.
+func (s *Service) setState(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.faults
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&changed); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.faults = changed
+	writeJSON(w, s.faults)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(value)
+}
