binding: tickets, records in memory, grouped claims

Ruled out: running again under a claim whose removal was sent: another instance may hold the key by then, so that claim's sequence number is given up. Ending a lost write by one read: an unchanged bucket can still receive it, so the next conditional write moves the version on. Keeping buckets in memory between calls: 256 buckets of up to 512 KiB. Change: Home, Claims, ticket format; model test with three hosts, duplicates, restarts and store faults; fuzz target for keys.

--- a/pkg/binding/binding.go
+++ b/pkg/binding/binding.go
@@ -1,9 +1,19 @@
 // Package binding makes non-idempotent calls run at most once. Home handles keys
 // under tickets of this incarnation in memory; Claims handles keys without a
 // ticket through claims in the store.
+//
+// Invariants:
+//   - of all calls with one organisation and key, at most one is ever told to
+//     run, except again after a NotRun;
+//   - a refusal with ran: no is given only to a call that was not told to run
+//     and never will be;
+//   - a record that a later answer depends on is never dropped to make room.
 package binding
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -73,19 +83,51 @@
 	Decision Decision
 }
 
-// KeyType says how a key is bound.
-type KeyType uint8
+func refuse(code string, ran Ran, reason, remedy string) Decision {
+	return Decision{Verdict: Refuse, Refusal: Refusal{Code: code, Ran: ran, Reason: reason, Remedy: remedy}}
+}
 
-// Types of keys.
-const (
-	// KeyMalformed starts like a ticket but is not one, or is empty or too
-	// long. It can never run.
-	KeyMalformed KeyType = iota + 1
-	// KeyTicket carries a ticket; only its home may run it.
-	KeyTicket
-	// KeyClaimed carries no ticket and needs a claim in the store.
-	KeyClaimed
-)
+func refuseLater(code string, after time.Duration, reason, remedy string) Decision {
+	d := refuse(code, RanNo, reason, remedy)
+	d.Refusal.RetryAfter = after
+	return d
+}
+
+// reply answers with a recorded outcome, or says that its body was not kept.
+func reply(outcome *pb.BindingOutcome) Decision {
+	if outcome.GetBodyOmitted() {
+		return refuse("too_large", RanYes, "the call ran, but its answer was too large to be recorded",
+			"ask the called service for the result; do not call again with another key")
+	}
+	return Decision{Verdict: Reply, Outcome: outcome}
+}
+
+func refuseReuse() Decision {
+	return refuse("bad_request", RanNo, "the idempotency key was used before for another request kind or body",
+		"use a new key for each different call")
+}
+
+// digest is the first half of a SHA-256.
+type digest [16]byte
 
-// Classify says how a key is bound, from its text alone, and names the home of a ticket.
-func Classify(key string) (t KeyType, home uint64) { return KeyMalformed, 0 }
+// is reports whether bytes read from the store are this digest.
+func (d digest) is(b []byte) bool { return bytes.Equal(b, d[:]) }
+
+// keyDigest identifies a key of an organisation; organisations do not share keys.
+func keyDigest(organisation, key string) digest {
+	return digestOf(organisation, []byte(key))
+}
+
+// requestDigest identifies what a call asks for.
+func requestDigest(c Call) digest { return digestOf(c.Kind, c.Body) }
+
+// digestOf hashes two strings unambiguously.
+func digestOf(first string, second []byte) digest {
+	h := sha256.New()
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(first)))
+	h.Write(length[:])
+	h.Write([]byte(first))
+	h.Write(second)
+	return digest(h.Sum(nil)[:16])
+}
--- /dev/null
+++ b/pkg/binding/binding_test.go
@@ -0,0 +1,182 @@
+package binding
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/citrongate/citrongate/pkg/store/storetest"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// TestAtMostOnce guards against a key that runs twice, a "not run" that is not
+// true, an answer to the wrong caller or organisation, and a caller without an
+// answer, under duplicates at several entries, restarts, outages, lost answers,
+// late writes, stale reads, expired tickets and full records.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 3)
+		keys := []string{"k1", "k2", "k3"}
+		for range rapid.IntRange(20, 250).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "host")
+			h := f.hosts[i]
+			switch rapid.IntRange(0, 20).Draw(t, "action") {
+			case 0, 1, 2, 3:
+				f.submit(h, Call{
+					Organisation: rapid.SampledFrom([]string{"o1", "o2"}).Draw(t, "organisation"),
+					Kind:         "book",
+					Key:          rapid.SampledFrom(keys).Draw(t, "key"),
+					Body:         []byte(rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body")),
+					Deadline:     f.now + time.Duration(rapid.IntRange(1, 10).Draw(t, "deadline"))*time.Second,
+				})
+			case 4:
+				ticket, _ := h.home.Issue(f.now)
+				keys = append(keys, ticket+".s")
+			case 5, 6:
+				if n := len(h.running); n > 0 {
+					f.dispatch(h, rapid.IntRange(0, n-1).Draw(t, "running"))
+				}
+			case 7:
+				if n := len(h.running); n > 0 {
+					f.notRun(h, rapid.IntRange(0, n-1).Draw(t, "running"))
+				}
+			case 8, 9:
+				if n := len(h.dispatched); n > 0 {
+					f.finish(h, rapid.IntRange(0, n-1).Draw(t, "dispatched"), rapid.Bool().Draw(t, "known"))
+				}
+			case 10:
+				f.now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+				f.step(h)
+			case 11:
+				if rapid.IntRange(0, 3).Draw(t, "kill") == 0 {
+					f.kill(i)
+				}
+			case 12:
+				if n := f.store.LateCount(); n > 0 {
+					f.store.RunLate(rapid.IntRange(0, n-1).Draw(t, "late"))
+				}
+			case 13:
+				if r := f.requests[Waiter(rapid.Uint64Range(1, f.next).Draw(t, "request"))]; r != nil {
+					f.withdraw(r)
+				}
+			default:
+				if n := len(h.network.Calls); n > 0 {
+					fault := storetest.None
+					if rapid.Bool().Draw(t, "faulty") {
+						fault = storetest.Fault(rapid.IntRange(0, int(storetest.FaultCount)-1).Draw(t, "fault"))
+					}
+					f.advance(h, rapid.IntRange(0, n-1).Draw(t, "call"), fault)
+				}
+			}
+		}
+		f.settle()
+		for _, r := range f.requests {
+			require.True(t, r.answered, "an attempt without an answer: %+v", r.call)
+		}
+	})
+}
+
+func call(organisation, key, body string) Call {
+	return Call{Organisation: organisation, Kind: "book", Key: key, Body: []byte(body), Deadline: time.Hour}
+}
+
+// TestTicketLifetime guards against a key that runs under an expired ticket and
+// against "not run" after records of that time may have been dropped.
+func TestTicketLifetime(t *testing.T) {
+	f := newFleet(t, 2)
+	ticket, ttl := f.hosts[0].home.Issue(0)
+	require.Equal(t, 20*time.Second, ttl)
+	ran := call("o", ticket+".ran", "x")
+	f.submit(f.hosts[1], ran)
+	f.dispatch(f.hosts[0], 0)
+	f.finish(f.hosts[0], 0, true)
+	for _, c := range []struct {
+		at        time.Duration
+		old, new_ Ran
+	}{{20 * time.Second, "", RanNo}, {60*time.Second - 1, "", RanNo}, {60 * time.Second, RanUnknown, RanUnknown}} {
+		f.now = c.at
+		f.hosts[0].home.Step(f.now)
+		old := f.submit(f.hosts[1], ran).answer
+		if c.old == "" {
+			require.Equal(t, Reply, old.Verdict, "a record outlives its ticket")
+		} else {
+			require.Equal(t, c.old, old.Refusal.Ran)
+		}
+		fresh := f.submit(f.hosts[1], call("o", ticket+".new", "x")).answer
+		require.Equal(t, "ticket_expired", fresh.Refusal.Code)
+		require.Equal(t, c.new_, fresh.Refusal.Ran)
+	}
+}
+
+// TestTicketRefusals guards against forged tickets, reused keys, homes that are
+// gone and records dropped to make room.
+func TestTicketRefusals(t *testing.T) {
+	f := newFleet(t, 2)
+	home := f.hosts[0]
+	ticket, _ := home.home.Issue(0)
+	forged := []byte(ticket)
+	forged[len(forged)-3] ^= 1
+	require.Equal(t, "bad_request", f.submit(home, call("o", string(forged)+".a", "x")).answer.Refusal.Code)
+	require.Equal(t, "bad_request", f.submit(home, call("o", ticket, "x")).answer.Refusal.Code, "no suffix")
+	for i := range 6 {
+		f.submit(home, call("o", ticket+"."+strings.Repeat("a", i+1), "x"))
+	}
+	require.Len(t, home.running, 6)
+	full := f.submit(home, call("o", ticket+".z", "x")).answer
+	require.Equal(t, "limit_in_flight", full.Refusal.Code)
+	require.Equal(t, RanNo, full.Refusal.Ran)
+	reused := f.submit(home, call("o", ticket+".a", "y")).answer
+	require.Equal(t, "bad_request", reused.Refusal.Code)
+	other := f.submit(home, call("o2", ticket+".a", "x"))
+	require.Len(t, home.running, 7, "another organisation's key is another key")
+	require.False(t, other.answered)
+	f.kill(0)
+	gone := f.submit(f.hosts[1], call("o", ticket+".a", "x")).answer
+	require.Equal(t, "ticket_home_gone", gone.Refusal.Code)
+	require.Equal(t, RanUnknown, gone.Refusal.Ran)
+}
+
+// TestLargeOutcomeIsNotKept guards against outcomes that use up the memory and
+// against a repeated call that is answered with a truncated body.
+func TestLargeOutcomeIsNotKept(t *testing.T) {
+	h := NewHome(HomeConfig{Incarnation: 1, MACKey: []byte("k"), TicketTTL: time.Minute, RecordTTL: time.Minute, MaxRecords: 9})
+	ticket, _ := h.Issue(0)
+	c := call("o", ticket+".a", "x")
+	require.Equal(t, Run, h.Submit(0, 1, c).Verdict)
+	require.Equal(t, Pending, h.Submit(0, 2, c).Verdict)
+	large := &pb.BindingOutcome{HttpStatus: 200, Body: make([]byte, maxRecordedBody+1)}
+	joined := h.Finish(0, 1, large, Refusal{})
+	require.Equal(t, []Decided{{Waiter: 2, Decision: Decision{Verdict: Reply, Outcome: large}}}, joined)
+	late := h.Submit(0, 3, c)
+	require.Equal(t, Refuse, late.Verdict)
+	require.Equal(t, RanYes, late.Refusal.Ran)
+}
+
+// FuzzClassify guards against a key that panics the parser, two texts for one
+// ticket, and keys that are not safe in a header.
+func FuzzClassify(f *testing.F) {
+	h := NewHome(HomeConfig{Incarnation: 77, MACKey: []byte("k"), TicketTTL: time.Minute, MaxRecords: 1})
+	ticket, _ := h.Issue(0)
+	for _, seed := range []string{"", "plain", ticket + ".a", ticket, ticket + ".", ticket[:20] + ".a", ticketPrefix + "!", "a b", strings.Repeat("k", 300), ticket + "A.a"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, key string) {
+		kind, parsed := classify(key)
+		if kind == KeyMalformed {
+			return
+		}
+		require.LessOrEqual(t, len(key), MaxKeyBytes)
+		require.Equal(t, -1, strings.IndexFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }))
+		if kind == KeyTicket {
+			text, _, _ := strings.Cut(key, ".")
+			require.Equal(t, text, parsed.encode())
+		}
+		if h.Submit(0, 1, Call{Key: key}).Verdict == Run {
+			require.True(t, strings.HasPrefix(key, ticket+"."), "only a ticket issued here may run")
+			h.NotRun(0, 1, Refusal{})
+		}
+	})
+}
