--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -14,10 +14,10 @@
 // its present holder while it still waits.
 func (t *Table) current(d Decision) *Record {
 	r, ok := t.records[d.ID]
-	if !ok || r.Attempt != d.Attempt || r.Holder != d.From {
-		return nil
+	if ok && t.cfg.DispatchTwice {
+		return r
 	}
-	if r.State != Waiting && !(t.cfg.DispatchTwice && r.State == Dispatched) {
+	if !ok || r.Attempt != d.Attempt || r.Holder != d.From || r.State != Waiting {
 		return nil
 	}
 	return r
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -162,3 +162,69 @@
 		}
 	}
 }
+
+// Idle reports whether a pool has no records.
+func (t *Table) Idle(pool uint64) bool {
+	p, ok := t.pools[pool]
+	return !ok || len(p.records) == 0
+}
+
+// Each calls visit for every record, by pool and in order of submission.
+func (t *Table) Each(visit func(*Record)) {
+	for _, id := range t.poolIDs {
+		for _, r := range t.pools[id].records {
+			visit(r)
+		}
+	}
+}
+
+// Refuse ends a waiting request, for example because its route is gone.
+func (t *Table) Refuse(now time.Duration, id ID, refusal Refusal) {
+	r, ok := t.records[id]
+	if !ok || r.State != Waiting {
+		return
+	}
+	t.withdraw(r)
+	refusal.Ran = RanNo
+	t.end(r, refusal)
+}
+
+// Reroute moves a waiting request to another pool, class or tier, as a new attempt.
+func (t *Table) Reroute(now time.Duration, id ID, pool, class uint64, tier uint8) {
+	r, ok := t.records[id]
+	if !ok || r.State != Waiting || r.Pool == pool && r.Class == class && r.Tier == tier {
+		return
+	}
+	t.withdraw(r)
+	t.changePool(r, pool)
+	r.Class, r.Tier = class, tier
+	r.Attempt++
+	r.offered = false
+	r.Holder = t.route(pool).holder(t.cfg.Self)
+}
+
+// Rehome counts a dispatched request in another pool, after its upstream moved
+// there. It returns false if nothing changed; otherwise the new pool's owner
+// must be told by a Sync.
+func (t *Table) Rehome(id ID, pool uint64) bool {
+	r, ok := t.records[id]
+	if !ok || !r.InFlight() || r.Pool == pool {
+		return false
+	}
+	t.changePool(r, pool)
+	return true
+}
+
+func (t *Table) changePool(r *Record, pool uint64) {
+	if r.Pool == pool {
+		return
+	}
+	from, to := t.route(r.Pool), t.route(pool)
+	from.records = slices.DeleteFunc(from.records, func(other *Record) bool { return other == r })
+	to.records = append(to.records, r)
+	if r.State == Waiting {
+		from.waiting--
+		to.waiting++
+	}
+	r.Pool = pool
+}
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -60,7 +61,7 @@
 		known[m.PeerAddress] = true
 	}
 	var unknown []string
-	for _, address := range v.join.addresses {
+	for _, address := range append(slices.Clone(v.join.addresses), v.cfg.Seeds...) {
 		if !known[address] {
 			unknown = append(unknown, address)
 		}
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -33,7 +33,6 @@
 	// heardAt is when fresh list content last arrived, read or announced.
 	heardAt  time.Duration
 	next     time.Duration
-	reading  bool
 	failures int
 	// bound maps the platform's incarnation of an entry to ours.
 	bound map[string]uint64
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -25,6 +25,7 @@
 type prober struct {
 	sequence uint32
 	next     time.Duration
+	nextDead time.Duration
 	// round is the shuffled order of the current round; every member is pinged
 	// once per round, which bounds the detection time.
 	round []uint64
@@ -67,6 +68,7 @@
 	v.probe.next = max(v.probe.next+v.cfg.PingInterval, now)
 	v.failProbe(now)
 	v.dropRelays(now)
+	v.pingDead(now)
 	if m := v.nextTarget(); m != nil {
 		v.probe.target, v.probe.sent = m.Incarnation, v.probe.nextSequence()
 		v.probe.sentAt, v.probe.indirect = now, false
@@ -74,6 +76,26 @@
 	}
 }
 
+// deadPingInterval is the time between pings to members taken for dead. One
+// that answers was only cut off; the ping tells it so, and it refutes.
+const deadPingInterval = 2 * time.Second
+
+func (v *View) pingDead(now time.Duration) {
+	if now < v.probe.nextDead {
+		return
+	}
+	v.probe.nextDead = now + deadPingInterval
+	var dead []*member
+	for _, id := range v.order {
+		if m := v.members[id]; m.State == Dead {
+			dead = append(dead, m)
+		}
+	}
+	if len(dead) > 0 {
+		v.ping(dead[v.random.IntN(len(dead))], v.probe.nextSequence())
+	}
+}
+
 // askOthers asks other members to ping the silent target.
 func (v *View) askOthers() {
 	v.probe.indirect = true
@@ -154,6 +176,9 @@
 func (v *View) OnAck(now time.Duration, from uint64, ack *pb.Ack) {
 	v.Apply(now, ack.Updates)
 	v.trust()
+	if ack.Target == from {
+		v.Answered(now, from)
+	}
 	v.contacts.answered(ack.Target)
 	if r, ok := v.probe.relays[ack.Sequence]; ok && ack.Target == from {
 		delete(v.probe.relays, ack.Sequence)
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -94,8 +94,11 @@
 	Member
 	// since is when State was entered.
 	since time.Duration
-	// heard is when a frame of the member last arrived.
-	heard time.Duration
+	// heard is when a frame of the member last arrived; answered is when it
+	// last answered something that this instance sent.
+	heard, answered time.Duration
+	// notified is when a member taken for dead was last told so.
+	notified time.Duration
 }
 
 // View is one instance's view of its cell. It is not safe for concurrent use.
@@ -205,11 +208,32 @@
 	if m, ok := v.members[from]; ok {
 		m.heard = now
 		m.ConfigRevision = max(m.ConfigRevision, configRevision)
+		if m.State == Dead && now-m.notified >= v.cfg.PingInterval {
+			// The ping carries what is held against the member, so that it refutes.
+			m.notified = now
+			v.ping(m, v.probe.nextSequence())
+		}
 		return
 	}
 	v.contacts.heard(from, configRevision)
 }
 
+// Answered records that a member answered something that this instance sent,
+// which shows that both directions work.
+func (v *View) Answered(now time.Duration, from uint64) {
+	if m, ok := v.members[from]; ok {
+		m.answered = now
+	}
+}
+
+// LastAnswer returns when a member last answered; 0 if never.
+func (v *View) LastAnswer(incarnation uint64) time.Duration {
+	if m, ok := v.members[incarnation]; ok {
+		return m.answered
+	}
+	return 0
+}
+
 // Trusted reports whether the view may be relied on for ownership. It is false
 // after a pause, until another member has answered.
 func (v *View) Trusted() bool { return !v.paused }
@@ -358,3 +382,21 @@
 	})
 	return candidates[:min(n, len(candidates))]
 }
+
+// Sample returns up to n distinct random live members.
+func (v *View) Sample(n int) []uint64 {
+	var ids []uint64
+	for _, m := range v.pick(n, 0) {
+		ids = append(ids, m.Incarnation)
+	}
+	return ids
+}
+
+// Contacts returns the incarnations of the contacts in other cells.
+func (v *View) Contacts() []uint64 {
+	var ids []uint64
+	for _, m := range v.contacts.all() {
+		ids = append(ids, m.Incarnation)
+	}
+	return ids
+}
--- /dev/null
+++ b/pkg/membership/view_test.go
@@ -0,0 +1,306 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/citrongate/citrongate/pkg/membership"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+const (
+	delay = 2 * time.Millisecond
+	tick  = 20 * time.Millisecond
+)
+
+type flight struct {
+	at       time.Duration
+	from, to uint64
+	body     *pb.PeerMessage
+}
+
+type instance struct {
+	view   *membership.View
+	paused bool
+	killed bool
+}
+
+// cell runs several views against each other with a fixed message delay.
+type cell struct {
+	t       *testing.T
+	now     time.Duration
+	nodes   map[uint64]*instance
+	ids     []uint64
+	cut     map[[2]uint64]bool
+	flights []flight
+	sent    map[uint64]int
+	list    []membership.Listed
+	listOK  bool
+}
+
+func newCell(t *testing.T) *cell {
+	return &cell{t: t, nodes: map[uint64]*instance{}, cut: map[[2]uint64]bool{}, sent: map[uint64]int{}, listOK: true}
+}
+
+func address(id uint64) string { return fmt.Sprintf("10.0.0.%d:1", id) }
+
+func (c *cell) start(id uint64, cellName string, seeds ...uint64) {
+	var addresses []string
+	for _, seed := range seeds {
+		addresses = append(addresses, address(seed))
+	}
+	c.nodes[id] = &instance{view: membership.New(membership.Config{
+		Self:         membership.Member{Incarnation: id, PeerAddress: address(id), Cell: cellName},
+		PingInterval: 500 * time.Millisecond, DeadAfter: 2 * time.Second, ListInterval: time.Second,
+		Seeds: addresses, Seed: id,
+	})}
+	c.ids = append(c.ids, id)
+	slices.Sort(c.ids)
+}
+
+func (c *cell) run(d time.Duration) {
+	for end := c.now + d; c.now < end; c.now += tick {
+		c.deliver()
+		for _, id := range c.ids {
+			n := c.nodes[id]
+			if n.killed || n.paused {
+				continue
+			}
+			n.view.Tick(c.now)
+			if n.view.WantsList(c.now) {
+				n.view.OnList(c.now, c.listOK, c.list)
+			}
+			c.collect(id)
+		}
+	}
+}
+
+func (c *cell) collect(id uint64) {
+	for _, m := range c.nodes[id].view.Outbox() {
+		c.sent[id]++
+		for _, to := range c.ids {
+			if address(to) == m.Address && !c.cut[[2]uint64{id, to}] {
+				c.flights = append(c.flights, flight{c.now + delay, id, to, m.Body})
+			}
+		}
+	}
+}
+
+func (c *cell) deliver() {
+	for len(c.flights) > 0 && c.flights[0].at <= c.now {
+		f := c.flights[0]
+		c.flights = c.flights[1:]
+		n := c.nodes[f.to]
+		if n.killed {
+			continue
+		}
+		if n.paused {
+			f.at = c.now + tick
+			c.flights = append(c.flights, f)
+			continue
+		}
+		receive(n.view, c.now, f)
+		c.collect(f.to)
+	}
+}
+
+func receive(v *membership.View, now time.Duration, f flight) {
+	v.Heard(now, f.from, 0)
+	switch m := f.body.Body.(type) {
+	case *pb.PeerMessage_Ping:
+		v.OnPing(now, f.from, m.Ping)
+	case *pb.PeerMessage_Ack:
+		v.OnAck(now, f.from, m.Ack)
+	case *pb.PeerMessage_PingRequest:
+		v.OnPingRequest(now, f.from, m.PingRequest)
+	case *pb.PeerMessage_Join:
+		v.OnJoin(now, f.from, m.Join)
+	case *pb.PeerMessage_JoinReply:
+		v.OnJoinReply(now, f.from, m.JoinReply)
+	case *pb.PeerMessage_MemberUpdates:
+		v.OnUpdates(now, m.MemberUpdates)
+	}
+}
+
+// show prints what an instance knows: one word per member.
+func (c *cell) show(id uint64) string {
+	var words []string
+	for _, m := range c.nodes[id].view.Members()[1:] {
+		word := fmt.Sprintf("%d:%s", m.Incarnation, m.State)
+		if m.Leaving {
+			word += "+leaving"
+		}
+		if m.Cell != "a" {
+			word += "@" + m.Cell
+		}
+		words = append(words, word)
+	}
+	if len(words) == 0 {
+		return "nobody"
+	}
+	return strings.Join(words, " ")
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string) uint64 {
+	for _, arg := range d.CmdArgs {
+		if arg.Key == key {
+			value, err := strconv.ParseUint(arg.Vals[0], 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return value
+		}
+	}
+	t.Fatalf("%s: missing %s", d.Pos, key)
+	return 0
+}
+
+func has(d *datadriven.TestData, key string) bool {
+	return slices.ContainsFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == key })
+}
+
+func (c *cell) command(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "start":
+		name := "a"
+		if has(d, "cell") {
+			d.ScanArgs(c.t, "cell", &name)
+		}
+		var seeds []uint64
+		if has(d, "seed") {
+			seeds = append(seeds, number(c.t, d, "seed"))
+		}
+		c.start(number(c.t, d, "id"), name, seeds...)
+	case "run":
+		var text string
+		d.ScanArgs(c.t, "for", &text)
+		duration, err := time.ParseDuration(text)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.run(duration)
+	case "kill":
+		c.nodes[number(c.t, d, "id")].killed = true
+	case "pause":
+		c.nodes[number(c.t, d, "id")].paused = true
+	case "resume":
+		c.nodes[number(c.t, d, "id")].paused = false
+	case "leave":
+		c.nodes[number(c.t, d, "id")].view.Leave(c.now)
+	case "cut":
+		c.cut[[2]uint64{number(c.t, d, "from"), number(c.t, d, "to")}] = true
+	case "heal":
+		c.cut = map[[2]uint64]bool{}
+	case "list":
+		c.setList(d.Input)
+	case "list-down":
+		c.listOK = false
+	case "view":
+		return c.view()
+	case "owner":
+		return c.owners(number(c.t, d, "key"))
+	case "upstream":
+		return c.upstream(d)
+	case "trusted":
+		return fmt.Sprintln(c.nodes[number(c.t, d, "id")].view.Trusted())
+	default:
+		c.t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
+	}
+	return ""
+}
+
+// setList reads lines "upstream NAME INCARNATION [leaving]" or
+// "entry ID INCARNATION [leaving]".
+func (c *cell) setList(input string) {
+	c.list, c.listOK = nil, true
+	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 3 {
+			continue
+		}
+		listed := membership.Listed{Name: fields[1], Incarnation: fields[2], Upstream: fields[0] == "upstream",
+			Leaving: len(fields) > 3}
+		if !listed.Upstream {
+			listed.PeerAddress = "10.0.0." + fields[1] + ":1"
+		}
+		c.list = append(c.list, listed)
+	}
+}
+
+func (c *cell) view() string {
+	var b strings.Builder
+	for _, id := range c.ids {
+		if !c.nodes[id].killed {
+			fmt.Fprintf(&b, "%d: %s\n", id, c.show(id))
+		}
+	}
+	return b.String()
+}
+
+func (c *cell) owners(key uint64) string {
+	var b strings.Builder
+	for _, id := range c.ids {
+		if !c.nodes[id].killed {
+			fmt.Fprintf(&b, "%d: %d\n", id, c.nodes[id].view.Owner(key))
+		}
+	}
+	return b.String()
+}
+
+func (c *cell) upstream(d *datadriven.TestData) string {
+	var name string
+	d.ScanArgs(c.t, "name", &name)
+	var b strings.Builder
+	for _, id := range c.ids {
+		if !c.nodes[id].killed {
+			fmt.Fprintf(&b, "%d: leaving=%v\n", id, c.nodes[id].view.UpstreamLeaving(name))
+		}
+	}
+	return b.String()
+}
+
+// TestScenarios guards against a view that misses a join, a death, a leave or
+// an owner change, or that undoes a leave because of a stale list.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		c := newCell(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return c.command(d) })
+	})
+}
+
+// TestConstantCost guards against failure detection whose cost per instance
+// grows with the size of the cell.
+func TestConstantCost(t *testing.T) {
+	perNode := func(size uint64) float64 {
+		c := newCell(t)
+		for id := uint64(1); id <= size; id++ {
+			c.start(id, "a", max(1, id-1))
+		}
+		c.run(10 * time.Second)
+		c.sent = map[uint64]int{}
+		c.run(20 * time.Second)
+		readers, total := 0, 0
+		for _, id := range c.ids {
+			if c.nodes[id].view.Reader() {
+				readers++
+				continue
+			}
+			total += c.sent[id]
+		}
+		if readers != 2 {
+			t.Fatalf("%d readers in a cell of %d, want 2", readers, size)
+		}
+		return float64(total) / float64(size-2) / 20
+	}
+	small, large := perNode(6), perNode(48)
+	// One ping and one answer per 500 ms are 4 messages a second.
+	if small > 5 || large > 5 {
+		t.Fatalf("messages per second and instance: %.1f in a cell of 6, %.1f in one of 48; want at most 5", small, large)
+	}
+}
