--- /dev/null
+++ b/internal/httpfront/connection.go
@@ -0,0 +1,302 @@
+package httpfront
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// maxPipelined bounds requests received on one connection and not served yet.
+const maxPipelined = 4
+
+// connection is the state of one caller connection. It checks headers before
+// nbhttp buffers a body, runs the requests of the connection one after
+// another, and tells a request in progress that the caller went away.
+type connection struct {
+	nbhttp.Processor
+	server *Server
+	conn   *nbio.Conn
+	parser *nbhttp.Parser
+	out    *writer
+
+	mu      sync.Mutex
+	queue   []func()
+	running bool
+	refused bool
+	gone    bool
+	onGone  func()
+	// awaiting is true while the rest of a request is due before the timer fires.
+	awaiting bool
+	timer    *time.Timer
+
+	input inputState
+}
+
+// inputState is used by the connection's reader only.
+type inputState struct {
+	inHeader    bool
+	startedNow  bool
+	headerBytes int
+	rawBytes    int
+	lengths     int
+	chunked     bool
+	expects     bool
+	problem     *InputError
+}
+
+func newConnection(s *Server, c *nbio.Conn, parser *nbhttp.Parser) *connection {
+	state := &connection{Processor: parser.Processor, server: s, conn: c, parser: parser, out: newWriter(c)}
+	state.input.inHeader = true
+	state.awaiting = true
+	state.timer = time.AfterFunc(s.config.ReadTimeout, state.tooSlow)
+	return state
+}
+
+// OnMethod starts the next request.
+func (c *connection) OnMethod(parser *nbhttp.Parser, method string) {
+	c.mu.Lock()
+	if !c.awaiting {
+		c.awaiting = true
+		c.timer.Reset(c.server.config.ReadTimeout)
+	}
+	c.mu.Unlock()
+	_ = c.conn.SetReadDeadline(time.Time{})
+	c.input = inputState{inHeader: true, startedNow: true, headerBytes: len(method), problem: c.input.problem}
+	c.Processor.OnMethod(parser, method)
+}
+
+// OnURL counts the request target as part of the header block.
+func (c *connection) OnURL(parser *nbhttp.Parser, target string) error {
+	c.countHeader(len(target))
+	return c.Processor.OnURL(parser, target)
+}
+
+// OnHeader counts header bytes and notes how the body's end is marked.
+func (c *connection) OnHeader(parser *nbhttp.Parser, key, value string) {
+	c.countHeader(len(key) + len(value) + len(": \r\n"))
+	switch http.CanonicalHeaderKey(key) {
+	case "Content-Length":
+		c.input.lengths++
+	case "Transfer-Encoding":
+		c.input.chunked = true
+	case "Expect":
+		c.input.expects = true
+	}
+	c.Processor.OnHeader(parser, key, value)
+}
+
+func (c *connection) countHeader(n int) {
+	c.input.headerBytes += n
+	if c.input.headerBytes > c.server.config.MaxHeaderBytes {
+		c.input.reject(headerTooLarge(c.server.config.MaxHeaderBytes))
+	}
+}
+
+// OnContentLength ends the header block; length is -1 if the body is chunked or absent.
+func (c *connection) OnContentLength(parser *nbhttp.Parser, length int) {
+	c.input.inHeader = false
+	switch {
+	case c.input.lengths > 1 || c.input.lengths == 1 && c.input.chunked:
+		// Two ends of one body would let two parties disagree on where the
+		// next request starts.
+		c.input.reject(malformed("the body has more than one length"))
+	case length > c.server.config.MaxBodyBytes:
+		c.input.reject(bodyTooLarge(c.server.config.MaxBodyBytes))
+	case c.input.expects && c.input.problem == nil && c.idle():
+		_, _ = parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	c.Processor.OnContentLength(parser, length)
+}
+
+// OnComplete hands a whole request over, unless it is refused.
+func (c *connection) OnComplete(parser *nbhttp.Parser) {
+	c.input.inHeader = true
+	c.mu.Lock()
+	c.awaiting = false
+	c.timer.Stop()
+	c.mu.Unlock()
+	c.Processor.OnComplete(parser)
+}
+
+// idle is true if no answer is being written.
+func (c *connection) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.running
+}
+
+// errRefusedInput stops the parser after a refusal.
+var errRefusedInput = errors.New("request refused")
+
+// OnBody buffers body bytes unless the request is refused already.
+func (c *connection) OnBody(parser *nbhttp.Parser, data []byte) error {
+	if c.input.problem != nil {
+		return errRefusedInput
+	}
+	return c.Processor.OnBody(parser, data)
+}
+
+func (i *inputState) reject(problem InputError) {
+	if i.problem == nil {
+		i.problem = &problem
+	}
+}
+
+// checkInput refuses the connection's input if it broke a bound or a rule.
+func (c *connection) checkInput(err error, length int) {
+	in := &c.input
+	switch {
+	case in.inHeader && !in.startedNow:
+		in.rawBytes += length
+	case !in.inHeader:
+		in.rawBytes = 0
+	}
+	in.startedNow = false
+	if in.inHeader && in.rawBytes > c.server.config.MaxHeaderBytes {
+		in.reject(headerTooLarge(c.server.config.MaxHeaderBytes))
+	}
+	if err != nil {
+		in.reject(c.describe(err))
+	}
+	if in.problem != nil {
+		c.refuse(*in.problem)
+	}
+}
+
+func (c *connection) describe(err error) InputError {
+	switch {
+	case !errors.Is(err, nbhttp.ErrTooLong):
+		return malformed(err.Error())
+	case c.input.inHeader:
+		return headerTooLarge(c.server.config.MaxHeaderBytes)
+	}
+	return bodyTooLarge(c.server.config.MaxBodyBytes)
+}
+
+func malformed(reason string) InputError {
+	return InputError{
+		Status: http.StatusBadRequest, Code: "bad_request",
+		Reason: "the request is not valid HTTP/1.1: " + reason,
+		Remedy: "send one valid HTTP/1.1 request with one Content-Length or chunked encoding",
+	}
+}
+
+func headerTooLarge(limit int) InputError {
+	return InputError{
+		Status: http.StatusRequestHeaderFieldsTooLarge, Code: "too_large",
+		Reason: fmt.Sprintf("the header block is larger than %d bytes", limit),
+		Remedy: "send fewer or shorter headers",
+	}
+}
+
+func bodyTooLarge(limit int) InputError {
+	return InputError{
+		Status: http.StatusRequestEntityTooLarge, Code: "too_large",
+		Reason: fmt.Sprintf("the body is larger than %d bytes", limit),
+		Remedy: "shorten the body or ask the operator to raise max_body_bytes",
+	}
+}
+
+// tooSlow refuses a request that was not received in time.
+func (c *connection) tooSlow() {
+	c.mu.Lock()
+	late := c.awaiting
+	c.mu.Unlock()
+	if !late {
+		return
+	}
+	c.refuse(InputError{
+		Status: http.StatusRequestTimeout, Code: "bad_request",
+		Reason: fmt.Sprintf("no whole request arrived within %v", c.server.config.ReadTimeout),
+		Remedy: "send the whole request without pauses on a connection that is fast enough",
+	})
+}
+
+// refuse answers input that is not a request, discards the rest and closes the
+// connection. If an answer is in progress, the connection is closed at once.
+func (c *connection) refuse(problem InputError) {
+	c.mu.Lock()
+	again, busy := c.refused, c.running
+	c.refused = true
+	c.mu.Unlock()
+	if again {
+		return
+	}
+	if busy {
+		_ = c.conn.CloseWithError(errRefusedInput)
+		return
+	}
+	body := c.server.config.BadInput(problem)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		problem.Status, http.StatusText(problem.Status), len(body))
+	_, _ = c.parser.Conn.Write(append([]byte(head), body...))
+	time.AfterFunc(lingerTime, func() { _ = c.conn.CloseWithError(errRefusedInput) })
+}
+
+func (c *connection) discarding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+// execute runs the handlers of one connection in order on a goroutine of their
+// own, so that the reader still sees when the caller closes the connection.
+func (c *connection) execute(handler func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused || c.gone || len(c.queue) >= maxPipelined {
+		return false
+	}
+	c.queue = append(c.queue, handler)
+	if !c.running {
+		c.running = true
+		go c.runQueue()
+	}
+	return true
+}
+
+func (c *connection) runQueue() {
+	for {
+		c.mu.Lock()
+		if len(c.queue) == 0 {
+			c.running = false
+			c.mu.Unlock()
+			return
+		}
+		handler := c.queue[0]
+		c.queue = c.queue[1:]
+		c.mu.Unlock()
+		_ = c.conn.SetReadDeadline(time.Time{})
+		handler()
+	}
+}
+
+// closed tells the request in progress that its caller went away.
+func (c *connection) closed() {
+	c.out.close()
+	c.mu.Lock()
+	c.gone = true
+	notify := c.onGone
+	c.timer.Stop()
+	c.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+}
+
+// notifyGone registers a function that is called once when the connection
+// closes, immediately if it is closed already. A nil function ends the registration.
+func (c *connection) notifyGone(notify func()) {
+	c.mu.Lock()
+	c.onGone = notify
+	gone := c.gone
+	c.mu.Unlock()
+	if gone && notify != nil {
+		notify()
+	}
+}
--- /dev/null
+++ b/internal/httpfront/handler.go
@@ -0,0 +1,192 @@
+package httpfront
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+// ErrCallerGone is the cause of a request's context after its connection closed.
+var ErrCallerGone = errors.New("caller closed the connection")
+
+// Backend runs requests.
+type Backend interface {
+	// Serve answers the request on the answer before it returns. The context
+	// ends with ErrCallerGone when the caller's connection closes.
+	Serve(ctx context.Context, r *Request, answer Answer)
+	// Discover returns the addresses and the ticket of a discovery answer.
+	Discover(ctx context.Context) (Discovery, *Refusal)
+	// NewRequestID returns an id for a caller that named none.
+	NewRequestID() string
+}
+
+// Discovery is the answer of GET /v1/discovery.
+type Discovery struct {
+	TTLMs       int64    `json:"ttl_ms"`
+	Addresses   []string `json:"addresses"`
+	Ticket      string   `json:"ticket"`
+	TicketTTLMs int64    `json:"ticket_ttl_ms"`
+}
+
+// Handler is the caller API.
+type Handler struct {
+	backend     Backend
+	access      atomic.Pointer[Access]
+	maxDeadline time.Duration
+	log         zerolog.Logger
+	// closing makes answers close their connection.
+	closing atomic.Bool
+}
+
+// NewHandler returns a handler that is not ready until SetAccess.
+func NewHandler(backend Backend, maxDeadline time.Duration, log zerolog.Logger) *Handler {
+	return &Handler{backend: backend, maxDeadline: maxDeadline, log: log}
+}
+
+// SetAccess swaps tokens and kinds for those of another revision.
+func (h *Handler) SetAccess(a *Access) { h.access.Store(a) }
+
+// CloseConnections makes each further answer close its connection.
+func (h *Handler) CloseConnections() { h.closing.Store(true) }
+
+const callPrefix = "/v1/call/"
+
+// ServeHTTP answers one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		id = h.backend.NewRequestID()
+	}
+	if h.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !validID(id) {
+		writeRefusal(w, "", *badRequest("X-Request-Id is longer than 200 bytes or has other characters than letters, digits and -_.:", "send a shorter, plain id"))
+		return
+	}
+	w.Header().Set("X-Request-Id", id)
+	if refusal := h.route(w, r, id); refusal != nil {
+		h.log.Info().Str("request_id", id).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).Str("detail", refusal.Reason).Msg("request refused")
+		writeRefusal(w, id, *refusal)
+	}
+}
+
+// route serves the request or returns why it is refused before it was submitted.
+func (h *Handler) route(w http.ResponseWriter, r *http.Request, id string) *Refusal {
+	method := http.MethodPost
+	if r.URL.Path == "/v1/discovery" {
+		method = http.MethodGet
+	}
+	known := method == http.MethodGet || r.URL.Path == "/v1/chat/completions" || strings.HasPrefix(r.URL.Path, callPrefix)
+	switch {
+	case !known:
+		return &Refusal{Code: "bad_request", Ran: node.RanNo, Reason: "there is no such address", Remedy: "use /v1/chat/completions, /v1/call/{kind} or /v1/discovery"}
+	case r.Method != method:
+		return badRequest("the method is not "+method, "use "+method)
+	}
+	access := h.access.Load()
+	if access == nil {
+		return &Refusal{Code: "not_ready", Ran: node.RanNo, Reason: "this instance has no configuration yet", Remedy: "retry at another instance", RetryAfter: time.Second}
+	}
+	org, refusal := access.caller(r.Header)
+	if refusal != nil {
+		return refusal
+	}
+	if method == http.MethodGet {
+		return h.discover(w, r)
+	}
+	request, refusal := h.parse(access, org, r, id)
+	if refusal != nil {
+		return refusal
+	}
+	h.serve(w, r, request)
+	return nil
+}
+
+// caller authenticates the caller.
+func (a *Access) caller(header http.Header) (*organisation, *Refusal) {
+	token, err := bearerToken(header)
+	if err != nil {
+		return nil, &Refusal{Code: "unauthenticated", Ran: node.RanNo, Reason: "Authorization: Bearer is missing", Remedy: "send the organisation's token"}
+	}
+	org := a.authenticate(token)
+	if org == nil {
+		return nil, &Refusal{Code: "unauthenticated", Ran: node.RanNo, Reason: "the token is not known", Remedy: "check the token or ask an operator for a new one"}
+	}
+	return org, nil
+}
+
+// parse checks a model call or a call to a plain service.
+func (h *Handler) parse(access *Access, org *organisation, r *http.Request, id string) (*Request, *Refusal) {
+	request := &Request{CallerID: id, Organisation: org.name, Kind: r.Header.Get("Citrongate-Kind")}
+	kindFromPath, isCall := strings.CutPrefix(r.URL.Path, callPrefix)
+	switch {
+	case isCall:
+		request.Kind = kindFromPath
+	case request.Kind == "":
+		request.Kind = defaultKind
+	}
+	kind, ok := access.kinds[request.Kind]
+	if !ok || kind.GetModelCall() == isCall {
+		return nil, &Refusal{Code: "unknown_kind", Ran: node.RanNo, Reason: "no request kind for this address is named " + strconv.Quote(limit(request.Kind)), Remedy: "set Citrongate-Kind to a kind that an operator has created"}
+	}
+	if !org.mayUse(request.Kind) {
+		return nil, &Refusal{Code: "forbidden", Ran: node.RanNo, Reason: "the organisation may not use this request kind", Remedy: "ask an operator to allow the kind"}
+	}
+	if refusal := parseHeaders(request, r.Header, h.maxDeadline); refusal != nil {
+		return nil, refusal
+	}
+	request.NonIdempotent = kind.GetNonIdempotent()
+	if request.NonIdempotent && request.IdempotencyKey == "" {
+		return nil, badRequest("Idempotency-Key is missing", "send a key; form it from the ticket of a discovery answer")
+	}
+	body, refusal := readBody(r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if !isCall {
+		return request, parseChat(request, body, kind.GetMaxOutputTokens())
+	}
+	request.Body, request.ContentType = body, r.Header.Get("Content-Type")
+	return request, nil
+}
+
+func limit(text string) string { return text[:min(len(text), 64)] }
+
+// serve runs the request and cancels it when the caller's connection closes.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, request *Request) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	if state := connectionOf(w); state != nil {
+		state.notifyGone(func() { cancel(ErrCallerGone) })
+		defer state.notifyGone(nil)
+	} else {
+		stop := context.AfterFunc(r.Context(), func() { cancel(ErrCallerGone) })
+		defer stop()
+	}
+	h.backend.Serve(ctx, request, newAnswer(w, request))
+}
+
+func (h *Handler) discover(w http.ResponseWriter, r *http.Request) *Refusal {
+	discovery, refusal := h.backend.Discover(r.Context())
+	if refusal != nil {
+		return refusal
+	}
+	text, err := json.Marshal(discovery)
+	if err != nil {
+		return &Refusal{Code: "internal", Ran: node.RanNo, Reason: err.Error(), Remedy: "report this to an operator"}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text)
+	return nil
+}
--- /dev/null
+++ b/internal/httpfront/refusal.go
@@ -0,0 +1,111 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+// Refusal says why a request ends without an answer.
+type Refusal struct {
+	Code       string
+	Ran        node.Ran
+	Reason     string
+	Remedy     string
+	RetryAfter time.Duration
+}
+
+// statusCanceled is logged for callers that went away; nobody receives it.
+const statusCanceled = 499
+
+// statuses maps refusal codes to HTTP statuses.
+var statuses = map[string]int{
+	"unauthenticated":     http.StatusUnauthorized,
+	"forbidden":           http.StatusForbidden,
+	"bad_request":         http.StatusBadRequest,
+	"too_large":           http.StatusRequestEntityTooLarge,
+	"unknown_kind":        http.StatusNotFound,
+	"unknown_model":       http.StatusNotFound,
+	"no_route":            http.StatusNotFound,
+	"limit_rate":          http.StatusTooManyRequests,
+	"limit_in_flight":     http.StatusTooManyRequests,
+	"limit_queue":         http.StatusTooManyRequests,
+	"infeasible_deadline": http.StatusUnprocessableEntity,
+	"shed_overload":       http.StatusServiceUnavailable,
+	"expired_waiting":     http.StatusServiceUnavailable,
+	"draining":            http.StatusServiceUnavailable,
+	"not_ready":           http.StatusServiceUnavailable,
+	"store_unavailable":   http.StatusServiceUnavailable,
+	"connect_failed":      http.StatusBadGateway,
+	"upstream_refused":    http.StatusBadGateway,
+	"upstream_broke":      http.StatusBadGateway,
+	"answer_mismatched":   http.StatusBadGateway,
+	"ticket_home_gone":    http.StatusBadGateway,
+	"ticket_expired":      http.StatusGone,
+	"deadline_exceeded":   http.StatusGatewayTimeout,
+	"canceled":            statusCanceled,
+	"internal":            http.StatusInternalServerError,
+}
+
+// Status is the HTTP status of the refusal.
+func (r Refusal) Status() int {
+	if status, ok := statuses[r.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+type errorBody struct {
+	Error errorText `json:"error"`
+}
+
+type errorText struct {
+	Code         string `json:"code"`
+	Ran          string `json:"ran"`
+	Reason       string `json:"reason"`
+	Remedy       string `json:"remedy"`
+	RetryAfterMs int64  `json:"retry_after_ms"`
+	RequestID    string `json:"request_id"`
+}
+
+// body is the JSON of the refusal.
+func (r Refusal) body(requestID string) []byte {
+	text, err := json.Marshal(errorBody{Error: errorText{
+		Code: r.Code, Ran: string(r.Ran), Reason: r.Reason, Remedy: r.Remedy,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), RequestID: requestID,
+	}})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal","ran":"unknown"}}`)
+	}
+	return text
+}
+
+// BadInputBody is the body of an answer to input that never became a request.
+func BadInputBody(problem InputError) []byte {
+	r := Refusal{Code: problem.Code, Ran: node.RanNo, Reason: problem.Reason, Remedy: problem.Remedy}
+	return r.body("")
+}
+
+// writeRefusal answers with the refusal's status and body.
+func writeRefusal(w http.ResponseWriter, requestID string, r Refusal) {
+	text := r.body(requestID)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	if r.Code == "unauthenticated" {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(text)
+}
+
+func badRequest(reason, remedy string) *Refusal {
+	return &Refusal{Code: "bad_request", Ran: node.RanNo, Reason: reason, Remedy: remedy}
+}
--- /dev/null
+++ b/internal/httpfront/request.go
@@ -0,0 +1,228 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/apimachinery/pkg/util/validation"
+
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens from the length of the text.
+	bytesPerToken = 4
+	// prefixBytes is the length of the prompt prefix whose digest is used for
+	// placement; engines name cached prefixes by the same digest.
+	prefixBytes = 1024
+	// defaultKind is used by callers that name no kind.
+	defaultKind = "default"
+	// defaultMaxOutput bounds the output tokens where neither caller nor kind does.
+	defaultMaxOutput = 4096
+	// maxIDBytes bounds request ids and idempotency keys.
+	maxIDBytes = 200
+	maxLabels  = 64
+)
+
+// Request is an authenticated and checked request of a caller.
+type Request struct {
+	// CallerID is the request id that the caller sees.
+	CallerID     string
+	Organisation string
+	Kind         string
+	// Model is empty for calls to plain services.
+	Model           string
+	Labels          map[string]string
+	PromptTokens    uint32
+	MaxOutputTokens uint32
+	// Remaining is the time until the deadline; 0 means the kind's default.
+	Remaining      time.Duration
+	Prefix         uint64
+	Stream         bool
+	NonIdempotent  bool
+	IdempotencyKey string
+	// Body is what the upstream receives.
+	Body        []byte
+	ContentType string
+}
+
+// chatBody is the part of a chat completion that citrongate reads.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int64        `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// text is a text content as it is, and any other content as JSON.
+func (m *chatMessage) text() string {
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text
+	}
+	return string(m.Content)
+}
+
+// parseChat fills in a model call from its body.
+func parseChat(r *Request, body []byte, kindMax uint32) *Refusal {
+	var chat chatBody
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return badRequest("the body is not a chat completion request: "+err.Error(), "send JSON with model and messages")
+	}
+	switch {
+	case chat.Model == "":
+		return badRequest("model is missing", "name a model that an upstream serves")
+	case len(chat.Messages) == 0:
+		return badRequest("messages is empty", "send at least one message")
+	case chat.MaxTokens != nil && (*chat.MaxTokens < 1 || *chat.MaxTokens > 1<<31):
+		return badRequest("max_tokens is out of range", "send a positive max_tokens or none")
+	}
+	r.Model, r.Stream = chat.Model, chat.Stream
+	r.MaxOutputTokens = outputBound(chat.MaxTokens, kindMax)
+	r.PromptTokens, r.Prefix = measurePrompt(chat.Messages)
+	r.ContentType = "application/json"
+	return rewriteBody(r, body)
+}
+
+func outputBound(asked *int64, kindMax uint32) uint32 {
+	bound := kindMax
+	if bound == 0 {
+		bound = defaultMaxOutput
+	}
+	if asked != nil && *asked < int64(bound) {
+		bound = uint32(*asked)
+	}
+	return bound
+}
+
+// measurePrompt estimates the prompt's tokens and digests its prefix.
+func measurePrompt(messages []chatMessage) (tokens uint32, prefix uint64) {
+	digest := xxhash.New()
+	total := 0
+	for i := range messages {
+		text := messages[i].Role + "\n" + messages[i].text() + "\n"
+		if left := prefixBytes - total; left > 0 {
+			_, _ = digest.WriteString(text[:min(left, len(text))])
+		}
+		total += len(text)
+	}
+	return uint32(total/bytesPerToken + 1), digest.Sum64()
+}
+
+// rewriteBody makes the engine stream and bounds its output. Fields that
+// citrongate does not know are passed on.
+func rewriteBody(r *Request, body []byte) *Refusal {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return badRequest("the body is not a JSON object", "send JSON with model and messages")
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["max_tokens"] = json.RawMessage(strconv.FormatUint(uint64(r.MaxOutputTokens), 10))
+	text, err := json.Marshal(fields)
+	if err != nil {
+		return badRequest("the body can not be encoded: "+err.Error(), "send valid JSON")
+	}
+	r.Body = text
+	return nil
+}
+
+// parseHeaders fills in what all requests share.
+func parseHeaders(r *Request, header http.Header, maxDeadline time.Duration) *Refusal {
+	labels, err := parseLabels(header.Get("Citrongate-Labels"))
+	if err != nil {
+		return badRequest("Citrongate-Labels: "+err.Error(), "send k=v pairs separated by commas, at most 64, each part at most 63 bytes")
+	}
+	r.Labels = labels
+	if text := header.Get("Citrongate-Deadline-Ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+			return badRequest(fmt.Sprintf("Citrongate-Deadline-Ms %.32q is not a number from 1 to %d", text, maxDeadline.Milliseconds()),
+				"send the time until the deadline in milliseconds")
+		}
+		r.Remaining = time.Duration(ms) * time.Millisecond
+	}
+	r.IdempotencyKey = header.Get("Idempotency-Key")
+	if len(r.IdempotencyKey) > maxIDBytes {
+		return badRequest("Idempotency-Key is longer than 200 bytes", "send a shorter key")
+	}
+	return nil
+}
+
+// builtinLabels are set by citrongate and can not be sent.
+var builtinLabels = map[string]bool{"kind": true, "organisation": true, "tier": true, "model": true}
+
+func parseLabels(text string) (map[string]string, error) {
+	if text == "" {
+		return nil, nil
+	}
+	pairs := strings.Split(text, ",")
+	if len(pairs) > maxLabels {
+		return nil, fmt.Errorf("%d labels are more than %d", len(pairs), maxLabels)
+	}
+	labels := make(map[string]string, len(pairs))
+	for _, pair := range pairs {
+		key, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		switch {
+		case !ok:
+			return nil, fmt.Errorf("%.80q is not k=v", pair)
+		case builtinLabels[key]:
+			return nil, fmt.Errorf("label %q is reserved", key)
+		case len(key) > 63 || len(validation.IsQualifiedName(key)) > 0:
+			return nil, fmt.Errorf("%.80q is not a label name", key)
+		case len(validation.IsValidLabelValue(value)) > 0:
+			return nil, fmt.Errorf("%.80q is not a label value", value)
+		}
+		labels[key] = value
+	}
+	return labels, nil
+}
+
+// validID accepts ids that are safe in headers, paths, JSON and logs.
+func validID(id string) bool {
+	if len(id) == 0 || len(id) > maxIDBytes {
+		return false
+	}
+	for _, c := range []byte(id) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("-_.:", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+var errNoToken = errors.New("no bearer token")
+
+func bearerToken(header http.Header) (string, error) {
+	scheme, token, ok := strings.Cut(header.Get("Authorization"), " ")
+	token = strings.TrimSpace(token)
+	if !ok || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", errNoToken
+	}
+	return token, nil
+}
+
+// readBody returns the body, which nbhttp has bounded and received whole.
+func readBody(r *http.Request) ([]byte, *Refusal) {
+	if r.Body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, &Refusal{Code: "bad_request", Ran: node.RanNo, Reason: "the body can not be read: " + err.Error(), Remedy: "send the whole body"}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/upstream/service.go
@@ -0,0 +1,88 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/citrongate/citrongate/internal/httpconn"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// CallRequest is a call to a plain service.
+type CallRequest struct {
+	Address string
+	// Name is the request kind; it becomes the last part of the path.
+	Name string
+	// ID is unique over all instances; the service echoes it.
+	ID             string
+	IdempotencyKey string
+	Body           []byte
+	ContentType    string
+}
+
+var errNoEndMarker = errors.New("the answer has no length, so its end can not be recognised")
+
+// Call sends a call to a plain service. The outcome is set only if the result
+// is Complete.
+func (c *Client) Call(ctx context.Context, req CallRequest) (Result, *pb.BindingOutcome) {
+	tracked, guard := httpconn.Track(ctx)
+	post, err := newPost(tracked, req.Address, "/call/"+url.PathEscape(req.Name), req.Body)
+	if err != nil {
+		return Result{Status: NotSent, Detail: err.Error()}, nil
+	}
+	post.Header.Set("X-Request-Id", req.ID)
+	if req.IdempotencyKey != "" {
+		post.Header.Set("Idempotency-Key", req.IdempotencyKey)
+	}
+	if req.ContentType != "" {
+		post.Header.Set("Content-Type", req.ContentType)
+	}
+	resp, err := c.requests.RoundTrip(post)
+	if err != nil {
+		return failure(ctx, guard.Seal(), err), nil
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get("X-Request-Id") != req.ID {
+		return mismatch(resp), nil
+	}
+	body, err := c.readAnswer(resp)
+	if err != nil {
+		return failure(ctx, true, err), nil
+	}
+	return Result{Status: Complete}, &pb.BindingOutcome{
+		HttpStatus:  uint32(resp.StatusCode),
+		ContentType: resp.Header.Get("Content-Type"),
+		Body:        body,
+	}
+}
+
+// mismatch classifies an answer that does not carry the request's id. Without
+// any id it did not come from the call and nothing is known about the run.
+func mismatch(resp *http.Response) Result {
+	id := resp.Header.Get("X-Request-Id")
+	status := Mismatched
+	if id == "" {
+		status = Broken
+	}
+	return Result{Status: status, Detail: fmt.Sprintf("status %d, X-Request-Id %.64q", resp.StatusCode, id)}
+}
+
+// readAnswer reads a body whose end is marked by its length or by chunking.
+func (c *Client) readAnswer(resp *http.Response) ([]byte, error) {
+	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
+	if resp.ContentLength < 0 && !chunked {
+		return nil, errNoEndMarker
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, fmt.Errorf("the answer is longer than %d bytes", c.maxAnswer)
+	}
+	return body, nil
+}
