--- /dev/null
+++ b/internal/peer/receive.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// readStreams reads all streams of one connection until it closes.
+func (e *Edge) readStreams(conn *quic.Conn, address string) {
+	defer e.wait.Done()
+	defer e.forget(conn, address)
+	for {
+		stream, err := conn.AcceptUniStream(e.ctx)
+		if err != nil {
+			return
+		}
+		e.wait.Add(1)
+		go func() {
+			defer e.wait.Done()
+			if err := e.readFrames(stream); err != nil {
+				_ = conn.CloseWithError(3, "bad frame")
+				e.config.Log.Warn().Err(err).Str("peer", address).Msg("connection closed")
+			}
+		}()
+	}
+}
+
+// readFrames reads frames until the stream ends. Only malformed input is an error.
+func (e *Edge) readFrames(stream *quic.ReceiveStream) error {
+	reader := bufio.NewReaderSize(stream, 4<<10)
+	for {
+		_ = stream.SetReadDeadline(time.Time{})
+		var head [4]byte
+		if _, err := io.ReadFull(reader, head[:]); err != nil {
+			return nil
+		}
+		length := binary.BigEndian.Uint32(head[:])
+		if length > MaxFrameBytes {
+			return ErrStranger.New("frame of %d bytes is longer than %d; run the same version everywhere", length, MaxFrameBytes)
+		}
+		_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
+		frame, err := e.readFrame(reader, int(length))
+		if err != nil || frame == nil {
+			return err
+		}
+		if e.ctx.Err() != nil {
+			return nil
+		}
+		e.config.Receive(frame)
+	}
+}
+
+// readFrame reads one frame; it returns nil if the stream was cut.
+func (e *Edge) readFrame(reader io.Reader, length int) (*pb.Frame, error) {
+	if length > smallFrameBytes {
+		select {
+		case e.large <- struct{}{}:
+		case <-e.ctx.Done():
+			return nil, nil
+		}
+		defer func() { <-e.large }()
+	}
+	encoded := make([]byte, length)
+	if _, err := io.ReadFull(reader, encoded); err != nil {
+		return nil, nil
+	}
+	frame := &pb.Frame{}
+	if err := proto.Unmarshal(encoded, frame); err != nil {
+		return nil, ErrStranger.Wrap(err, "frame can not be decoded; run the same version everywhere")
+	}
+	return frame, nil
+}
