--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/routing"
+)
+
+// changeTimeout bounds the wait for a change; the node gives up earlier.
+const changeTimeout = 30 * time.Second
+
+// adminBackend carries out what operators ask for.
+type adminBackend struct{ d *Daemon }
+
+// Apply hands a change to the node and waits for its result.
+func (b adminBackend) Apply(ctx context.Context, change adminapi.Change) (adminapi.ChangeResult, bool) {
+	ctx, stop := context.WithTimeout(ctx, changeTimeout)
+	defer stop()
+	id, result := b.d.changes.add()
+	defer b.d.changes.remove(id)
+	if !b.d.loop.post(node.ApplyChange{Change: id, Puts: change.Puts, Deletes: change.Deletes, Conditional: change.Conditional, DryRun: change.DryRun}) {
+		return adminapi.ChangeResult{}, false
+	}
+	done, ok := waitChange(ctx, result)
+	return adminapi.ChangeResult{Accepted: done.Accepted, Revision: done.Revision, Code: done.Code, Problems: done.Problems}, ok
+}
+
+// Set is the configuration in force.
+func (b adminBackend) Set() *configstate.Set { return b.d.config.Load() }
+
+// Drain starts a planned stop.
+func (b adminBackend) Drain() { b.d.Drain() }
+
+// NotReady says why callers should not be sent here.
+func (b adminBackend) NotReady() string { return *b.d.notReady.Load() }
+
+// Status reads the state of this instance and what it knows of the others.
+func (b adminBackend) Status(ctx context.Context) (adminapi.Status, bool) {
+	ctx, stop := context.WithTimeout(ctx, queryTimeout)
+	defer stop()
+	d := b.d
+	s := adminapi.Status{
+		Name: d.settings.GetInstance().GetName(), Incarnation: d.identity.String(),
+		FailureDomain: d.settings.GetInstance().GetFailureDomain(), Cell: d.settings.GetInstance().GetCell(),
+		StoreAvailable: !d.storeDown.Load(),
+	}
+	var pools []node.PoolSummary
+	leaving := map[string]bool{}
+	ok := d.loop.query(ctx, func(time.Duration) {
+		m := d.loop.machine
+		s.NotReadyReason = m.NotReadyReason()
+		s.Ready, s.Draining = s.NotReadyReason == "", m.Leaving()
+		if set := m.ConfigSet(); set != nil {
+			s.ConfigRevision = set.Revision
+			for name := range set.Upstreams {
+				leaving[name] = m.UpstreamLeaving(name)
+			}
+		}
+		s.Instances = instanceStatuses(m.Members())
+		pools = m.PoolSummaries()
+	})
+	s.Tiers, s.Upstreams = summarise(pools)
+	s.Upstreams = withUnowned(s.Upstreams, leaving)
+	s.Counters = d.counters()
+	return s, ok
+}
+
+func instanceStatuses(members []membership.Member) []adminapi.InstanceStatus {
+	out := make([]adminapi.InstanceStatus, 0, len(members))
+	for _, m := range members {
+		state := m.State.String()
+		if m.Leaving {
+			state = "leaving"
+		}
+		out = append(out, adminapi.InstanceStatus{
+			Incarnation: incarnationText(node.Incarnation(m.Incarnation)), State: state, CallerAddress: m.CallerAddress,
+			AdminAddress: m.AdminAddress, FailureDomain: m.FailureDomain, ConfigRevision: m.ConfigRevision,
+		})
+	}
+	return out
+}
+
+// summarise adds up the pools that this instance schedules.
+func summarise(pools []node.PoolSummary) ([]adminapi.TierStatus, []adminapi.UpstreamStatus) {
+	tiers := []adminapi.TierStatus{}
+	upstreams := []adminapi.UpstreamStatus{}
+	for _, p := range pools {
+		for rank, t := range p.Scheduler.Tiers {
+			if t.Waiting+t.InFlight > 0 {
+				tiers = addTier(tiers, adminapi.TierStatus{Tier: rank, Waiting: t.Waiting, InFlight: t.InFlight})
+			}
+		}
+		for _, u := range p.Scheduler.Upstreams {
+			upstreams = append(upstreams, adminapi.UpstreamStatus{
+				Name: u.Name, State: "live", Limit: u.Limit, InFlight: u.InFlight, TTFTMs: milliseconds(u.TTFT),
+				InterTokenMs: milliseconds(u.InterToken), Straggler: u.Straggler,
+			})
+		}
+	}
+	slices.SortFunc(tiers, func(a, b adminapi.TierStatus) int { return cmp.Compare(a.Tier, b.Tier) })
+	slices.SortFunc(upstreams, func(a, b adminapi.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return tiers, upstreams
+}
+
+func addTier(tiers []adminapi.TierStatus, add adminapi.TierStatus) []adminapi.TierStatus {
+	for i := range tiers {
+		if tiers[i].Tier == add.Tier {
+			tiers[i].Waiting += add.Waiting
+			tiers[i].InFlight += add.InFlight
+			return tiers
+		}
+	}
+	return append(tiers, add)
+}
+
+// withUnowned marks leaving upstreams and adds those whose pool another instance owns.
+func withUnowned(upstreams []adminapi.UpstreamStatus, leaving map[string]bool) []adminapi.UpstreamStatus {
+	for i := range upstreams {
+		if leaving[upstreams[i].Name] {
+			upstreams[i].State = "leaving"
+		}
+		delete(leaving, upstreams[i].Name)
+	}
+	for name, isLeaving := range leaving {
+		state := "scheduled_elsewhere"
+		if isLeaving {
+			state = "leaving"
+		}
+		upstreams = append(upstreams, adminapi.UpstreamStatus{Name: name, State: state})
+	}
+	slices.SortFunc(upstreams, func(a, b adminapi.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return upstreams
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func tierName(rank int) string { return strconv.Itoa(rank) }
+
+func (d *Daemon) counters() []adminapi.CounterStatus {
+	out := []adminapi.CounterStatus{}
+	for _, c := range d.metrics.Counters() {
+		out = append(out, adminapi.CounterStatus{Name: c.Name, Reason: c.Reason, Value: c.Value})
+	}
+	return out
+}
+
+// Explain says how a request would be routed and why.
+func (b adminBackend) Explain(ctx context.Context, r routing.Request) (adminapi.Explanation, bool) {
+	ctx, stop := context.WithTimeout(ctx, queryTimeout)
+	defer stop()
+	var e routing.Explanation
+	owner := ""
+	ok := b.d.loop.query(ctx, func(time.Duration) {
+		e = b.d.loop.machine.Explain(r)
+		for _, p := range b.d.loop.machine.PoolSummaries() {
+			if e.Err == nil && p.Pool == e.Target.Pool {
+				owner = incarnationText(p.Owner)
+			}
+		}
+	})
+	return explain(e, owner), ok
+}
+
+// explain puts an explanation into the words of the operator API.
+func explain(e routing.Explanation, owner string) adminapi.Explanation {
+	out := adminapi.Explanation{Tier: e.Tier, Owner: owner, Upstreams: []adminapi.ExplainedUpstream{}, Steps: []string{}}
+	for _, r := range e.Routes {
+		switch {
+		case r.Chosen:
+			out.Steps = append(out.Steps, fmt.Sprintf("route %s (order %d): chosen, it is the first that matches", r.Route, r.Order))
+		case r.Failed != "":
+			out.Steps = append(out.Steps, fmt.Sprintf("route %s (order %d): no match, %s", r.Route, r.Order, r.Failed))
+		default:
+			out.Steps = append(out.Steps, fmt.Sprintf("route %s (order %d): matches, but an earlier route was chosen", r.Route, r.Order))
+		}
+	}
+	for _, u := range e.Upstreams {
+		why := "all requirements hold"
+		if u.Failed != "" {
+			why = string(u.Failed)
+		}
+		out.Upstreams = append(out.Upstreams, adminapi.ExplainedUpstream{Name: u.Upstream, Eligible: u.Failed == "", Why: why})
+	}
+	if e.Err != nil {
+		out.Steps = append(out.Steps, e.Err.Error())
+		return out
+	}
+	out.Route, out.Pool = e.Target.Route, fmt.Sprintf("%016x", uint64(e.Target.Pool))
+	return out
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,282 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/peer"
+	"github.com/citrongate/citrongate/internal/platform"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/internal/upstream"
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/node"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+const (
+	// discoveryTTL is how long callers may use an old discovery answer.
+	discoveryTTL = 5 * time.Second
+	// queryTimeout bounds the wait of a request for the loop.
+	queryTimeout = 2 * time.Second
+	// maxStoreCalls bounds calls to the object API in progress; the node's
+	// budget keeps them far below it unless the platform hangs.
+	maxStoreCalls = 64
+	// maxOrders bounds orders in progress.
+	maxOrders = 64
+	// flushTimeout bounds the wait for callers to take the rest of their answers at the end.
+	flushTimeout = 30 * time.Second
+)
+
+// Daemon is one running instance.
+type Daemon struct {
+	settings    *pb.Settings
+	identity    identity
+	log         zerolog.Logger
+	metrics     *telemetry.Metrics
+	loop        *loop
+	front       *httpfront.Handler
+	callers     *httpfront.Server
+	admin       *adminapi.API
+	operators   *httpfront.Server
+	peers       *peer.Edge
+	upstream    *upstream.Client
+	platform    *platform.Client
+	requests    *requests
+	changes     *changes
+	kinds       *kindGauges
+	loads       *loadReports
+	maxDeadline time.Duration
+	maxRequests int64
+
+	nextID  atomic.Uint64
+	held    atomic.Int64
+	leaving atomic.Bool
+	// config is the configuration in force, or nil.
+	config atomic.Pointer[configstate.Set]
+	// ready is the reason why callers should not be sent here; empty if ready.
+	notReady  atomic.Pointer[string]
+	storeDown atomic.Bool
+
+	compile    chan *configstate.Set
+	storeCalls chan struct{}
+	orders     chan struct{}
+	listing    atomic.Bool
+	drained    chan struct{}
+	drainOnce  sync.Once
+
+	// ctx ends when the daemon stops; background work is counted in wait.
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+}
+
+// New returns a daemon that has opened no connection yet. makeMachine builds
+// the node from the daemon's configuration.
+func New(s *pb.Settings, log zerolog.Logger, makeMachine func(cfg node.Config, seed uint64) Machine) (*Daemon, error) {
+	if err := checkBootstrap(s); err != nil {
+		return nil, err
+	}
+	id, err := newIdentity()
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	limits := s.GetLimits()
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings: s, identity: id, log: log.With().Str("instance", s.GetInstance().GetName()).Logger(), metrics: metrics,
+		upstream:    upstream.NewClient(upstream.Options{Connections: int(limits.GetUpstreamConnections()), MaxAnswerBytes: limits.GetMaxBodyBytes()}),
+		platform:    platform.NewClient(s.GetPlatform().GetAddress(), settings.Duration(s.GetPlatform().GetCallTimeout())),
+		requests:    newRequests(),
+		changes:     newChanges(),
+		kinds:       newKindGauges(),
+		loads:       newLoadReports(),
+		maxDeadline: settings.Duration(limits.GetMaxDeadline()),
+		maxRequests: limits.GetMaxRequests(),
+		compile:     make(chan *configstate.Set, 1),
+		storeCalls:  make(chan struct{}, maxStoreCalls),
+		orders:      make(chan struct{}, maxOrders),
+		drained:     make(chan struct{}),
+		ctx:         ctx, stop: stop,
+	}
+	starting := "this instance is starting"
+	d.notReady.Store(&starting)
+	started := time.Now()
+	d.loop = newLoop(makeMachine(d.nodeConfig(started), id.seed), started, d.execute)
+	d.front = httpfront.NewHandler(d, d.maxDeadline, d.log)
+	d.admin = adminapi.New(adminBackend{d}, metrics.Handler(), d.log)
+	d.admin.SetOperators(adminapi.NewOperators(nil, s.GetBootstrap().GetOperatorTokenSha256()))
+	return d, nil
+}
+
+// nodeConfig builds the node's configuration from the settings.
+func (d *Daemon) nodeConfig(started time.Time) node.Config {
+	s := d.settings
+	retries := int(s.GetLimits().GetRetryBudgetPercent())
+	if retries == 0 {
+		retries = -1 // the node takes 0 for its default
+	}
+	return node.Config{
+		Name:               s.GetInstance().GetName(),
+		Incarnation:        d.identity.incarnation,
+		PeerAddress:        s.GetListen().GetPeer(),
+		CallerAddress:      s.GetListen().GetCaller(),
+		AdminAddress:       s.GetListen().GetAdmin(),
+		FailureDomain:      s.GetInstance().GetFailureDomain(),
+		Region:             s.GetInstance().GetRegion(),
+		Cell:               s.GetInstance().GetCell(),
+		Seeds:              seeds(s),
+		PingInterval:       settings.Duration(s.GetPeer().GetPingInterval()),
+		DeadAfter:          settings.Duration(s.GetPeer().GetDeadAfter()),
+		ListInterval:       settings.Duration(s.GetPlatform().GetListInterval()),
+		OwnerTimeout:       settings.Duration(s.GetScheduler().GetOwnerTimeout()),
+		DiscoveryTTL:       discoveryTTL,
+		TargetTTFT:         settings.Duration(s.GetScheduler().GetTargetTtft()),
+		TargetInterToken:   settings.Duration(s.GetScheduler().GetTargetInterToken()),
+		MaxQueue:           int(s.GetScheduler().GetMaxQueue()),
+		MaxRequests:        int(s.GetLimits().GetMaxRequests()),
+		MaxDeadline:        d.maxDeadline,
+		RetryBudgetPercent: retries,
+		TicketTTL:          settings.Duration(s.GetBinding().GetTicketTtl()),
+		RecordTTL:          settings.Duration(s.GetBinding().GetRecordTtl()),
+		ClaimRetention:     settings.Duration(s.GetBinding().GetClaimRetention()),
+		MaxRecords:         int(s.GetBinding().GetMaxRecords()),
+		TicketSecret:       d.identity.ticketSecret,
+		CallsPerSecond:     s.GetPlatform().GetCallsPerSecond(),
+		WallClockOffset:    time.Duration(started.UnixNano()),
+	}
+}
+
+// Start opens the listeners and starts the loop.
+func (d *Daemon) Start() error {
+	if err := d.listen(); err != nil {
+		d.Close()
+		return err
+	}
+	d.goRun(func() { d.loop.run(d.ctx) })
+	d.goRun(d.compileConfigs)
+	d.goRun(d.keepRegistered)
+	d.goRun(d.refreshStatus)
+	d.goRun(d.pollUpstreams)
+	if err := d.callers.Start(); err != nil {
+		d.Close()
+		return fmt.Errorf("cannot listen on [listen] caller %s: %w", d.settings.GetListen().GetCaller(), err)
+	}
+	if err := d.operators.Start(); err != nil {
+		d.Close()
+		return fmt.Errorf("cannot listen on [listen] admin %s: %w", d.settings.GetListen().GetAdmin(), err)
+	}
+	d.log.Info().Str("incarnation", d.identity.String()).Str("caller", d.settings.GetListen().GetCaller()).
+		Str("admin", d.settings.GetListen().GetAdmin()).Str("peer", d.settings.GetListen().GetPeer()).Msg("instance started")
+	return nil
+}
+
+// listen builds the servers and opens the peer socket.
+func (d *Daemon) listen() error {
+	s, limits := d.settings, d.settings.GetLimits()
+	var err error
+	d.peers, err = peer.New(peer.Config{
+		Address: s.GetListen().GetPeer(), Certificate: s.GetPeer().GetCertificate(), Key: s.GetPeer().GetKey(),
+		Authority: s.GetPeer().GetAuthority(), Seeds: seeds(s), Log: d.log,
+		Receive: func(f *pb.Frame) { d.loop.post(node.FrameReceived{Frame: f}) },
+	})
+	if err != nil {
+		return fmt.Errorf("cannot listen on [listen] peer %s: %w", s.GetListen().GetPeer(), err)
+	}
+	config := httpfront.ServerConfig{
+		Address: s.GetListen().GetCaller(), TLSCertificate: s.GetListen().GetTlsCertificate(), TLSKey: s.GetListen().GetTlsKey(),
+		MaxBodyBytes: int(limits.GetMaxBodyBytes()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
+		MaxConnections: int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
+		Handler: d.front, BadInput: httpfront.BadInputBody,
+	}
+	if d.callers, err = httpfront.NewServer(config); err != nil {
+		return err
+	}
+	config.Address, config.MaxBodyBytes = s.GetListen().GetAdmin(), adminapi.MaxBodyBytes
+	config.TLSCertificate, config.TLSKey = "", ""
+	config.Handler = d.admin
+	d.operators, err = httpfront.NewServer(config)
+	return err
+}
+
+// goRun runs f in the background until the daemon stops.
+func (d *Daemon) goRun(f func()) {
+	d.wait.Add(1)
+	go func() {
+		defer d.wait.Done()
+		f()
+	}()
+}
+
+// Drain starts a planned stop. It returns at once; Drained says when no work is left.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() {
+		d.log.Info().Msg("planned stop started")
+		d.leaving.Store(true)
+		d.goRun(func() {
+			d.register()
+			d.loop.post(node.Drain{})
+		})
+	})
+}
+
+// Drained is closed when no work is left after Drain.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+// Finish waits until callers have taken their answers, for at most flushTimeout
+// or until ctx ends.
+func (d *Daemon) Finish(ctx context.Context) {
+	d.front.CloseConnections()
+	ctx, stop := context.WithTimeout(ctx, flushTimeout)
+	defer stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for d.held.Load() > 0 || d.callers.Unsent() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close stops at once and releases everything.
+func (d *Daemon) Close() {
+	d.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, server := range []*httpfront.Server{d.callers, d.operators} {
+		if server != nil {
+			server.Stop(ctx)
+		}
+	}
+	if d.peers != nil {
+		d.peers.Close()
+	}
+	d.wait.Wait()
+	d.upstream.Close()
+	d.platform.Close()
+	d.metrics.Close(ctx)
+}
+
+// seeds are the peer addresses to join through, without the own one.
+func seeds(s *pb.Settings) []string {
+	var out []string
+	for _, address := range splitList(s.GetPeer().GetSeeds()) {
+		if address != s.GetListen().GetPeer() {
+			out = append(out, address)
+		}
+	}
+	return out
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -15,7 +15,7 @@
 )
 
 // errSealed is returned by a write that must not happen any more.
-var errSealed = errors.New("the request was given up or was already sent on another connection; it is not sent again")
+var errSealed = errors.New("the request was given up, is too late or was already sent on another connection; it is not sent")
 
 // Options bound the connections of a transport.
 type Options struct {
@@ -63,6 +63,15 @@
 	busy   bool
 	sent   int64
 	sealed bool
+	// notAfter is the time from which no first byte may be written; zero for none.
+	notAfter time.Time
+}
+
+// NotAfter forbids to start sending at or after t.
+func (g *Guard) NotAfter(t time.Time) {
+	g.mu.Lock()
+	g.notAfter = t
+	g.mu.Unlock()
 }
 
 // Track returns a context for one request and the request's guard.
@@ -95,7 +104,8 @@
 func (g *Guard) claim(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.sealed || g.conn != nil && g.conn != c {
+	late := g.sent == 0 && !g.notAfter.IsZero() && !time.Now().Before(g.notAfter)
+	if late || g.sealed || g.conn != nil && g.conn != c {
 		return false
 	}
 	g.conn = c
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -186,3 +186,17 @@
 	require.True(t, g.Seal())
 	_ = client.Close()
 }
+
+// TestNotAfter guards against an order that is sent after its lease's margin.
+func TestNotAfter(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	g := &Guard{}
+	g.NotAfter(time.Now())
+	c := &conn{Conn: client}
+	c.guard.Store(g)
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, errSealed)
+	require.False(t, g.Seal())
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -113,6 +113,16 @@
 // Online is the number of open connections.
 func (s *Server) Online() int { return s.engine.Online() }
 
+// Unsent is true while the kernel has not taken all that was written.
+func (s *Server) Unsent() bool {
+	unsent := false
+	s.conns.Range(func(_, state any) bool {
+		unsent = unsent || state.(*connection).out.unsent()
+		return !unsent
+	})
+	return unsent
+}
+
 // Stop closes the listener and all connections.
 func (s *Server) Stop(ctx context.Context) { _ = s.engine.Shutdown(ctx) }
 
--- a/internal/httpfront/writer.go
+++ b/internal/httpfront/writer.go
@@ -71,6 +71,12 @@
 	w.space.Signal()
 }
 
+func (w *writer) unsent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.closed && w.handed > w.kernel
+}
+
 func (w *writer) close() {
 	w.mu.Lock()
 	w.closed = true
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -232,3 +232,27 @@
 	}
 	return out
 }
+
+// Registration announces an entry instance to the platform.
+type Registration struct {
+	Name          string `json:"name"`
+	Incarnation   string `json:"incarnation"`
+	PeerAddress   string `json:"peer_address"`
+	CallerAddress string `json:"caller_address"`
+	AdminAddress  string `json:"admin_address"`
+	FailureDomain string `json:"failure_domain"`
+	Leaving       bool   `json:"leaving"`
+}
+
+// Register keeps the instance on the instance list for a few seconds. It
+// returns false if the platform did not accept the registration.
+func (c *Client) Register(ctx context.Context, r Registration) bool {
+	ctx, stop := context.WithTimeout(ctx, c.timeout)
+	defer stop()
+	text, err := json.Marshal(r)
+	if err != nil {
+		return false
+	}
+	a := c.exchange(ctx, http.MethodPost, "/v1/instances", http.Header{"Content-Type": {"application/json"}}, text, maxValueBytes)
+	return !a.lost && a.status >= 200 && a.status < 300
+}
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/citrongate/citrongate/internal/httpconn"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -20,8 +21,8 @@
 	Argument      string `json:"argument"`
 }
 
-// SendOrder sends an order once.
-func (c *Client) SendOrder(ctx context.Context, address string, order Order) node.OrderStatus {
+// SendOrder sends an order once, and not at or after notAfter.
+func (c *Client) SendOrder(ctx context.Context, address string, order Order, notAfter time.Time) node.OrderStatus {
 	ctx, stop := context.WithTimeout(ctx, pollTimeout)
 	defer stop()
 	text, err := json.Marshal(order)
@@ -29,6 +30,7 @@
 		return node.OrderNotSent
 	}
 	tracked, guard := httpconn.Track(ctx)
+	guard.NotAfter(notAfter)
 	req, err := newPost(tracked, address, "/v1/orders", text)
 	if err != nil {
 		return node.OrderNotSent
