internal/client: HTTP client of caller and administration API

Cause: the commands, the load driver and the tests need one caller that retries without making a call run twice. Ruled out: net/http's own retry on a reused connection, since it hides whether the request arrived; keep-alive connections for the same reason.

--- /dev/null
+++ b/internal/client/admin.go
@@ -0,0 +1,248 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// maxAnswerBytes bounds an answer of the administration API.
+const maxAnswerBytes = 64 << 20
+
+// Admin calls the administration API of one of several instances.
+type Admin struct {
+	// Addresses are tried in order until one is reached.
+	Addresses []string
+	Token     string
+	HTTP      *http.Client
+}
+
+// ObjectList is the configuration set at one revision.
+type ObjectList struct {
+	Revision uint64
+	Objects  []*pb.Object
+}
+
+// Name identifies an object to delete; Version is the condition, 0 for none.
+type Name struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Version uint64 `json:"version,omitempty"`
+}
+
+// Change is a set of objects that are put and deleted together.
+type Change struct {
+	Objects []*pb.Object
+	Deletes []Name
+	// Conditional requires that each object still has the version it names.
+	Conditional bool
+}
+
+type changeBody struct {
+	Objects     []json.RawMessage `json:"objects"`
+	Deletes     []Name            `json:"deletes,omitempty"`
+	Conditional bool              `json:"conditional,omitempty"`
+}
+
+// Get reads one object.
+func (a *Admin) Get(ctx context.Context, kind, name string) (*pb.Object, error) {
+	body, err := a.call(ctx, http.MethodGet, objectPath(kind, name), nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	return decodeObject(body)
+}
+
+// List reads all objects, or those of one kind.
+func (a *Admin) List(ctx context.Context, kind string) (*ObjectList, error) {
+	body, err := a.call(ctx, http.MethodGet, "/admin/v1/objects?kind="+url.QueryEscape(kind), nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	var answer struct {
+		Revision json.Number       `json:"revision"`
+		Objects  []json.RawMessage `json:"objects"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, Failed.Wrap(err, "the list of objects cannot be read")
+	}
+	list := &ObjectList{Revision: number(answer.Revision)}
+	for _, raw := range answer.Objects {
+		object, err := decodeObject(raw)
+		if err != nil {
+			return nil, err
+		}
+		list.Objects = append(list.Objects, object)
+	}
+	return list, nil
+}
+
+// Delete removes one object if it still has the version; 0 is no condition. It
+// returns the new revision.
+func (a *Admin) Delete(ctx context.Context, name Name) (uint64, error) {
+	header := http.Header{}
+	if name.Version != 0 {
+		header.Set("If-Match", `"`+strconv.FormatUint(name.Version, 10)+`"`)
+	}
+	return a.change(ctx, http.MethodDelete, objectPath(name.Kind, name.Name), nil, header)
+}
+
+// Apply puts and deletes objects as one change and returns the new revision. A
+// dry run only validates and returns 0.
+func (a *Admin) Apply(ctx context.Context, change Change, dryRun bool) (uint64, error) {
+	body := changeBody{Objects: []json.RawMessage{}, Deletes: change.Deletes, Conditional: change.Conditional}
+	for _, object := range change.Objects {
+		raw, err := protojson.Marshal(object)
+		if err != nil {
+			return 0, Failed.Wrap(err, "an object cannot be written as JSON")
+		}
+		body.Objects = append(body.Objects, raw)
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return 0, Failed.Wrap(err, "the change cannot be written as JSON")
+	}
+	path := "/admin/v1/apply"
+	if dryRun {
+		path += "?dry_run=true"
+	}
+	return a.change(ctx, http.MethodPost, path, encoded, nil)
+}
+
+func (a *Admin) change(ctx context.Context, method, path string, body []byte, header http.Header) (uint64, error) {
+	answer, err := a.call(ctx, method, path, body, header)
+	if err != nil {
+		return 0, err
+	}
+	var result struct {
+		Revision json.Number `json:"revision"`
+	}
+	if err := json.Unmarshal(answer, &result); err != nil {
+		return 0, Failed.Wrap(err, "the answer to the change cannot be read; look at citrongate status before trying again")
+	}
+	return number(result.Revision), nil
+}
+
+// Status reads the status of one instance as JSON.
+func (a *Admin) Status(ctx context.Context) (*Status, []byte, error) {
+	body, err := a.call(ctx, http.MethodGet, "/admin/v1/status", nil, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	status := &Status{}
+	if err := json.Unmarshal(body, status); err != nil {
+		return nil, body, Failed.Wrap(err, "the status cannot be read")
+	}
+	return status, body, nil
+}
+
+// Explain asks where requests of a kind and an organisation with these labels go.
+func (a *Admin) Explain(ctx context.Context, query url.Values) (*Explanation, []byte, error) {
+	body, err := a.call(ctx, http.MethodGet, "/admin/v1/explain?"+query.Encode(), nil, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	explanation := &Explanation{}
+	if err := json.Unmarshal(body, explanation); err != nil {
+		return nil, body, Failed.Wrap(err, "the explanation cannot be read")
+	}
+	return explanation, body, nil
+}
+
+// Drain starts a planned stop of the instance.
+func (a *Admin) Drain(ctx context.Context) error {
+	_, err := a.call(ctx, http.MethodPost, "/admin/v1/drain", nil, nil)
+	return err
+}
+
+// call sends the request to the first address that accepts the connection. A
+// request that was sent is not sent again.
+func (a *Admin) call(ctx context.Context, method, path string, body []byte, header http.Header) ([]byte, error) {
+	var last error
+	for _, address := range a.Addresses {
+		response, err := a.send(ctx, method, baseURL(address)+path, body, header)
+		if err == nil {
+			return readAdminAnswer(response)
+		}
+		last = err
+		if !notSent(err) {
+			break
+		}
+	}
+	if last != nil && !notSent(last) && method != http.MethodGet {
+		return nil, NotReached.Wrap(last, "the request was sent but not answered, so it may have taken effect; remedy: look at citrongate status before trying again")
+	}
+	return nil, NotReached.New("no administration address answered (%s): %v; remedy: name a running instance with --admin", strings.Join(a.Addresses, ", "), last)
+}
+
+func (a *Admin) send(ctx context.Context, method, target string, body []byte, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the client never sends a request a second time on its own.
+	request.GetBody = nil
+	for key, values := range header {
+		request.Header[key] = values
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if a.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+a.Token)
+	}
+	return a.HTTP.Do(request)
+}
+
+func readAdminAnswer(response *http.Response) ([]byte, error) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, NotReached.Wrap(err, "the answer ended early")
+	}
+	if response.StatusCode < 300 {
+		return body, nil
+	}
+	var answer struct {
+		Error AdminError `json:"error"`
+	}
+	if json.Unmarshal(body, &answer) != nil || answer.Error.Code == "" {
+		answer.Error = AdminError{Code: response.Status, Reason: strings.TrimSpace(string(body))}
+	}
+	if response.StatusCode == http.StatusPreconditionFailed || response.StatusCode == http.StatusConflict {
+		return nil, Conflict.New("%s", answer.Error)
+	}
+	return nil, Failed.New("%s", answer.Error)
+}
+
+func objectPath(kind, name string) string {
+	return "/admin/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func decodeObject(raw []byte) (*pb.Object, error) {
+	object := &pb.Object{}
+	if err := protojson.Unmarshal(raw, object); err != nil {
+		return nil, Failed.Wrap(err, "an object in the answer cannot be read")
+	}
+	return object, nil
+}
+
+func number(n json.Number) uint64 {
+	value, _ := strconv.ParseUint(n.String(), 10, 64)
+	return value
+}
+
+// baseURL completes an address without a scheme to an HTTP URL.
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return strings.TrimSuffix(address, "/")
+	}
+	return "http://" + address
+}
