cmd/citrongate: commands for operators and callers

Cause: operators and callers need one program with stable exit codes. Ruled out: urfave's own exit handling, since it exits 3 for an unknown command, which here means "not reached". Change: check, apply, get, delete, status, explain, drain, call, keys and version, one file each; example objects; exit codes in every help text. Measured: go test -race ./cmd/... ok. Conclusion: serve is missing; the daemon's owner adds it.

--- /dev/null
+++ b/cmd/citrongate/commands_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/internal/settings"
+)
+
+// runApp runs one command and returns exit code, output and error output.
+func runApp(t *testing.T, args ...string) (int, string, string) {
+	t.Helper()
+	app := newApp()
+	var out, errOut bytes.Buffer
+	app.Writer, app.ErrWriter = &out, &errOut
+	code := run(context.Background(), app, append([]string{"citrongate"}, args...))
+	return code, out.String(), errOut.String()
+}
+
+// fakeAdmin answers each request with a status and a body, and keeps the last
+// request.
+type fakeAdmin struct {
+	status int
+	body   string
+	method string
+	path   string
+	header http.Header
+	sent   string
+}
+
+func (f *fakeAdmin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	f.method, f.path, f.header, f.sent = r.Method, r.URL.RequestURI(), r.Header, string(body)
+	w.WriteHeader(f.status)
+	io.WriteString(w, f.body)
+}
+
+func startAdmin(t *testing.T, status int, body string) (*fakeAdmin, string) {
+	t.Helper()
+	fake := &fakeAdmin{status: status, body: body}
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.Close)
+	return fake, server.URL
+}
+
+// TestExitCodes guards against scripts that take a failure for a success.
+func TestExitCodes(t *testing.T) {
+	_, ok := startAdmin(t, 200, `{"revision":7,"name":"entry-1"}`)
+	_, conflict := startAdmin(t, 412, `{"error":{"code":"conflict","reason":"version 9"}}`)
+	_, invalid := startAdmin(t, 400, `{"error":{"code":"invalid","problems":["route a: no tier"]}}`)
+	file := filepath.Join(t.TempDir(), "objects.json")
+	require.NoError(t, os.WriteFile(file, []byte(`[{"meta":{"kind":"Tier","name":"a"},"tier":{}}]`), 0o600))
+	cases := []struct {
+		args []string
+		code int
+		text string
+	}{
+		{[]string{"apply", "-f", file, "--admin", ok}, exitOK, "revision 7"},
+		{[]string{"apply", "-f", file, "--admin", conflict}, exitConflict, "version 9"},
+		{[]string{"apply", "-f", file, "--admin", invalid}, exitFailed, "route a: no tier"},
+		{[]string{"apply", "-f", "absent.json", "--admin", ok}, exitUsage, "cannot read the objects"},
+		{[]string{"status", "--admin", "127.0.0.1:1"}, exitNotReached, "remedy"},
+		{[]string{"status", "--admin", "127.0.0.1:1", "--admin", ok}, exitOK, "entry-1"},
+		{[]string{"status", "--admin", ok, "-o", "xml"}, exitUsage, "json or table"},
+		{[]string{"get", "planet", "--admin", ok}, exitUsage, "is not a kind"},
+		{[]string{"delete", "tier"}, exitUsage, "KIND NAME"},
+		{[]string{"launch"}, exitUsage, "unknown command"},
+		{[]string{"check", "-c", "absent.ini"}, exitFailed, "absent.ini"},
+		{[]string{"call", "--kind", "k", "--entry", "127.0.0.1:1"}, exitNotReached, "no entry answered"},
+		{[]string{"version"}, exitOK, "citrongate"},
+	}
+	for _, c := range cases {
+		code, out, errOut := runApp(t, c.args...)
+		require.Equal(t, c.code, code, "%v: %s%s", c.args, out, errOut)
+		require.Contains(t, out+errOut, c.text, "%v", c.args)
+	}
+}
+
+// TestApplySendsAllObjects guards against objects that are lost between the
+// file and the instance.
+func TestApplySendsAllObjects(t *testing.T) {
+	fake, address := startAdmin(t, 200, `{"revision":"3"}`)
+	code, _, errOut := runApp(t, "apply", "-f", "../../examples/objects.json", "--dry-run", "--admin", address, "--token", "secret")
+	require.Equal(t, exitOK, code, errOut)
+	require.Equal(t, "/admin/v1/apply?dry_run=true", fake.path)
+	require.Equal(t, "Bearer secret", fake.header.Get("Authorization"))
+	text, err := os.ReadFile("../../examples/objects.json")
+	require.NoError(t, err)
+	var file, sent struct{ Objects []json.RawMessage }
+	require.NoError(t, json.Unmarshal(text, &file))
+	require.NoError(t, json.Unmarshal([]byte(fake.sent), &sent))
+	require.Len(t, sent.Objects, len(file.Objects))
+}
+
+// TestParseObjects guards against a file whose second fault is only found after
+// the first is corrected.
+func TestParseObjects(t *testing.T) {
+	_, err := parseObjects([]byte(`[{"meta":{"kind":"Tier"}},{"meta":{"kind":"Tier","name":"a"},"colour":1}]`))
+	require.ErrorContains(t, err, "object 1")
+	require.ErrorContains(t, err, "object 2")
+	one, err := parseObjects([]byte(`{"meta":{"kind":"Tier","name":"a"},"tier":{"rank":1}}`))
+	require.NoError(t, err)
+	require.Len(t, one, 1)
+}
+
+// TestDeleteIsConditional guards against deleting an object that somebody
+// changed in the meantime.
+func TestDeleteIsConditional(t *testing.T) {
+	fake, address := startAdmin(t, 200, `{"revision":8}`)
+	code, _, errOut := runApp(t, "delete", "request-kinds", "chat", "--version", "5", "--admin", address)
+	require.Equal(t, exitOK, code, errOut)
+	require.Equal(t, "DELETE /admin/v1/objects/RequestKind/chat", fake.method+" "+fake.path)
+	require.Equal(t, `"5"`, fake.header.Get("If-Match"))
+}
+
+// TestCertificates guards against trial files that the settings check rejects.
+func TestCertificates(t *testing.T) {
+	dir := t.TempDir()
+	code, _, errOut := runApp(t, "keys", "certificates", "--dir", dir, "--instance", "entry-1=10.0.0.1")
+	require.Equal(t, exitOK, code, errOut)
+	source := strings.ReplaceAll(`[instance]
+name = entry-1
+failure_domain = zone-a
+region = r
+[listen]
+caller = 10.0.0.1:1
+admin = 10.0.0.1:2
+peer = 10.0.0.1:3
+[platform]
+address = 10.0.0.1:4
+[peer]
+certificate = DIR/entry-1.pem
+key = DIR/entry-1.key
+authority = DIR/authority.pem
+`, "DIR", dir)
+	_, err := settings.Parse("test.ini", []byte(source))
+	require.NoError(t, err)
+	code, _, _ = runApp(t, "keys", "certificates", "--dir", dir, "--instance", "entry-1=10.0.0.1")
+	require.Equal(t, exitFailed, code, "an existing key is not overwritten")
+	code, _, errOut = runApp(t, "keys", "certificates", "--dir", dir, "--instance", "entry-2=10.0.0.2")
+	require.Equal(t, exitOK, code, errOut)
+}
--- a/cmd/citrongate/main.go
+++ b/cmd/citrongate/main.go
@@ -4,23 +4,62 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/citrongate/citrongate/internal/version"
 )
 
+const rootDescription = `Tokens are taken from --token, from the file of --token-file, or from
+CITRONGATE_TOKEN or CITRONGATE_TOKEN_FILE.
+
+Examples:
+  citrongate check -c examples/entry.ini
+  citrongate serve -c examples/entry.ini
+  citrongate apply -f examples/objects.json
+  citrongate status
+  citrongate call --kind chat --model small --message "hello"`
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, newApp(), os.Args)
+	stop()
+	os.Exit(code)
+}
+
+// newApp returns the root command.
+func newApp() *cli.Command {
 	app := &cli.Command{
 		Name:                  "citrongate",
 		Usage:                 "request scheduler for unlike engines",
+		Description:           rootDescription,
 		Version:               version.Version,
 		EnableShellCompletion: true,
+		Suggest:               true,
+		Action:                rootAction,
+		Commands: []*cli.Command{
+			checkCommand(),
+			applyCommand(),
+			getCommand(),
+			deleteCommand(),
+			statusCommand(),
+			explainCommand(),
+			drainCommand(),
+			callCommand(),
+			keysCommand(),
+			versionCommand(),
+		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	prepare(app)
+	return app
+}
+
+func rootAction(_ context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return usage("unknown command %q; remedy: citrongate --help lists the commands", command.Args().First())
 	}
+	return cli.ShowAppHelp(command)
 }
--- /dev/null
+++ b/cmd/citrongate/objects.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// maxObjectFile bounds a file of objects.
+const maxObjectFile = 256 << 20
+
+// kinds are the object kinds, in the order in which they are listed.
+var kinds = []string{"Tier", "Organisation", "RequestKind", "Upstream", "Route", "Operator"}
+
+// findKind accepts a kind in any case, with hyphens and in the plural.
+func findKind(text string) (string, error) {
+	plain := strings.TrimSuffix(strings.ToLower(strings.ReplaceAll(text, "-", "")), "s")
+	for _, kind := range kinds {
+		if strings.ToLower(kind) == plain {
+			return kind, nil
+		}
+	}
+	return "", usage("%q is not a kind; the kinds are %s", text, strings.Join(kinds, ", "))
+}
+
+// readObjects reads a file of objects; "-" is the standard input. The file holds
+// one object, an array, or {"objects": [...]}, as JSON.
+func readObjects(path string, stdin io.Reader) ([]*pb.Object, error) {
+	source := stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usage("cannot read the objects: %v", err)
+		}
+		defer file.Close()
+		source = file
+	}
+	text, err := io.ReadAll(io.LimitReader(source, maxObjectFile))
+	if err != nil {
+		return nil, usage("cannot read the objects: %v", err)
+	}
+	objects, err := parseObjects(text)
+	if err != nil {
+		return nil, usage("%s: %v", path, err)
+	}
+	return objects, nil
+}
+
+// parseObjects reports all objects that cannot be read.
+func parseObjects(text []byte) ([]*pb.Object, error) {
+	raws, err := splitObjects(bytes.TrimSpace(text))
+	if err != nil {
+		return nil, err
+	}
+	var objects []*pb.Object
+	var faults []error
+	for i, raw := range raws {
+		object := &pb.Object{}
+		if err := protojson.Unmarshal(raw, object); err != nil {
+			faults = append(faults, fmt.Errorf("object %d: %w", i+1, err))
+			continue
+		}
+		if _, err := findKind(object.GetMeta().GetKind()); err != nil || object.GetMeta().GetName() == "" {
+			faults = append(faults, fmt.Errorf("object %d: meta needs a name and one of the kinds %s", i+1, strings.Join(kinds, ", ")))
+			continue
+		}
+		objects = append(objects, object)
+	}
+	return objects, errors.Join(faults...)
+}
+
+func splitObjects(text []byte) ([]json.RawMessage, error) {
+	var raws []json.RawMessage
+	if bytes.HasPrefix(text, []byte("[")) {
+		return raws, json.Unmarshal(text, &raws)
+	}
+	var list struct {
+		Objects []json.RawMessage `json:"objects"`
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, err
+	}
+	if list.Objects != nil {
+		return list.Objects, nil
+	}
+	return []json.RawMessage{text}, nil
+}
+
+// objectJSON converts an object for printing.
+func objectJSON(object *pb.Object) (json.RawMessage, error) {
+	raw, err := protojson.Marshal(object)
+	return json.RawMessage(raw), err
+}
+
+// specSummary returns the spec of an object on one line.
+func specSummary(object *pb.Object) string {
+	message := object.ProtoReflect()
+	field := message.WhichOneof(message.Descriptor().Oneofs().ByName(protoreflect.Name("spec")))
+	if field == nil {
+		return ""
+	}
+	raw, err := protojson.MarshalOptions{}.Marshal(message.Get(field).Message().Interface())
+	if err != nil {
+		return err.Error()
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, raw) != nil {
+		return string(raw)
+	}
+	return compact.String()
+}
+
+func labelSummary(object *pb.Object) string {
+	raw, err := json.Marshal(object.GetMeta().GetLabels())
+	if err != nil || len(object.GetMeta().GetLabels()) == 0 {
+		return "-"
+	}
+	return string(raw)
+}
