client: a service's own error is an answer; max_tokens only if set

Cause: an HTTP error that a plain service answered was taken for a refusal, and max_tokens 0 is refused by the caller API. Change: only an error body with code and ran is a refusal; an error with the request's id is the service's answer. Shapes of status and explain as the administration API has them.

--- a/cmd/citrongate/call.go
+++ b/cmd/citrongate/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"time"
 
@@ -77,6 +78,9 @@
 	if !result.Whole {
 		return client.Failed.New("not answered whole; ran: %s", result.Ran)
 	}
+	if result.Status >= http.StatusBadRequest {
+		return client.Failed.New("the service itself answered HTTP status %d", result.Status)
+	}
 	return nil
 }
 
--- a/cmd/citrongate/explain.go
+++ b/cmd/citrongate/explain.go
@@ -72,7 +72,7 @@
 	for _, step := range e.Steps {
 		fmt.Fprintln(writer(command), step)
 	}
-	fmt.Fprintf(writer(command), "route %s, tier %d, pool %s, owner %s\n\n", first(e.Route, "-"), e.Tier, first(e.Pool, "-"), first(e.Owner, "-"))
+	fmt.Fprintf(writer(command), "route %s, tier %s, pool %s, owner %s\n\n", first(e.Route, "-"), first(e.Tier, "-"), first(e.Pool, "-"), first(e.Owner, "-"))
 	t := newTable(command, "UPSTREAM", "ELIGIBLE", "WHY")
 	for _, u := range e.Upstreams {
 		t.row(u.Name, yesNo(u.Eligible), u.Why)
--- a/cmd/citrongate/status.go
+++ b/cmd/citrongate/status.go
@@ -43,9 +43,12 @@
 	fmt.Fprintf(writer(command), "instance %s (%s) in %s, cell %s: ready %s, draining %s, store available %s, configuration revision %d\n\n",
 		status.Name, status.Incarnation, status.FailureDomain, status.Cell,
 		yesNo(status.Ready), yesNo(status.Draining), yesNo(status.StoreAvailable), status.ConfigRevision)
-	instances := newTable(command, "INSTANCE", "STATE", "FAILURE DOMAIN", "CALLERS", "ADMIN", "REVISION")
+	if status.NotReadyReason != "" {
+		fmt.Fprintf(writer(command), "not ready: %s\n\n", status.NotReadyReason)
+	}
+	instances := newTable(command, "INCARNATION", "STATE", "FAILURE DOMAIN", "CALLERS", "ADMIN", "REVISION")
 	for _, i := range status.Instances {
-		instances.row(first(i.Name, i.Incarnation), i.State, i.FailureDomain, i.CallerAddress, i.AdminAddress, strconv.FormatUint(i.ConfigRevision, 10))
+		instances.row(i.Incarnation, i.State, i.FailureDomain, i.CallerAddress, i.AdminAddress, strconv.FormatUint(i.ConfigRevision, 10))
 	}
 	if err := instances.flush(); err != nil {
 		return err
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -25,6 +25,13 @@
 	Content string `json:"content"`
 }
 
+type chatBody struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream"`
+}
+
 // Request is one call.
 type Request struct {
 	// Kind is the request kind; required for calls to plain services.
@@ -90,7 +97,9 @@
 	// Text is the answer of a model call; Tokens counts its pieces.
 	Text   string
 	Tokens int
-	// Body and ContentType are the answer of a plain service.
+	// Body, ContentType and Status are the answer of a plain service, which may
+	// be an HTTP error of its own.
+	Status      int
 	Body        []byte
 	ContentType string
 	Attempts    []Attempt
@@ -255,9 +264,9 @@
 	if c.request.modelCall() {
 		path = "/v1/chat/completions"
 		var err error
-		body, err = json.Marshal(map[string]any{
-			"model": c.request.Model, "messages": c.request.Messages,
-			"max_tokens": c.request.MaxTokens, "stream": c.request.Stream,
+		body, err = json.Marshal(chatBody{
+			Model: c.request.Model, Messages: c.request.Messages,
+			MaxTokens: c.request.MaxTokens, Stream: c.request.Stream,
 		})
 		if err != nil {
 			return nil, err
@@ -313,7 +322,7 @@
 		attempt.Ending, attempt.Err = Broken, err.Error()
 		return
 	}
-	if refusal := parseRefusal(response, body); refusal != nil {
+	if refusal := parseRefusal(response, body, attempt.RequestID); refusal != nil {
 		attempt.Ending, attempt.Refusal = Refused, *refusal
 		return
 	}
@@ -325,7 +334,7 @@
 		c.readCompletion(body, attempt)
 		return
 	}
-	c.result.Body, c.result.ContentType = body, response.Header.Get("Content-Type")
+	c.result.Status, c.result.Body, c.result.ContentType = response.StatusCode, body, response.Header.Get("Content-Type")
 	c.result.Whole = true
 	attempt.Ending = Whole
 }
@@ -351,20 +360,20 @@
 	attempt.Ending = Whole
 }
 
-// parseRefusal returns the refusal in an answer, or nil if it is a success.
-// An error without a refusal body came from something that is not an entry, or
-// from a plain service through one, so whether the call ran is unknown.
-func parseRefusal(response *http.Response, body []byte) *Refusal {
-	if response.StatusCode < 400 {
+// parseRefusal returns the refusal in an answer, or nil if it is the answer of
+// the upstream. An error without a refusal body and without the request's id
+// came from something else, so whether the call ran is unknown.
+func parseRefusal(response *http.Response, body []byte, id string) *Refusal {
+	if response.StatusCode < http.StatusBadRequest {
 		return nil
 	}
 	var answer refusalBody
-	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Code != "" {
-		if answer.Error.Ran == "" {
-			answer.Error.Ran = "unknown"
-		}
+	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Code != "" && answer.Error.Ran != "" {
 		return answer.Error
 	}
+	if response.Header.Get("X-Request-Id") == id {
+		return nil
+	}
 	return &Refusal{Code: fmt.Sprintf("http_%d", response.StatusCode), Ran: "unknown", Reason: describe(response, body)}
 }
 
--- a/internal/client/caller_test.go
+++ b/internal/client/caller_test.go
@@ -168,6 +168,21 @@
 	require.Len(t, result.Attempts, 1)
 }
 
+// TestServiceErrorIsAnAnswer guards against taking an error that a service
+// answered for a refusal that may be tried again.
+func TestServiceErrorIsAnAnswer(t *testing.T) {
+	f := newFleet(t, 2)
+	f.script(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		http.Error(w, "no such article", http.StatusNotFound)
+	})
+	result := do(t, f, Request{})
+	require.True(t, result.Whole)
+	require.Equal(t, 404, result.Status)
+	f.script(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "proxy", http.StatusBadGateway) })
+	require.Equal(t, "unknown", do(t, f, Request{}).Ran)
+}
+
 // TestKeyedCallKeepsItsKey guards against a call that runs under two keys after
 // a broken answer.
 func TestKeyedCallKeepsItsKey(t *testing.T) {
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -7,6 +7,7 @@
 	FailureDomain  string           `json:"failure_domain"`
 	Cell           string           `json:"cell"`
 	Ready          bool             `json:"ready"`
+	NotReadyReason string           `json:"not_ready_reason"`
 	Draining       bool             `json:"draining"`
 	ConfigRevision uint64           `json:"config_revision"`
 	StoreAvailable bool             `json:"store_available"`
@@ -18,7 +19,6 @@
 
 // InstanceStatus is one entry instance.
 type InstanceStatus struct {
-	Name        string `json:"name"`
 	Incarnation string `json:"incarnation"`
 	// State is "alive", "suspect", "leaving" or "dead".
 	State          string `json:"state"`
@@ -56,7 +56,7 @@
 // Explanation says where a request would go and why.
 type Explanation struct {
 	Route     string                `json:"route"`
-	Tier      uint32                `json:"tier"`
+	Tier      string                `json:"tier"`
 	Pool      string                `json:"pool"`
 	Owner     string                `json:"owner"`
 	Upstreams []UpstreamExplanation `json:"upstreams"`
