standin load: open-loop driver with checked answers and an audit

Cause: the demo and the process tests need callers that know what the right answer is and whether the ledgers agree with what they were told. Ruled out: counting HTTP 200 as answered, since a cut or foreign answer would pass. Change: flows with Poisson arrivals, answers compared with those that the stand-ins must give, audit of ledgers and engine run counts, summary per tier; the client excludes entries on request and repeats repeatable calls after upstream_broke. Conclusion: to be run against the daemon.

--- a/cmd/citrongate-standin/main.go
+++ b/cmd/citrongate-standin/main.go
@@ -22,7 +22,7 @@
 		Usage:                 "stand-ins for platform, engines, services and callers",
 		Version:               version.Version,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), portsCommand()},
+		Commands:              []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), loadCommand(), portsCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -67,8 +67,10 @@
 type Attempt struct {
 	Entry     string
 	RequestID string
-	Ending    Ending
-	Refusal   Refusal
+	// Key is the idempotency key that was sent; empty for none.
+	Key     string
+	Ending  Ending
+	Refusal Refusal
 	// Err describes a connection that failed.
 	Err string
 }
@@ -236,7 +238,7 @@
 
 // attempt sends the call once.
 func (c *call) attempt(ctx context.Context, entry string) Attempt {
-	attempt := Attempt{Entry: entry, RequestID: strings.ToLower(rand.Text()[:20])}
+	attempt := Attempt{Entry: entry, RequestID: strings.ToLower(rand.Text()[:20]), Key: c.key}
 	request, err := c.build(ctx, entry, attempt.RequestID)
 	if err != nil {
 		attempt.Ending, attempt.Err = NotSent, err.Error()
--- a/internal/client/caller_test.go
+++ b/internal/client/caller_test.go
@@ -39,6 +39,8 @@
 		{"expired ticket, unknown", attempts{ending: Refused, refusal: unknown("ticket_expired"), keyed: true, ticketed: true, mayHaveRun: true}, stop},
 		{"home gone", attempts{ending: Refused, refusal: unknown("ticket_home_gone"), keyed: true, ticketed: true, mayHaveRun: true}, again},
 		{"upstream broke", attempts{ending: Refused, refusal: unknown("upstream_broke"), mayHaveRun: true}, stop},
+		{"upstream broke, repeatable", attempts{ending: Refused, refusal: unknown("upstream_broke"), mayHaveRun: true, repeatable: true}, again},
+		{"upstream broke, keyed", attempts{ending: Refused, refusal: unknown("upstream_broke"), mayHaveRun: true, keyed: true}, stop},
 		{"draining but ran", attempts{ending: Refused, refusal: Refusal{Code: "draining", Ran: "yes"}, mayHaveRun: true}, stop},
 		{"broken", attempts{ending: Broken, mayHaveRun: true}, stop},
 		{"broken, repeatable", attempts{ending: Broken, mayHaveRun: true, repeatable: true}, again},
--- a/internal/client/discovery.go
+++ b/internal/client/discovery.go
@@ -36,12 +36,21 @@
 	expires time.Time
 	// avoided entries refused or broke a connection since the last answer.
 	avoided map[string]bool
+	// excluded entries are never used.
+	excluded map[string]bool
 }
 
 // NewDirectory returns a directory that starts with the seeds, which are caller
 // addresses of entries.
 func NewDirectory(seeds []string, token string, http *http.Client) *Directory {
-	return &Directory{seeds: seeds, token: token, http: http, avoided: map[string]bool{}}
+	return &Directory{seeds: seeds, token: token, http: http, avoided: map[string]bool{}, excluded: map[string]bool{}}
+}
+
+// Exclude keeps all calls away from an entry.
+func (d *Directory) Exclude(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.excluded[address] = true
 }
 
 // route is where one attempt goes, with a ticket that this entry issued.
@@ -62,7 +71,7 @@
 	if ticketed {
 		return route{address: d.issuer, ticket: d.current.Ticket}, nil
 	}
-	usable := slices.DeleteFunc(slices.Clone(d.current.Addresses), func(a string) bool { return d.avoided[a] })
+	usable := slices.DeleteFunc(slices.Clone(d.current.Addresses), func(a string) bool { return d.avoided[a] || d.excluded[a] })
 	if len(usable) == 0 {
 		return route{address: d.issuer}, nil
 	}
@@ -106,7 +115,7 @@
 func (d *Directory) candidates() []string {
 	known := slices.Concat(d.current.Addresses, d.seeds)
 	slices.Sort(known)
-	known = slices.Compact(known)
+	known = slices.DeleteFunc(slices.Compact(known), func(a string) bool { return d.excluded[a] })
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	slices.SortStableFunc(known, func(a, b string) int { return boolInt(d.avoided[a]) - boolInt(d.avoided[b]) })
 	return known
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -45,6 +45,9 @@
 	"ticket_expired": true,
 }
 
+// brokenCodes are the refusals by which an entry reports a broken answer.
+var brokenCodes = map[string]bool{"upstream_broke": true, "answer_mismatched": true}
+
 // attempts is what is known of a call after at least one attempt.
 type attempts struct {
 	ending  Ending
@@ -73,7 +76,7 @@
 		}
 		// The recorded outcome may become readable again if the key's home was
 		// unreachable only for a moment.
-		if a.keyed && a.refusal.Code == "ticket_home_gone" {
+		if a.keyed && a.refusal.Code == "ticket_home_gone" || a.repeatable && brokenCodes[a.refusal.Code] {
 			return again
 		}
 		return stop
