measure: run pools against fake engines, with the baseline and alternatives

Change: two deployments, eight scenarios, four policies on the same arrivals; exact P2 count by decision time and as seen at the entries.

--- /dev/null
+++ b/internal/simtest/cmd/measure/main.go
@@ -0,0 +1,27 @@
+// Command measure compares the scheduling policy with the naive baseline and
+// with the other ways to share upstreams, on the same arrivals in one run.
+package main
+
+import (
+	"flag"
+	"os"
+	"runtime"
+
+	"github.com/citrongate/citrongate/internal/simtest/measurement"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "first seed")
+	runs := flag.Int("runs", 5, "number of seeds")
+	workers := flag.Int("workers", max(1, runtime.NumCPU()/2), "runs at a time")
+	deployment := flag.String("deployment", "", "only this deployment (A or B)")
+	scenario := flag.String("scenario", "", "only calm and this scenario")
+	strict := flag.Bool("strict", false, "exit with status 1 if a target is not met")
+	flag.Parse()
+	met := measurement.Run(os.Stdout, measurement.Options{
+		Seed: *seed, Runs: *runs, Workers: *workers, Deployment: *deployment, Scenario: *scenario,
+	})
+	if *strict && !met {
+		os.Exit(1)
+	}
+}
--- a/internal/simtest/engine.go
+++ b/internal/simtest/engine.go
@@ -61,6 +61,7 @@
 	cached      uint32
 	produced    uint32
 	computed    uint32
+	gone        bool
 }
 
 // Engine is a fake model engine with continuous batching and chunked prefill.
@@ -73,6 +74,8 @@
 	PrefillDone uint64
 	// OutputDone counts tokens generated.
 	OutputDone uint64
+	// PrefillBroken counts prompt tokens processed for streams that Kill broke.
+	PrefillBroken uint64
 
 	loop       *Loop
 	waiting    []*sequence
@@ -126,6 +129,7 @@
 		if s.ID == id {
 			e.running = append(e.running[:i], e.running[i+1:]...)
 			e.memory -= s.Prompt + s.Output
+			s.gone = true
 			return s.computed
 		}
 	}
@@ -143,6 +147,8 @@
 	e.generation++
 	e.cache = prefixCache{capacity: e.CacheTokens}
 	for _, s := range broken {
+		s.gone = true
+		e.PrefillBroken += uint64(s.computed)
 		if s.OnDone != nil {
 			s.OnDone(StreamBroken, s.produced, s.cached)
 		}
@@ -216,7 +222,7 @@
 func (e *Engine) finishStep() {
 	stepped := append([]*sequence(nil), e.running...)
 	for _, s := range stepped {
-		if s.chunk == 0 && s.prefillLeft > 0 {
+		if s.gone || s.chunk == 0 && s.prefillLeft > 0 {
 			continue
 		}
 		if s.prefillLeft > 0 {
@@ -249,10 +255,10 @@
 	if s.produced == 1 && s.OnFirstToken != nil {
 		s.OnFirstToken()
 	}
-	if s.OnToken != nil {
+	if s.OnToken != nil && !s.gone {
 		s.OnToken(s.produced)
 	}
-	if s.produced < s.Output || !e.remove(s) {
+	if s.gone || s.produced < s.Output || !e.remove(s) {
 		return
 	}
 	if s.OnDone != nil {
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -158,7 +158,7 @@
 // Release ends a permit. Costs are corrected by the true number of tokens.
 func (p *Pool) Release(now time.Duration, c Completion) {
 	r := p.requests.get(c.ID)
-	if r == nil || r.state != stateInFlight {
+	if r == nil || r.state != stateInFlight || c.Attempt != 0 && c.Attempt < r.Attempt {
 		return
 	}
 	u := r.upstream
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -148,6 +148,9 @@
 	InterToken time.Duration
 	// CachedPrompt is the number of prompt tokens found in the prefix cache.
 	CachedPrompt uint32
+	// Attempt is the attempt whose permit ends; the permit of a later attempt
+	// stays. 0 means any.
+	Attempt uint32
 }
 
 // ShedReason says why a waiting request was shed.
