--- a/internal/simtest/measurement/arrivals.go
+++ b/internal/simtest/measurement/arrivals.go
@@ -15,6 +15,9 @@
 	measureFrom = 30 * time.Second
 	measureTo   = 70 * time.Second
 	runUntil    = 140 * time.Second
+	// servedFrom to measureTo is when answers count against the capacity bound;
+	// a flood needs some seconds before its first answers end.
+	servedFrom = 40 * time.Second
 	// faultAt is when stragglers, deaths and outages begin.
 	faultAt = 40 * time.Second
 	// engineDown is how long a killed engine stays away.
@@ -31,7 +34,8 @@
 	straggler   bool
 	engineDeath bool
 	ownerDeath  bool
-	storeOutage bool
+	// tight uses the tight deadlines.
+	tight bool
 }
 
 func none(deployment) int { return -1 }
@@ -49,10 +53,22 @@
 		{Name: "straggler", floodKind: none, straggler: true},
 		{Name: "engine-death", floodKind: none, engineDeath: true},
 		{Name: "owner-death", floodKind: none, ownerDeath: true},
+		{Name: "tight-calm", floodKind: none, tight: true},
+		{Name: "tight-flood-lowest", floodKind: low, tight: true},
 		{Name: "flood-engine-death", floodKind: low, engineDeath: true},
 	}
 }
 
+// calmName is the scenario that a flood is compared with.
+func (s Scenario) calmName() string {
+	if s.tight {
+		return "tight-calm"
+	}
+	return "calm"
+}
+
+func (s Scenario) isCalm() bool { return s.Name == s.calmName() }
+
 // overload is the rate of a flood as a multiple of the capacity bound.
 const overload = 2.0
 
@@ -121,6 +137,9 @@
 	}
 	a.prompt = length(spec.promptMedian, spec.promptSpread, minPrompt, maxPrompt, random)
 	a.output = length(spec.outputMedian, spec.outputSpread, minOutput, maxOutput, random)
+	if spec.outputCap > 0 {
+		a.output = min(a.output, spec.outputCap)
+	}
 	flow := uint64(kind)<<16 | uint64(a.org)<<8
 	a.prefix = 1<<32 | flow | uint64(random.IntN(prefixesPerFlow))
 	a.prefixTokens = min(a.prompt-1, uint32(spec.promptMedian/2))
