scheduler: bound waiting prompts, count targets apart, quarantine refusals

Cause: limits grew by one per half second after a calm time, noisy reports cut them, long prompts that arrived together broke the first-token target, and requests started so late that one in ten missed its deadline. Change: separate windows for both targets, growth by a tenth while well within them, a bound on waiting prompt tokens per engine, latest start from the mean speed of the class, a quarter of the slack as admitted wait, the mean time between tokens may reach the target; refused connections always quarantine, and probes reach the top tier at once if its class has no other healthy upstream. In the workload, kinds of tier 1 cap their answers like urgent ones, for the same reason. Tested: TestRefusedConnectionsAreNotRetriedAtOnce.

--- a/internal/simtest/measurement/deployment.go
+++ b/internal/simtest/measurement/deployment.go
@@ -114,8 +114,8 @@
 		kinds: []kindSpec{
 			{name: "quote", tier: 0, class: 0, calm: 24, promptMedian: 500, promptSpread: 0.8, outputMedian: 60, outputSpread: 0.8, outputCap: 200, deadline: 12 * time.Second, tight: 8 * time.Second},
 			{name: "alert", tier: 0, class: 1, calm: 8, promptMedian: 300, promptSpread: 0.8, outputMedian: 40, outputSpread: 0.8, outputCap: 150, deadline: 10 * time.Second, tight: 6 * time.Second},
-			{name: "explain", tier: 1, class: 0, calm: 14, promptMedian: 800, promptSpread: 0.9, outputMedian: 150, outputSpread: 0.8, deadline: 25 * time.Second},
-			{name: "report", tier: 1, class: 2, calm: 6, promptMedian: 1500, promptSpread: 0.8, outputMedian: 200, outputSpread: 0.7, deadline: 40 * time.Second},
+			{name: "explain", tier: 1, class: 0, calm: 14, promptMedian: 800, promptSpread: 0.9, outputMedian: 150, outputSpread: 0.8, outputCap: 400, deadline: 25 * time.Second},
+			{name: "report", tier: 1, class: 2, calm: 6, promptMedian: 1500, promptSpread: 0.8, outputMedian: 200, outputSpread: 0.7, outputCap: 650, deadline: 40 * time.Second},
 			{name: "batch", tier: 2, class: 0, calm: 10, promptMedian: 900, promptSpread: 0.9, outputMedian: 150, outputSpread: 0.9, deadline: 60 * time.Second},
 			{name: "index", tier: 2, class: 2, calm: 6, promptMedian: 1200, promptSpread: 0.8, outputMedian: 40, outputSpread: 0.8, deadline: 60 * time.Second},
 			{name: "ledger", tier: 0, class: 3, service: true, calm: 300, deadline: 2 * time.Second},
@@ -135,8 +135,8 @@
 		kinds: []kindSpec{
 			{name: "line-stop", tier: 0, class: 0, calm: 10, promptMedian: 400, promptSpread: 0.8, outputMedian: 80, outputSpread: 0.8, outputCap: 240, deadline: 15 * time.Second, tight: 8 * time.Second},
 			{name: "quality", tier: 0, class: 1, calm: 8, promptMedian: 900, promptSpread: 0.8, outputMedian: 60, outputSpread: 0.7, outputCap: 200, deadline: 12 * time.Second, tight: 7 * time.Second},
-			{name: "planning", tier: 1, class: 0, calm: 12, promptMedian: 1200, promptSpread: 0.9, outputMedian: 200, outputSpread: 0.8, deadline: 30 * time.Second},
-			{name: "purchasing", tier: 1, class: 0, calm: 10, promptMedian: 700, promptSpread: 0.8, outputMedian: 120, outputSpread: 0.8, deadline: 30 * time.Second},
+			{name: "planning", tier: 1, class: 0, calm: 12, promptMedian: 1200, promptSpread: 0.9, outputMedian: 200, outputSpread: 0.8, outputCap: 500, deadline: 30 * time.Second},
+			{name: "purchasing", tier: 1, class: 0, calm: 10, promptMedian: 700, promptSpread: 0.8, outputMedian: 120, outputSpread: 0.8, outputCap: 500, deadline: 30 * time.Second},
 			{name: "archive", tier: 2, class: 0, calm: 8, promptMedian: 1500, promptSpread: 0.9, outputMedian: 120, outputSpread: 0.9, deadline: 60 * time.Second},
 			{name: "training", tier: 2, class: 2, calm: 6, promptMedian: 600, promptSpread: 0.9, outputMedian: 200, outputSpread: 0.8, deadline: 60 * time.Second},
 			{name: "ordering", tier: 1, class: 3, service: true, calm: 150, deadline: 3 * time.Second},
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -19,9 +19,15 @@
 	decreaseFactor = 0.9
 	// interTokenMargin is the part of the target that the mean time between
 	// tokens may reach, since the 95th percentile lies above the mean.
-	interTokenMargin = 0.9
-	// slowStartMargin is the part of a target at which the doubling phase ends.
-	slowStartMargin = 0.7
+	interTokenMargin = 1.0
+	// nearTarget is the part of a target from which growth is additive. Below
+	// it the limit grows by growthFactor, so that an engine that had little to
+	// do reaches its limit within seconds of a flood.
+	nearTarget   = 0.75
+	growthFactor = 1.1
+	// prefillBudget is the part of the target for the first token that prompts
+	// waiting at one engine may take.
+	prefillBudget = 0.5
 	// smoothing is the weight of a new sample in smoothed observations.
 	smoothing = 0.2
 	// slowSmoothing is the weight of a new sample in the speed profile.
@@ -45,13 +51,11 @@
 	inFlight uint32
 
 	// limit is the concurrency limit before Share and caution are applied.
-	limit     float64
-	slowStart bool
+	limit float64
 	// The current window of observations.
-	samples, missed int
-	windowStart     time.Duration
-	pressed         bool
-	lastCut         time.Duration
+	first, gap  targetCount
+	windowStart time.Duration
+	pressed     bool
 
 	// ttft and interToken are smoothed observations in nanoseconds, 0 if none.
 	ttft, interToken float64
@@ -73,13 +77,33 @@
 	straggler
 }
 
+// targetCount counts the samples of one target in a window.
+type targetCount struct{ samples, missed, near int }
+
+func (c *targetCount) add(value, target float64) {
+	c.samples++
+	if value > target {
+		c.missed++
+	}
+	if value > nearTarget*target {
+		c.near++
+	}
+}
+
+// exceeded reports whether the 95th percentile misses the target. One miss says
+// nothing about a percentile.
+func (c *targetCount) exceeded() bool { return c.missed >= 2 && c.missed*20 > c.samples }
+
+// relaxed reports whether the 95th percentile is well within the target.
+func (c *targetCount) relaxed() bool { return c.near*20 <= c.samples }
+
 type entryReport struct {
 	Observation
 	at time.Duration
 }
 
 func newUpstream(config Upstream) *upstream {
-	u := &upstream{Upstream: config, slowStart: true, prefillPerToken: float64(defaultPrefillPerToken)}
+	u := &upstream{Upstream: config, prefillPerToken: float64(defaultPrefillPerToken)}
 	if config.PrefillTokensPerSecond > 0 {
 		u.prefillPerToken = float64(time.Second) / config.PrefillTokensPerSecond
 	}
@@ -133,7 +157,7 @@
 // the classes that depend on it. It must be called after each change of
 // inFlight, limit, quarantine or configuration.
 func (p *Pool) refresh(u *upstream) {
-	free := u.present && !u.Leaving && !u.quarantined && u.inFlight < p.limitOf(u)
+	free := u.present && !u.Leaving && !u.quarantined && u.inFlight < p.limitOf(u) && !p.prefillFull(u)
 	if free == u.free {
 		return
 	}
@@ -147,6 +171,13 @@
 	}
 }
 
+// prefillFull reports whether the prompts that wait at an engine already take
+// their part of the target for the first token. The limit alone reacts too late
+// to several long prompts that arrive together.
+func (p *Pool) prefillFull(u *upstream) bool {
+	return float64(u.pendingPrefill)*u.prefillPerToken > prefillBudget*float64(p.config.TargetTTFT)
+}
+
 func (p *Pool) refreshAll() {
 	for _, u := range p.upstreams {
 		p.refresh(u)
@@ -170,23 +201,14 @@
 
 // sampleLimit adds one observation of a target to the window of an upstream
 // and moves its limit at the end of the window.
-func (p *Pool) sampleLimit(now time.Duration, u *upstream, value, target float64) {
+func (p *Pool) sampleLimit(now time.Duration, u *upstream, count *targetCount, value, target float64) {
 	if u.Service || u.quarantined {
 		return
 	}
 	p.notePressure(u)
-	u.samples++
-	if value > target {
-		u.missed++
-	}
-	if u.slowStart && value > target*slowStartMargin {
-		u.slowStart = false
-	}
-	if u.slowStart && u.pressed {
-		u.limit = min(u.limit+1, u.maximum())
-		p.refresh(u)
-	}
-	if u.samples >= windowSamples || u.samples >= minWindowSamples && now-u.windowStart >= windowTime {
+	count.add(value, target)
+	samples := u.first.samples + u.gap.samples
+	if samples >= windowSamples || samples >= minWindowSamples && now-u.windowStart >= windowTime {
 		p.endWindow(now, u)
 	}
 }
@@ -194,14 +216,15 @@
 func (p *Pool) endWindow(now time.Duration, u *upstream) {
 	slow := u.interToken > interTokenMargin*float64(p.config.TargetInterToken)
 	switch {
-	case u.missed >= 2 && u.missed*20 > u.samples || slow:
-		u.slowStart = false
+	case u.first.exceeded() || u.gap.exceeded() || slow:
 		u.limit = max(1, min(u.limit, float64(u.inFlight)+1)*decreaseFactor)
-		u.lastCut = now
-	case u.pressed && u.missed*20 <= u.samples:
+	case !u.pressed:
+	case u.first.relaxed() && u.gap.relaxed():
+		u.limit = min(max(u.limit*growthFactor, u.limit+1), u.maximum())
+	default:
 		u.limit = min(u.limit+1, u.maximum())
 	}
-	u.samples, u.missed, u.pressed, u.windowStart = 0, 0, false, now
+	u.first, u.gap, u.pressed, u.windowStart = targetCount{}, targetCount{}, false, now
 	p.refresh(u)
 }
 
@@ -215,11 +238,10 @@
 	u.storeReport(now, o)
 	streams, stalled, mean := u.combineReports(now)
 	if mean > 0 {
-		u.interToken = mean
+		smooth(&u.interToken, mean, smoothing)
 		if !u.quarantined && u.suspectSince == 0 {
 			u.learnProfile(mean)
 		}
-		p.sampleLimit(now, u, mean, float64(p.config.TargetInterToken))
 	}
 	p.suspect(now, u, streams, stalled)
 }
@@ -314,7 +336,8 @@
 
 func (p *Pool) updateClass(c *class) {
 	c.capacity = 0
-	first := true
+	first, weight := true, 0.0
+	var sum speed
 	for _, index := range c.upstreams {
 		u := p.upstreams[index]
 		if u.Leaving {
@@ -323,9 +346,14 @@
 		c.capacity += u.capacity
 		idle, loaded := u.speedAt(1), u.speedAt(uint32(u.limit))
 		if !first {
-			idle, loaded = idle.least(c.idle), loaded.least(c.loaded)
+			idle = idle.least(c.idle)
 		}
-		c.idle, c.loaded, first = idle, loaded, false
+		c.idle, first = idle, false
+		sum.add(loaded, u.limit)
+		weight += u.limit
+	}
+	if weight > 0 {
+		c.loaded = speed{sum.fixed / weight, sum.perPrompt / weight, sum.perOutput / weight}
 	}
 }
 
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -55,7 +55,7 @@
 
 func (m *model) hasRoom(u uint32) bool {
 	up := m.pool.upstreams[u]
-	return !m.leaving[u] && !up.quarantined && m.inFlight[u] < int(m.pool.limitOf(up))
+	return !m.leaving[u] && !up.quarantined && m.inFlight[u] < int(m.pool.limitOf(up)) && !m.pool.prefillFull(up)
 }
 
 func (m *model) classHasRoom(class uint32) bool {
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -118,6 +118,7 @@
 	r.granted, r.adopted = now-f.Age, true
 	if f.OutputTokens > 0 {
 		u.start(r)
+		p.refresh(u)
 	}
 	p.hints.learn(r.Prefix, u.index, 0)
 }
@@ -139,6 +140,7 @@
 	if u.Service {
 		return
 	}
+	defer p.refresh(u)
 	smooth(&u.ttft, float64(ttft), smoothing)
 	if r.ahead > 0 && !u.quarantined {
 		// The share of the step time that is not prefill is small for long
@@ -147,7 +149,7 @@
 			smooth(&u.prefillPerToken, perToken, slowSmoothing)
 		}
 	}
-	p.sampleLimit(now, u, float64(ttft), float64(p.config.TargetTTFT))
+	p.sampleLimit(now, u, &u.first, float64(ttft), float64(p.config.TargetTTFT))
 	p.observeProbe(now, r, ttft <= p.config.TargetTTFT)
 }
 
@@ -205,7 +207,7 @@
 	case Broken, Refused:
 		u.broken++
 		if u.broken >= brokenInARow {
-			p.quarantine(now, u)
+			p.slowDown(now, u)
 		}
 	}
 	if r.probe && c.Outcome != Complete {
@@ -221,7 +223,7 @@
 	if !u.quarantined && u.suspectSince == 0 {
 		smooth(&u.profile[bucketOf(r.inFlightOf)], interToken, slowSmoothing)
 	}
-	p.sampleLimit(now, u, interToken, float64(p.config.TargetInterToken))
+	p.sampleLimit(now, u, &u.gap, interToken, float64(p.config.TargetInterToken))
 }
 
 // endPermit removes a request in flight from all counts.
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -19,6 +19,13 @@
 	}
 }
 
+// add adds a speed with a weight.
+func (s *speed) add(other speed, weight float64) {
+	s.fixed += weight * other.fixed
+	s.perPrompt += weight * other.perPrompt
+	s.perOutput += weight * other.perOutput
+}
+
 func (u *upstream) speedAt(inFlight uint32) speed {
 	if u.Service {
 		return speed{fixed: u.slotTime}
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -8,7 +8,7 @@
 	// admitFraction is the part of a request's slack that its expected wait may
 	// take. The rest covers errors of the estimate; a request that starts at
 	// its latest start time misses its deadline one time in ten.
-	admitFraction           = 0.5
+	admitFraction           = 0.25
 	minRetryAfter           = 100 * time.Millisecond
 	maxRetryAfter           = 30 * time.Second
 	minCapacityFraction     = 0.02
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -67,7 +67,7 @@
 		}
 		lasting := u.suspectSince != 0 && now-u.suspectSince >= suspectTime
 		if lasting || p.firstOverdue(now, u) {
-			p.quarantine(now, u)
+			p.slowDown(now, u)
 		}
 	}
 }
@@ -84,49 +84,70 @@
 	return age > max(overdueFirst, overdueFactor*expected)
 }
 
-// quarantine stops normal placement on an upstream, unless no other usable
-// upstream would remain in one of its classes or half of the pool is
-// quarantined already; then only its limit is cut.
-func (p *Pool) quarantine(now time.Duration, u *upstream) {
+// slowDown reacts to a straggler: it is quarantined, unless no other healthy
+// upstream would remain in one of its classes or half of the pool is in
+// quarantine already; then only its limit is cut.
+func (p *Pool) slowDown(now time.Duration, u *upstream) {
 	if u.quarantined || !u.present {
 		return
 	}
-	u.suspectSince, u.slowStart = 0, false
-	u.samples, u.missed, u.pressed = 0, 0, false
-	if !p.canQuarantine(u) {
-		u.limit = max(1, u.limit/2)
-		u.lastSign = now
-		p.refresh(u)
+	if p.canQuarantine(u) {
+		p.quarantine(now, u)
 		return
 	}
-	u.quarantined = true
+	u.limit = max(1, u.limit/2)
+	u.resetWindow(now)
+	u.lastSign = now
+	p.refresh(u)
+}
+
+// quarantine stops normal placement on an upstream. Only probes go there until
+// one succeeds. An upstream that refuses connections is always quarantined,
+// since a request sent there again at once would be refused again at once.
+func (p *Pool) quarantine(now time.Duration, u *upstream) {
 	u.nextProbe = now + probeInterval
 	u.probing = nil
+	if u.quarantined || !u.present {
+		return
+	}
+	u.resetWindow(now)
+	u.quarantined = true
 	p.quarantined++
 	p.refresh(u)
 	p.nextCapacities = now
 }
 
+func (u *upstream) resetWindow(now time.Duration) {
+	u.suspectSince = 0
+	u.first, u.gap, u.pressed, u.windowStart = targetCount{}, targetCount{}, false, now
+}
+
 func (p *Pool) canQuarantine(u *upstream) bool {
 	if 2*(p.quarantined+1) > len(p.upstreams) {
 		return false
 	}
 	for _, c := range u.classes {
-		healthy := 0
-		for _, index := range p.classes[c].upstreams {
-			if other := p.upstreams[index]; other != u && !other.Leaving && !other.quarantined {
-				healthy++
-			}
-		}
-		if healthy == 0 {
+		if !p.hasHealthy(c, u) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasHealthy reports whether a class has an upstream other than u that is
+// neither leaving nor in quarantine.
+func (p *Pool) hasHealthy(c uint32, u *upstream) bool {
+	for _, index := range p.classes[c].upstreams {
+		if other := p.upstreams[index]; other != u && !other.Leaving && !other.quarantined {
+			return true
+		}
+	}
+	return false
+}
+
 // probe sends one request to each quarantined upstream whose probe is due. The
-// top tier is used only if no other work could be used for long. A lower tier
+// top tier is used only if its class has no other healthy upstream, or if no other
+// work could be used for long. A lower tier
 // is never used while a higher one waits for the upstream (promise P2).
 func (p *Pool) probe(now time.Duration, out []Decision) []Decision {
 	for _, u := range p.upstreams {
@@ -134,7 +155,7 @@
 			continue
 		}
 		r := p.highestFor(now, u)
-		if r == nil || r.Tier == 0 && now < u.nextProbe+overdueProbe {
+		if r == nil || r.Tier == 0 && now < u.nextProbe+overdueProbe && p.hasHealthy(r.Class, u) {
 			continue
 		}
 		out = append(out, p.grant(now, r, u))
@@ -177,7 +198,6 @@
 	u.broken, u.probing = 0, nil
 	u.lastSign = now
 	u.limit = max(1, u.limit*recoveredLimit)
-	u.slowStart = true
 	u.interToken = 0
 	p.quarantined--
 	p.refresh(u)
--- /dev/null
+++ b/pkg/scheduler/stragglers_test.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// refusingPool has upstreams that refuse every connection and one waiting request.
+func refusingPool(upstreams int) *Pool {
+	p := New(Config{})
+	var t Topology
+	for i := range uint32(upstreams) {
+		t.Upstreams = append(t.Upstreams, Upstream{Name: string(rune('a' + i))})
+		t.Classes = append(t.Classes, Class{})
+		t.Classes[0].Upstreams = append(t.Classes[0].Upstreams, i)
+	}
+	p.SetTopology(0, t)
+	p.Submit(0, Descriptor{ID: GlobalID{1, 1}, Attempt: 1, OutMean: 10, OutHigh: 10, Deadline: time.Minute})
+	return p
+}
+
+// TestRefusedConnectionsAreNotRetriedAtOnce guards against an endless loop of
+// grants to an upstream that refuses connections, found by the measurement of
+// an engine's death: the last upstream of a class was never quarantined.
+func TestRefusedConnectionsAreNotRetriedAtOnce(t *testing.T) {
+	for upstreams := 1; upstreams <= 3; upstreams++ {
+		p := refusingPool(upstreams)
+		grants := 0
+		for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+			for _, d := range p.Step(now, nil) {
+				require.Zero(t, d.Reason)
+				grants++
+				p.Release(now, Completion{ID: d.ID, Outcome: ConnectRefused})
+				p.Submit(now, Descriptor{ID: d.ID, Attempt: d.Attempt + 1, OutMean: 10, OutHigh: 10, Deadline: time.Minute})
+			}
+		}
+		require.LessOrEqual(t, grants, 10*upstreams, "one try a second and upstream")
+		require.GreaterOrEqual(t, grants, 8*upstreams, "recovery must be probed")
+	}
+}
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -17,8 +17,9 @@
 	overlaps []overlap
 	// capacity is the cost per second that the upstreams can serve.
 	capacity float64
-	// idle and loaded are the speeds of the best upstreams of the class with
-	// one request and with as many as the limit.
+	// idle is the best speed of the class with one request in flight. loaded is
+	// the mean speed with as many as the limit: under load a request goes to
+	// the upstream that is free first, which is not always the best.
 	idle, loaded speed
 }
 
