scheduler: lower the target between tokens while top-tier answers are late

Cause: at 54 ms between tokens the top tier misses deadlines that it meets in calm times, because lower tiers fill the engines up to that target. Change: a pace that falls with late answers of tier 0 and rises with those in time; its steps shrink with the part of lower tiers in flight. Decrease by a twentieth instead of a tenth.

--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -158,7 +158,7 @@
 	}
 	if flood >= 0 && d.kinds[flood].tier == 0 {
 		list = append(list, c.collect("top_tier_of_bound", func(p, run int) float64 {
-			return ofBound(d, &result(p, run).servedTopMix, topArrived(d, result(p, run)))
+			return ofBound(c, &result(p, run).servedTopMix, topArrived(d, result(p, run)))
 		}).with(atLeast(0.95)))
 	}
 	if flood >= 0 {
@@ -166,7 +166,7 @@
 			part, _ := kept(d, flood, calmOf(p, run), result(p, run))
 			return part
 		}).with(atLeast(0.95)), c.collect("total_of_bound", func(p, run int) float64 {
-			return ofBound(d, &result(p, run).servedMix, math.Inf(1))
+			return ofBound(c, &result(p, run).servedMix, math.Inf(1))
 		}).with(atLeast(0.9)))
 	}
 	if c.scenario.largeCaller {
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -16,10 +16,12 @@
 	minWindowSamples = 4
 	windowTime       = 500 * time.Millisecond
 	// decreaseFactor is applied when more than one sample in 20 missed a target.
-	decreaseFactor = 0.9
-	// interTokenMargin is the part of the target that the mean time between
-	// tokens may reach, since the 95th percentile lies above the mean.
-	interTokenMargin = 1.0
+	decreaseFactor = 0.95
+	// The target between tokens is lowered while more than one top-tier answer
+	// in a hundred misses its deadline, down to minPace of it.
+	lateStep, onTimeStep = 0.02, 0.0002
+	minPace              = 0.5
+	minPaceGain          = 0.1
 	// nearTarget is the part of a target from which growth is additive. Below
 	// it the limit grows by growthFactor, so that an engine that had little to
 	// do reaches its limit within seconds of a flood.
@@ -214,7 +216,7 @@
 }
 
 func (p *Pool) endWindow(now time.Duration, u *upstream) {
-	slow := u.interToken > interTokenMargin*float64(p.config.TargetInterToken)
+	slow := u.interToken > p.gapTarget()
 	switch {
 	case u.first.exceeded() || u.gap.exceeded() || slow:
 		u.limit = max(1, min(u.limit, float64(u.inFlight)+1)*decreaseFactor)
@@ -228,6 +230,33 @@
 	p.refresh(u)
 }
 
+// gapTarget returns the target between tokens in nanoseconds.
+func (p *Pool) gapTarget() float64 {
+	return p.pace * float64(p.config.TargetInterToken)
+}
+
+// learnPace moves the pace towards one late answer in a hundred in the top
+// tier. Deadlines of the top tier may need a faster engine than the target
+// between tokens promises, and no lower tier may take that from it. The steps
+// are as small as the part of the work that lower tiers have in flight: when
+// the top tier competes with itself, a lower pace costs more answers than it
+// saves.
+func (p *Pool) learnPace(tier uint8, late bool) {
+	if tier != 0 {
+		return
+	}
+	top, all := p.tiers[0].flight, uint32(0)
+	for i := range p.tiers {
+		all += p.tiers[i].flight
+	}
+	gain := max(minPaceGain, 1-float64(top)/float64(max(1, all)))
+	if late {
+		p.pace = max(minPace, p.pace-gain*lateStep)
+	} else {
+		p.pace = min(1, p.pace+gain*onTimeStep)
+	}
+}
+
 // Progress takes in what an entry saw at one upstream. Entries report when the
 // rate changes and when streams stall, so a report holds until the next one.
 func (p *Pool) Progress(now time.Duration, o Observation) {
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -193,6 +193,9 @@
 		u.lastSign = now
 		u.broken = 0
 		u.learnSlot(p.trueCost(r, c), now-r.granted)
+		if !u.Service {
+			p.learnPace(r.Tier, c.Outcome == Late)
+		}
 		if !r.started && c.TTFT > 0 {
 			p.observeFirst(now, r, c.TTFT)
 		}
@@ -223,7 +226,7 @@
 	if !u.quarantined && u.suspectSince == 0 {
 		smooth(&u.profile[bucketOf(r.inFlightOf)], interToken, slowSmoothing)
 	}
-	p.sampleLimit(now, u, &u.gap, interToken, float64(p.config.TargetInterToken))
+	p.sampleLimit(now, u, &u.gap, interToken, p.gapTarget())
 }
 
 // endPermit removes a request in flight from all counts.
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -42,6 +42,8 @@
 	// overloaded holds new requests that were not admitted since the last Step.
 	overloaded []refusal
 
+	// pace is the part of the target between tokens that is aimed at.
+	pace           float64
 	cautiousUntil  time.Duration
 	nextCheck      time.Duration
 	nextCapacities time.Duration
@@ -71,6 +73,7 @@
 	config.Share = max(1, config.Share)
 	return &Pool{
 		config:     config,
+		pace:       1,
 		hints:      newHintTable(config.Seed),
 		requests:   newTable[GlobalID, request](hashID),
 		kindStates: newTable[uint32, limitState[*kindQueue]](hashUint32),
