--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -1,6 +1,7 @@
 package measurement
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -176,6 +177,15 @@
 			return result(p, run).smallGoodput(2) / calmOf(p, run).smallGoodput(2)
 		}))
 	}
+	if c.scenario.straggler {
+		f := figure{name: "straggler_detected_ms"}
+		for run := range c.results[0] {
+			// Never detected counts as the rest of the measured time.
+			detected := cmp.Or(c.results[0][run].detected, measureTo-faultAt)
+			f.values = append(f.values, milliseconds(detected))
+		}
+		list = append(list, f.with(atMost(2000)))
+	}
 	return append(list, c.commonFigures()...)
 }
 
--- a/internal/simtest/measurement/result.go
+++ b/internal/simtest/measurement/result.go
@@ -26,6 +26,7 @@
 	// Violations of P2 by the time of the decision and as seen at the entry.
 	Violations, ViolationsAtEntry, Sheds int
 	policyStats
+	detected time.Duration
 }
 
 // policies lists what is compared; the first is the design, the second the baseline.
@@ -42,7 +43,7 @@
 	result := Result{
 		Good: make([]int, len(d.kinds)), Arrived: make([]int, len(d.kinds)),
 		Violations: r.atDecision.violations, ViolationsAtEntry: r.atEntry.violations, Sheds: r.atDecision.sheds,
-		policyStats: r.stats, PrefillWasted: r.wastedPrefill,
+		policyStats: r.stats, detected: r.detected, PrefillWasted: r.wastedPrefill,
 	}
 	for tier := range result.GoodByOrg {
 		result.GoodByOrg[tier] = make([]int, len(d.orgShares))
--- a/internal/simtest/measurement/run.go
+++ b/internal/simtest/measurement/run.go
@@ -81,7 +81,9 @@
 	// and by the time at which the entry knows of it.
 	atDecision, atEntry *observer
 	wastedPrefill       uint64
-	stats               policyStats
+	// detected is the time until the straggler was detected, 0 if never.
+	detected time.Duration
+	stats    policyStats
 }
 
 // policyStats counts the work of deciding.
@@ -141,7 +143,10 @@
 func (r *run) scheduleFaults() {
 	engine := r.engines[faultyEngine]
 	if r.scenario.straggler {
-		r.loop.At(faultAt, func() { engine.SetSlowdown(stragglerFactor) })
+		r.loop.At(faultAt, func() {
+			engine.SetSlowdown(stragglerFactor)
+			r.watchDetection()
+		})
 	}
 	if r.scenario.engineDeath {
 		r.loop.At(faultAt, engine.Kill)
@@ -155,6 +160,21 @@
 	}
 }
 
+// watchDetection notes when the policy takes the straggler out of use.
+func (r *run) watchDetection() {
+	p, ok := r.policy.(*ownerPolicy)
+	if !ok {
+		return
+	}
+	r.loop.Every(20*time.Millisecond, func() bool {
+		if !p.host.pool.Summary().Upstreams[faultyEngine].Straggler {
+			return r.loop.Now() < measureTo
+		}
+		r.detected = r.loop.Now() - faultAt
+		return false
+	})
+}
+
 func (r *run) arrive(a arrival) {
 	for r.dead[a.entry] {
 		a.entry = (a.entry + 1) % r.d.entries
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -272,7 +272,7 @@
 			u.learnProfile(mean)
 		}
 	}
-	p.suspect(now, u, streams, stalled)
+	p.suspect(now, u, mean, streams, stalled)
 }
 
 func (u *upstream) storeReport(now time.Duration, o Observation) {
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -42,13 +42,14 @@
 	probing   *request
 }
 
-// suspect updates the suspicion of an upstream after a report.
-func (p *Pool) suspect(now time.Duration, u *upstream, streams, stalled uint32) {
+// suspect updates the suspicion of an upstream after a report. It uses the mean
+// of the latest reports; the smoothed one takes longer than 2 s to show a
+// slowdown.
+func (p *Pool) suspect(now time.Duration, u *upstream, mean float64, streams, stalled uint32) {
 	if u.Service || u.quarantined {
 		return
 	}
-	slow := u.interToken > float64(p.config.TargetInterToken) &&
-		u.interToken > slowRatio*u.expectedInterToken(u.inFlight)
+	slow := mean > float64(p.config.TargetInterToken) && mean > slowRatio*u.expectedInterToken(u.inFlight)
 	stalls := streams >= 2 && 2*stalled >= streams
 	switch {
 	case !slow && !stalls:
