--- a/pkg/binding/bucket.go
+++ b/pkg/binding/bucket.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// bucketCount is the number of claim objects in the store. More buckets
-	// hold more claims but group fewer claims in one write. All instances must
-	// use the same number.
-	bucketCount = 256
+	// bucketCount is the number of claim objects in the store; all instances must
+	// use the same number. More buckets hold more claims (64 hold about 800,000,
+	// or one a second for a week) but group fewer of them in one write: at 100
+	// bookings a second over 8 instances with 20 calls a second each, 16 buckets
+	// served all, 64 served 98% and 256 served 81%.
+	bucketCount = 64
 	// maxBucketBytes bounds a bucket; the object API holds values up to 1 MB.
-	maxBucketBytes = 512 << 10
+	maxBucketBytes = 768 << 10
 	// maxBucketOutcomes is the size from which the oldest recorded bodies of a
 	// bucket are dropped.
 	maxBucketOutcomes = 256 << 10
@@ -113,19 +115,22 @@
 	}
 }
 
-func (c *Claims) call(op store.Op, reason store.Reason, handle func(now time.Duration, r store.Result)) {
+func (c *Claims) call(op store.Op, priority store.Priority, reason store.Reason, handle func(now time.Duration, r store.Result)) {
 	id := c.cfg.IDs.Next()
 	c.pending[id] = handle
-	c.calls = append(c.calls, store.Call{ID: id, Op: op, Priority: store.PriorityClaim, Reason: reason})
+	c.calls = append(c.calls, store.Call{ID: id, Op: op, Priority: priority, Reason: reason})
 }
 
 func (c *Claims) read(b *bucket) {
 	b.busy = true
-	reason := store.ReasonClaim
-	if b.readBack {
+	priority, reason := store.PriorityClaim, store.ReasonClaim
+	switch {
+	case len(b.waiting) == 0:
+		priority, reason = store.PriorityOutcome, store.ReasonOutcome
+	case b.readBack:
 		reason = store.ReasonClaimReadBack
 	}
-	c.call(store.Op{Kind: store.Get, Key: bucketKey(b.index)}, reason, func(now time.Duration, r store.Result) {
+	c.call(store.Op{Kind: store.Get, Key: bucketKey(b.index)}, priority, reason, func(now time.Duration, r store.Result) {
 		b.busy = false
 		content := &pb.ClaimBucket{}
 		switch {
@@ -215,12 +220,12 @@
 	if b.version == 0 {
 		op.Kind = store.Create
 	}
-	reason := store.ReasonClaim
+	priority, reason := store.PriorityClaimWrite, store.ReasonClaim
 	if len(w.claims) == 0 {
-		reason = store.ReasonOutcome
+		priority, reason = store.PriorityOutcome, store.ReasonOutcome
 	}
 	b.busy = true
-	c.call(op, reason, func(now time.Duration, r store.Result) {
+	c.call(op, priority, reason, func(now time.Duration, r store.Result) {
 		b.busy = false
 		c.onWritten(now, b, w, r)
 	})
--- a/pkg/store/budget.go
+++ b/pkg/store/budget.go
@@ -11,12 +11,16 @@
 type Priority uint8
 
 // Priorities. The kinds of call whose volume is small and bounded come first,
-// so that a flood of claims cannot delay a configuration change or a lease.
+// so that a flood of claims cannot delay a configuration change or a lease. The
+// write of a claim goes before reads, since it conflicts if another instance
+// writes between its read and itself.
 const (
 	PriorityLease Priority = iota
 	PriorityConfigWrite
 	PriorityConfigRead
+	PriorityClaimWrite
 	PriorityClaim
+	PriorityOutcome
 	PriorityCleanup
 
 	priorityCount
