--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -106,7 +106,7 @@
 	r.Holder = t.route(r.Pool).holder(t.cfg.Self)
 	if !t.budget.take() {
 		t.count("retries_denied", reason)
-		r.notBefore = now + resendBase + t.jitter()
+		r.notBefore = now + deniedDelay + t.jitter()
 		return false
 	}
 	t.count("retries", reason)
@@ -162,6 +162,9 @@
 	}
 	r.Tokens = max(r.Tokens, output)
 	outcome, refusal := classify(r, result)
+	if t.cfg.DenyRun && refusal.Code != "" {
+		refusal.Ran = RanNo
+	}
 	t.release(now, r, outcome, cached)
 	t.end(r, refusal)
 	return true
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -67,6 +67,9 @@
 		r.Holder = holder
 		t.count(counter, reason)
 		r.offered = false
+		// A move is no retry: the new holder must know of all waiting requests
+		// at once, or it could serve a lower tier first.
+		r.notBefore = 0
 		if holder.Local {
 			t.offer(now, r)
 		}
@@ -228,3 +231,29 @@
 	}
 	r.Pool = pool
 }
+
+// HashRequest returns the contribution of one request to a digest.
+func HashRequest(id uint64, attempt uint32) uint64 {
+	x := id*0x9e3779b97f4a7c15 ^ uint64(attempt)*0xbf58476d1ce4e5b9
+	x = (x ^ x>>29) * 0x94d049bb133111eb
+	return x ^ x>>32
+}
+
+// Digest summarises the requests of a pool that an owner should know of:
+// offered and waiting, or dispatched under one of its permits.
+func (t *Table) Digest(pool, owner uint64) (count uint32, waiting bool, hash uint64) {
+	p, ok := t.pools[pool]
+	if !ok {
+		return 0, false, 0
+	}
+	holder := Holder{Owner: owner}
+	for _, r := range p.records {
+		if r.Holder != holder || r.State == Waiting && !r.offered {
+			continue
+		}
+		count++
+		waiting = waiting || r.State == Waiting
+		hash ^= HashRequest(uint64(r.ID), r.Attempt)
+	}
+	return count, waiting, hash
+}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -22,15 +22,19 @@
 	DispatchTwice bool
 	// CancelOnDrain is a mutation for tests: a drain cuts what is in progress.
 	CancelOnDrain bool
+	// DenyRun is a mutation for tests: a broken answer is reported as not run.
+	DenyRun bool
 }
 
 // Times of a table.
 const (
 	// resendBase is the time after which an undecided offer is repeated; it
-	// doubles with each repetition up to resendMax. Frames are rarely lost, so
-	// repetitions are a repair and not part of the normal flow.
-	resendBase = 500 * time.Millisecond
+	// doubles with each repetition up to resendMax. A lost message is normally
+	// noticed earlier, by the digests that the caller sends to owners.
+	resendBase = time.Second
 	resendMax  = 4 * time.Second
+	// deniedDelay is how long a retry waits that has no budget.
+	deniedDelay = 500 * time.Millisecond
 	// retryJitterMin and retryJitterMax bound the delay of a retry.
 	retryJitterMin = 10 * time.Millisecond
 	retryJitterMax = 60 * time.Millisecond
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -135,7 +135,9 @@
 	case pb.MemberState_MEMBER_STATE_SUSPECT, pb.MemberState_MEMBER_STATE_DEAD:
 		if u.Sequence >= v.self.Sequence {
 			v.self.Sequence = u.Sequence + 1
-			v.gossip.add(healthUpdate(v.self.Member), v.LiveCount())
+			update := healthUpdate(v.self.Member)
+			v.gossip.add(update, v.LiveCount())
+			v.broadcast(update)
 		}
 	}
 }
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -100,7 +100,12 @@
 	v.Apply(now, reply.Members)
 	v.trust()
 	if _, sameCell := v.members[from]; sameCell {
-		v.join.joined = true
+		if !v.join.joined {
+			// All members must agree on the new owners at once; gossip would
+			// leave two owners for about a second.
+			v.join.joined = true
+			v.broadcast(healthUpdate(v.self.Member))
+		}
 		return
 	}
 	if !v.join.joined {
--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -14,23 +14,26 @@
 func score(key, incarnation uint64) uint64 { return mix(key ^ mix(incarnation)) }
 
 // Owner returns the instance that owns a key: the one with the highest
-// rendezvous score of the live members that are not leaving. If all are
-// leaving, the leaving ones are considered. Suspect members stay candidates,
-// since most suspicions are refuted and a change of owner costs a
-// synchronisation.
+// rendezvous score of the members that are alive and not leaving. Suspect
+// members do not own, since work would wait for them until they are declared
+// dead. If nobody else is left, suspect and then leaving members are considered.
 func (v *View) Owner(key uint64) uint64 {
-	if owner, ok := v.highest(key, false); ok {
-		return owner
+	for _, accept := range []func(*member) bool{
+		func(m *member) bool { return m.State == Alive && !m.Leaving },
+		func(m *member) bool { return m.State != Dead && !m.Leaving },
+		func(m *member) bool { return m.State != Dead },
+	} {
+		if owner, ok := v.highest(key, accept); ok {
+			return owner
+		}
 	}
-	owner, _ := v.highest(key, true)
-	return owner
+	return v.self.Incarnation
 }
 
-func (v *View) highest(key uint64, leaving bool) (uint64, bool) {
-	var best, bestScore uint64
-	found := false
+func (v *View) highest(key uint64, accept func(*member) bool) (best uint64, found bool) {
+	var bestScore uint64
 	consider := func(m *member) {
-		if m.State == Dead || m.Leaving && !leaving {
+		if !accept(m) {
 			return
 		}
 		if s := score(key, m.Incarnation); !found || s > bestScore {
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// PingThroughOthers asks other members to ping one that does not answer. It
+// returns false if there is nobody to ask.
+func (v *View) PingThroughOthers(incarnation uint64) bool {
+	sequence := v.probe.nextSequence()
+	others := v.pick(indirectPings, incarnation)
+	for _, m := range others {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_PingRequest{
+			PingRequest: &pb.PingRequest{Sequence: sequence, Target: incarnation}}})
+	}
+	return len(others) > 0
+}
+
+// LastRelayed returns when another member last passed on an answer of a
+// member; 0 if never.
+func (v *View) LastRelayed(incarnation uint64) time.Duration {
+	if m, ok := v.members[incarnation]; ok {
+		return m.relayed
+	}
+	return 0
+}
+
 func (v *View) ping(m *member, sequence uint32) {
 	v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_Ping{Ping: &pb.Ping{
 		Sequence: sequence, Target: m.Incarnation, Updates: v.piggyback(m.Incarnation)}}})
@@ -178,6 +199,8 @@
 	v.trust()
 	if ack.Target == from {
 		v.Answered(now, from)
+	} else if m, ok := v.members[ack.Target]; ok {
+		m.relayed = now
 	}
 	v.contacts.answered(ack.Target)
 	if r, ok := v.probe.relays[ack.Sequence]; ok && ack.Target == from {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -5,7 +5,8 @@
 //
 // Invariants:
 //   - the messages sent per ping interval do not depend on the cell's size,
-//     except for a reader's announcement and the announcement of a leave;
+//     except for a reader's announcements and for rare events: a join, a leave,
+//     the suspicion of an owner that work waits for, and its refutation;
 //   - leaving is sticky: once known for an incarnation it is never undone;
 //   - a member's sequence number never decreases, and only the member itself
 //     raises it.
@@ -97,6 +98,8 @@
 	// heard is when a frame of the member last arrived; answered is when it
 	// last answered something that this instance sent.
 	heard, answered time.Duration
+	// relayed is when another member last passed on an answer of this one.
+	relayed time.Duration
 	// notified is when a member taken for dead was last told so.
 	notified time.Duration
 }
@@ -147,7 +150,7 @@
 // SetConfigRevision sets the revision that is reported to other members.
 func (v *View) SetConfigRevision(revision uint64) { v.self.ConfigRevision = revision }
 
-// Epoch changes whenever the set of live, not leaving members changes.
+// Epoch changes whenever an owner may have changed.
 func (v *View) Epoch() uint64 { return v.epoch }
 
 // Members returns all known members of the cell with the instance itself
@@ -234,6 +237,27 @@
 	return 0
 }
 
+// Suspect makes a member suspect that did not answer while requests waited for
+// it, and tells every member of the cell, so that all agree on the next owner
+// without waiting for gossip.
+func (v *View) Suspect(now time.Duration, incarnation uint64) {
+	m, ok := v.members[incarnation]
+	if !ok || m.State != Alive {
+		return
+	}
+	v.setState(now, m, Suspect)
+	v.broadcast(healthUpdate(m.Member))
+}
+
+// broadcast sends an update to every live member of the cell. It is used for
+// rare events only.
+func (v *View) broadcast(update *pb.MemberUpdate) {
+	v.Live(func(m Member) {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
+			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
+	})
+}
+
 // Trusted reports whether the view may be relied on for ownership. It is false
 // after a pause, until another member has answered.
 func (v *View) Trusted() bool { return !v.paused }
@@ -251,10 +275,7 @@
 func (v *View) announceSelf() {
 	update := leavingUpdate(v.self.Member)
 	v.gossip.add(update, v.LiveCount())
-	v.Live(func(m Member) {
-		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
-			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
-	})
+	v.broadcast(update)
 }
 
 // Outbox returns the messages to send and empties the list.
@@ -362,9 +383,7 @@
 	if m.State == state {
 		return
 	}
-	if (m.State == Dead) != (state == Dead) {
-		v.changed()
-	}
+	v.changed()
 	m.State, m.since = state, now
 	v.gossip.add(healthUpdate(m.Member), v.LiveCount())
 }
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -41,7 +41,8 @@
 	RetryAfter time.Duration
 }
 
-// ReplyRecorded answers a non-idempotent call with a recorded outcome.
+// ReplyRecorded answers a non-idempotent call with a recorded outcome. The call
+// that ran itself is not answered this way: its edge relays the upstream's answer.
 type ReplyRecorded struct {
 	ID      RequestID
 	Outcome *pb.BindingOutcome
@@ -57,7 +58,8 @@
 	Call *pb.BindingCall
 }
 
-// SendFrame sends a frame to another instance. Frames may be lost.
+// SendFrame sends a frame to another instance. Frames may be lost. To is 0 if
+// only the address is known, while the instance joins.
 type SendFrame struct {
 	To      Incarnation
 	Address string
@@ -81,6 +83,14 @@
 	FencingNumber uint64
 	Verb          string
 	Argument      string
+	// SendWithin is the time after which the edge must not start to send.
+	SendWithin time.Duration
+}
+
+// OrderResult answers an OrderUpstream.
+type OrderResult struct {
+	Order  uint64
+	Status OrderStatus
 }
 
 // ChangeDone answers an ApplyChange.
@@ -113,6 +123,7 @@
 func (StoreCall) isAction()      {}
 func (ListInstances) isAction()  {}
 func (SendOrder) isAction()      {}
+func (OrderResult) isAction()    {}
 func (ChangeDone) isAction()     {}
 func (ConfigInForce) isAction()  {}
 func (Count) isAction()          {}
--- /dev/null
+++ b/pkg/node/calls.go
@@ -0,0 +1,320 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/binding"
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/membership"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// forwardedBit marks ids that this node chose for calls forwarded to it.
+const forwardedBit dispatch.ID = 1 << 63
+
+// forwardResend is the time after which an unanswered forward is sent again;
+// the home answers a repetition from its record.
+const forwardResend = time.Second
+
+// call is a non-idempotent call known to this instance.
+type call struct {
+	keyType binding.KeyType
+	// origin and sequence name the instance that forwarded the call and its id
+	// there; 0 if a caller of this instance sent it.
+	origin, sequence uint64
+	// runs is true if this call was told to run.
+	runs    bool
+	outcome *pb.BindingOutcome
+	gone    bool
+}
+
+// forward is a call that this instance forwarded to its home.
+type forward struct {
+	id       dispatch.ID
+	home     uint64
+	message  *pb.BindingCall
+	deadline time.Duration
+	resendAt time.Duration
+}
+
+type originKey struct{ origin, sequence uint64 }
+
+// callSet holds the non-idempotent calls in progress.
+type callSet struct {
+	running  map[dispatch.ID]*call
+	byOrigin map[originKey]dispatch.ID
+	// forwards are in order of submission.
+	forwards []*forward
+}
+
+func newCallSet() callSet {
+	return callSet{running: map[dispatch.ID]*call{}, byOrigin: map[originKey]dispatch.ID{}}
+}
+
+// submitCall binds a non-idempotent call to its home. hops is 1 if another
+// instance forwarded it.
+func (n *Node) submitCall(id dispatch.ID, r *request, hops int) {
+	keyType, home := binding.Classify(r.IdempotencyKey)
+	c := n.calls.running[id]
+	if c == nil {
+		c = &call{}
+		n.calls.running[id] = c
+	}
+	c.keyType = keyType
+	if keyType == binding.KeyTicket && home != n.self {
+		n.forward(id, r, home, hops)
+		return
+	}
+	bound := binding.Call{Organisation: r.Organisation, Kind: r.Kind, Key: r.IdempotencyKey, Body: r.Body, Deadline: r.deadline}
+	switch {
+	case keyType == binding.KeyMalformed:
+		n.refuseRequest(id, dispatch.Refusal{Code: "bad_request", Ran: dispatch.RanNo,
+			Reason: "the kind needs a valid Idempotency-Key", Remedy: "send a key of the form <ticket>.<suffix>"})
+	case keyType == binding.KeyTicket:
+		n.decideCall(id, n.home.Submit(n.now, binding.Waiter(id), bound), hops)
+	case n.cfg.Mutations.SkipClaim:
+		n.decideCall(id, binding.Decision{Verdict: binding.Run}, hops)
+	default:
+		n.decideCall(id, n.claims.Submit(n.now, n.unixSeconds(), binding.Waiter(id), bound), hops)
+	}
+}
+
+// decideCall carries out the verdict on a call.
+func (n *Node) decideCall(id dispatch.ID, d binding.Decision, hops int) {
+	c, r := n.calls.running[id], n.requests[id]
+	if c == nil || r == nil {
+		return
+	}
+	switch d.Verdict {
+	case binding.Run:
+		c.runs = true
+		if c.origin != 0 {
+			n.emit(RunForwarded{ID: RequestID(id), Call: forwardMessage(r, c.sequence, n.self, n.now)})
+		}
+		n.enqueue(id, r)
+	case binding.Reply:
+		n.replyRecorded(id, d.Outcome)
+	case binding.Refuse:
+		n.refuseRequest(id, refusalOf(d.Refusal))
+	case binding.Forward:
+		n.forward(id, r, d.Holder, hops)
+	}
+}
+
+func refusalOf(r binding.Refusal) dispatch.Refusal {
+	return dispatch.Refusal{Code: r.Code, Ran: dispatch.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter}
+}
+
+func refusalFor(r dispatch.Refusal) binding.Refusal {
+	return binding.Refusal{Code: r.Code, Ran: binding.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter}
+}
+
+// callEnded is called when a call of this instance ends, however it ended.
+func (n *Node) callEnded(id dispatch.ID, refusal dispatch.Refusal, silent bool) {
+	c := n.calls.running[id]
+	delete(n.calls.running, id)
+	if c.origin != 0 {
+		delete(n.calls.byOrigin, originKey{c.origin, c.sequence})
+	}
+	n.answerCall(id, c, refusal, silent)
+	if !c.runs {
+		return
+	}
+	if refusal.Ran == dispatch.RanNo && refusal.Code != "" {
+		n.joined(n.notRun(c, id, refusalFor(refusal)))
+		return
+	}
+	n.joined(n.finish(c, id, refusalFor(refusal)))
+}
+
+func (n *Node) notRun(c *call, id dispatch.ID, refusal binding.Refusal) []binding.Decided {
+	if c.keyType == binding.KeyTicket {
+		return n.home.NotRun(n.now, binding.Waiter(id), refusal)
+	}
+	return n.claims.NotRun(n.now, binding.Waiter(id), refusal)
+}
+
+func (n *Node) finish(c *call, id dispatch.ID, refusal binding.Refusal) []binding.Decided {
+	if c.keyType == binding.KeyTicket {
+		return n.home.Finish(n.now, binding.Waiter(id), c.outcome, refusal)
+	}
+	return n.claims.Finish(n.now, binding.Waiter(id), c.outcome, refusal)
+}
+
+// joined answers the calls that waited for another call of the same key.
+func (n *Node) joined(decided []binding.Decided) {
+	for _, d := range decided {
+		n.decideCall(dispatch.ID(d.Waiter), d.Decision, 0)
+	}
+}
+
+// answerCall tells the caller, or the instance that forwarded the call. An
+// answer that was whole was relayed by the edge if the caller is local.
+func (n *Node) answerCall(id dispatch.ID, c *call, refusal dispatch.Refusal, silent bool) {
+	if c.origin != 0 {
+		reply := &pb.BindingReply{Sequence: c.sequence, Outcome: c.outcome}
+		if refusal.Code != "" {
+			reply.Outcome = nil
+			reply.Code, reply.Ran, reply.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
+		}
+		n.send(c.origin, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: reply}})
+		return
+	}
+	if refusal.Code != "" && !silent && !c.gone {
+		n.emitRefuse(id, refusal)
+	}
+}
+
+// replyRecorded answers a call with the recorded outcome of its key.
+func (n *Node) replyRecorded(id dispatch.ID, outcome *pb.BindingOutcome) {
+	c := n.calls.running[id]
+	if c.origin == 0 && !c.gone {
+		n.emit(ReplyRecorded{ID: RequestID(id), Outcome: outcome})
+	}
+	c.outcome = outcome
+	n.ended(id, dispatch.Refusal{}, true)
+}
+
+// callGone handles a caller that left while its call had no dispatch record.
+func (n *Node) callGone(id dispatch.ID) {
+	c := n.calls.running[id]
+	if c == nil || c.runs {
+		return
+	}
+	n.home.Withdraw(binding.Waiter(id))
+	n.claims.Withdraw(n.now, binding.Waiter(id))
+	n.calls.forwards = slices.DeleteFunc(n.calls.forwards, func(f *forward) bool { return f.id == id })
+	n.ended(id, dispatch.Refusal{Code: "canceled", Ran: dispatch.RanUnknown}, true)
+}
+
+// takeClaims carries out what the claims want done.
+func (n *Node) takeClaims() bool {
+	calls, decided := n.claims.Take()
+	n.submitCalls(calls)
+	n.joined(decided)
+	return len(calls)+len(decided) > 0
+}
+
+func homeGone(reason string) dispatch.Refusal {
+	return dispatch.Refusal{Code: "ticket_home_gone", Ran: dispatch.RanUnknown, Reason: reason,
+		Remedy: "check whether the call took effect before sending it under a new key"}
+}
+
+// forward sends a call to the only instance that may answer it.
+func (n *Node) forward(id dispatch.ID, r *request, home uint64, hops int) {
+	if hops > 0 {
+		n.refuseRequest(id, homeGone("this instance is not the home of the key"))
+		return
+	}
+	if m, known := n.view.Find(home); !known || m.State == membership.Dead {
+		n.refuseRequest(id, homeGone("the instance that owns the key is gone"))
+		return
+	}
+	f := &forward{id: id, home: home, deadline: r.deadline, resendAt: n.now + forwardResend,
+		message: forwardMessage(r, uint64(id), home, n.now)}
+	n.calls.forwards = append(n.calls.forwards, f)
+	n.sendForward(f)
+}
+
+func forwardMessage(r *request, sequence, home uint64, now time.Duration) *pb.BindingCall {
+	return &pb.BindingCall{Sequence: sequence, Organisation: r.Organisation, Kind: r.Kind, Key: r.IdempotencyKey,
+		Body: r.Body, ContentType: r.ContentType, RemainingMs: milliseconds(r.deadline - now), Labels: r.Labels, Home: home}
+}
+
+func (n *Node) sendForward(f *forward) {
+	f.message.RemainingMs = milliseconds(f.deadline - n.now)
+	n.send(f.home, &pb.PeerMessage{Body: &pb.PeerMessage_BindingCall{BindingCall: f.message}})
+}
+
+// tickCalls repeats forwards, and ends those whose home died or whose deadline passed.
+func (n *Node) tickCalls() {
+	for _, f := range slices.Clone(n.calls.forwards) {
+		m, known := n.view.Find(f.home)
+		switch {
+		case !known || m.State == membership.Dead:
+			n.endForward(f, homeGone("the instance that owns the key is gone"))
+		case n.now >= f.deadline:
+			n.endForward(f, dispatch.Refusal{Code: "deadline_exceeded", Ran: dispatch.RanUnknown,
+				Reason: "the instance that owns the key did not answer in time", Remedy: "send the call again under the same key"})
+		case n.now >= f.resendAt:
+			f.resendAt = n.now + forwardResend
+			n.sendForward(f)
+		}
+	}
+	n.expireJoined()
+}
+
+// expireJoined ends calls that wait for another call of the same key, or for a
+// claim, beyond their own deadline.
+func (n *Node) expireJoined() {
+	var late []dispatch.ID
+	for id, c := range n.calls.running {
+		if r := n.requests[id]; r != nil && !c.runs && n.now >= r.deadline {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		n.home.Withdraw(binding.Waiter(id))
+		n.claims.Withdraw(n.now, binding.Waiter(id))
+		n.refuseRequest(id, dispatch.Refusal{Code: "deadline_exceeded", Ran: dispatch.RanUnknown,
+			Reason: "the deadline passed while another call of the same key was in progress",
+			Remedy: "send the call again under the same key"})
+	}
+}
+
+func (n *Node) endForward(f *forward, refusal dispatch.Refusal) {
+	n.calls.forwards = slices.DeleteFunc(n.calls.forwards, func(other *forward) bool { return other == f })
+	n.refuseRequest(f.id, refusal)
+}
+
+// onBindingCall runs or answers a call that another instance forwarded.
+func (n *Node) onBindingCall(from uint64, m *pb.BindingCall) {
+	if m.Home != n.self {
+		n.replyRefusal(from, m.Sequence, homeGone("another process has taken the address of the key's home"))
+		return
+	}
+	key := originKey{from, m.Sequence}
+	if n.calls.byOrigin[key] != 0 {
+		return
+	}
+	if refusal := n.admission(); refusal.Code != "" && refusal.Code != "draining" {
+		// A drained home still answers for keys that it ran.
+		refusal.Ran = dispatch.RanUnknown
+		n.replyRefusal(from, m.Sequence, refusal)
+		return
+	}
+	n.nextLocal++
+	id := forwardedBit | n.nextLocal
+	n.calls.byOrigin[key] = id
+	n.calls.running[id] = &call{origin: from, sequence: m.Sequence}
+	r := &request{deadline: n.now + time.Duration(m.RemainingMs)*time.Millisecond, SubmitRequest: SubmitRequest{
+		ID: RequestID(id), Organisation: m.Organisation, Kind: m.Kind, Labels: m.Labels,
+		IdempotencyKey: m.Key, Body: m.Body, ContentType: m.ContentType}}
+	n.requests[id] = r
+	n.submitCall(id, r, 1)
+}
+
+func (n *Node) replyRefusal(to, sequence uint64, r dispatch.Refusal) {
+	n.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: &pb.BindingReply{
+		Sequence: sequence, Code: r.Code, Ran: string(r.Ran), Reason: r.Reason}}})
+}
+
+// onBindingReply ends a forwarded call with the home's answer.
+func (n *Node) onBindingReply(from uint64, m *pb.BindingReply) {
+	at := slices.IndexFunc(n.calls.forwards, func(f *forward) bool {
+		return f.home == from && uint64(f.id) == m.Sequence
+	})
+	if at < 0 {
+		return
+	}
+	f := n.calls.forwards[at]
+	n.calls.forwards = slices.Delete(n.calls.forwards, at, at+1)
+	if m.Code == "" {
+		n.replyRecorded(f.id, m.Outcome)
+		return
+	}
+	n.refuseRequest(f.id, dispatch.Refusal{Code: m.Code, Ran: dispatch.Ran(m.Ran), Reason: m.Reason,
+		Remedy: "see the reason; send the call again under the same key if it did not run"})
+}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -18,6 +18,9 @@
 	FailureDomain, Region                    string
 	// Cell whose instances share upstreams; the region if empty.
 	Cell string
+	// CellFailureDomains are the failure domains whose upstreams this cell
+	// uses; none means all. It must be the same at all instances of a cell.
+	CellFailureDomains []string
 	// Seeds are peer addresses to join through before the instance list is known.
 	Seeds []string
 	// Bootstrap is a configuration set to start from, for tests and
@@ -58,9 +61,31 @@
 	TicketSecret []byte
 	// CallsPerSecond is the budget of object API calls; 20.
 	CallsPerSecond float64
+	// LeaseDuration is the duration of a lease on an upstream's orders; 20 s.
+	LeaseDuration time.Duration
 	// WallClockOffset is the Unix time at process time zero. It is used for
 	// the retention of claims only, never for a decision.
 	WallClockOffset time.Duration
+
+	// Mutations break promises on purpose, so that a test can show that its
+	// checks notice. It must be zero outside tests.
+	Mutations Mutations
+}
+
+// Mutations are faults for tests of checks.
+type Mutations struct {
+	// DispatchTwice uses every grant, also for a request already dispatched.
+	DispatchTwice bool
+	// IgnoreTiers submits all work to pools in one tier.
+	IgnoreTiers bool
+	// IgnoreLeaving keeps using leaving upstreams.
+	IgnoreLeaving bool
+	// SkipClaim runs non-idempotent calls without a ticket without a claim.
+	SkipClaim bool
+	// DrainCuts cancels what is in progress when a planned stop starts.
+	DrainCuts bool
+	// DenyRun reports requests as not run although they were dispatched.
+	DenyRun bool
 }
 
 // withDefaults returns the configuration with defaults filled in.
--- /dev/null
+++ b/pkg/node/configuration.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/store"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+const (
+	// headInterval is the time between a reader's reads of the head.
+	headInterval = time.Second
+	// peerSilence is after how long without a peer an instance reads the head itself.
+	peerSilence = 3 * time.Second
+	// announceFanout is how many members an instance tells about a revision
+	// that it learned; the accepting instance tells all of its cell.
+	announceFanout = 3
+)
+
+func (n *Node) revision() uint64 {
+	if n.set == nil {
+		return 0
+	}
+	return n.set.Revision
+}
+
+// useSet puts a configuration set in force.
+func (n *Node) useSet(set *configstate.Set) {
+	routes, err := routing.BuildCell(set, n.cfg.CellFailureDomains)
+	if err != nil {
+		// Accepted sets are validated, so this is a fault of this release.
+		n.count("config", "build_failed")
+		return
+	}
+	n.set, n.routes = set, routes
+	n.kinds.clear()
+	n.orgs.clear()
+	for name, object := range set.Kinds {
+		n.kinds.set(name, object.GetRequestKind().GetWeight(), object.GetRequestKind().GetLimits())
+	}
+	for name, object := range set.Organisations {
+		n.orgs.set(name, object.GetOrganisation().GetWeight(), object.GetOrganisation().GetLimits())
+	}
+	n.poolOf = map[string]routing.PoolID{}
+	for _, pool := range routes.Pools() {
+		for _, u := range pool.Upstreams {
+			n.poolOf[u.Name] = pool.ID
+		}
+	}
+	n.view.SetConfigRevision(set.Revision)
+	n.emit(ConfigInForce{Revision: set.Revision})
+	moved := n.reroute()
+	n.updateOwnership()
+	for _, pool := range moved {
+		n.refreshRoute(pool)
+		n.reportTo(pool)
+	}
+}
+
+// reroute resolves all requests again: labels or selectors may have changed.
+// Waiting requests move to their new class and pool; the permits of dispatched
+// ones count in the pool that their upstream belongs to now. It returns the
+// pools that received dispatched requests, whose owners must be told.
+func (n *Node) reroute() (moved []routing.PoolID) {
+	var records []*dispatch.Record
+	n.table.Each(func(r *dispatch.Record) { records = append(records, r) })
+	for _, r := range records {
+		if r.InFlight() {
+			pool, ok := n.poolOf[r.Upstream]
+			if ok && n.table.Rehome(r.ID, uint64(pool)) && !slices.Contains(moved, pool) {
+				moved = append(moved, pool)
+			}
+			continue
+		}
+		request := n.requests[r.ID]
+		if request == nil {
+			continue
+		}
+		target, err := n.routes.Resolve(request.route())
+		if err != nil {
+			n.table.Refuse(n.now, r.ID, resolveRefusal(err))
+			continue
+		}
+		n.table.Reroute(n.now, r.ID, uint64(target.Pool), uint64(target.Class), target.Tier)
+	}
+	return moved
+}
+
+func (n *Node) tickConfig() {
+	n.configs.Step(n.now)
+	if n.cfg.Bootstrap != nil || n.now < n.headDue {
+		return
+	}
+	lonely := n.now-n.heardAt >= peerSilence || n.view.LiveCount() == 1
+	if n.view.Settled(n.now) && (n.view.Reader() || lonely) {
+		n.headDue = n.now + headInterval
+		n.configs.ReadHead(n.now)
+	}
+}
+
+func (n *Node) applyChange(e ApplyChange) {
+	n.configs.Apply(n.now, configstate.Change{ID: e.Change, Puts: e.Puts, Deletes: e.Deletes,
+		Conditional: e.Conditional, DryRun: e.DryRun})
+}
+
+// takeConfig carries out what the configuration machine wants done.
+func (n *Node) takeConfig() bool {
+	out := n.configs.Take()
+	n.submitCalls(out.Calls)
+	for _, pull := range out.Pulls {
+		n.send(pull.Peer, &pb.PeerMessage{Body: &pb.PeerMessage_ConfigPull{ConfigPull: pull.Message}})
+	}
+	accepted := false
+	if out.InForce > n.revision() {
+		n.useSet(n.configs.Current())
+	}
+	for _, done := range out.Done {
+		accepted = accepted || done.Accepted
+		n.emit(ChangeDone{Change: done.ID, Accepted: done.Accepted, Revision: done.Revision, Code: done.Code, Problems: done.Problems})
+	}
+	if out.InForce != 0 {
+		n.announce(accepted)
+	}
+	return len(out.Calls)+len(out.Done) > 0 || out.InForce != 0
+}
+
+// announce tells peers that a new revision is in force. They pull it.
+func (n *Node) announce(accepted bool) {
+	if accepted {
+		n.view.Live(func(m membership.Member) { n.announceRevision(m.Incarnation) })
+	}
+	for _, id := range n.view.Sample(announceFanout) {
+		n.announceRevision(id)
+	}
+	for _, id := range n.view.Contacts() {
+		n.announceRevision(id)
+	}
+}
+
+func (n *Node) onConfigPull(from uint64, m *pb.ConfigPull) {
+	if push := n.configs.OnPull(m); push != nil {
+		n.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_ConfigPush{ConfigPush: push}})
+	}
+}
+
+func (n *Node) submitCalls(calls []store.Call) {
+	for _, call := range calls {
+		n.budget.Submit(n.now, call)
+	}
+}
+
+// flushStore starts the store calls that the budget allows.
+func (n *Node) flushStore() {
+	for {
+		start, rejected := n.budget.Step(n.now)
+		for _, call := range start {
+			n.count("store_calls", string(call.Reason))
+			n.emit(StoreCall{Call: call.ID, Op: call.Op})
+		}
+		if len(rejected) == 0 {
+			return
+		}
+		for _, call := range rejected {
+			n.count("store_calls_rejected", string(call.Reason))
+			n.storeResult(call.ID, store.Result{Status: store.Unavailable})
+		}
+		n.settle()
+	}
+}
+
+func (n *Node) storeDone(id store.CallID, result store.Result) {
+	n.budget.OnResult(n.now, result.Status)
+	n.storeResult(id, result)
+}
+
+func (n *Node) storeResult(id store.CallID, result store.Result) {
+	_ = n.configs.OnStoreResult(n.now, id, result) ||
+		n.claims.OnStoreResult(n.now, id, result) ||
+		n.leases.OnStoreResult(n.now, id, result)
+}
--- /dev/null
+++ b/pkg/node/decide.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// stepPools lets every pool with news decide. It returns true if any did.
+func (n *Node) stepPools() (decided bool) {
+	for _, h := range slices.Clone(n.pools.list) {
+		if !h.dirty && n.now < h.sched.NextWake(n.now) {
+			continue
+		}
+		if !h.local && !n.view.Trusted() {
+			// After a pause nothing is granted until a member has answered.
+			continue
+		}
+		if h.syncing && len(h.postponed) > 0 {
+			// A postponed request still waits; granting others now could serve
+			// a lower tier before it.
+			continue
+		}
+		h.dirty = false
+		n.decisions = h.sched.Step(n.now, n.decisions[:0])
+		for _, d := range slices.Clone(n.decisions) {
+			n.decide(h, d)
+			decided = true
+		}
+	}
+	return decided
+}
+
+// decide passes a pool's decision on to the entry.
+func (n *Node) decide(h *hostedPool, d scheduler.Decision) {
+	it, known := h.ledger[d.ID]
+	if !known || it.granted {
+		if d.Reason == 0 {
+			h.sched.Release(n.now, scheduler.Completion{ID: d.ID, Outcome: scheduler.Unused})
+		}
+		return
+	}
+	if d.Reason == 0 {
+		it.granted, it.upstream = true, d.Upstream
+		it.since, it.auditAt = n.now, n.now+auditBase
+		n.grant(h, d.ID, it)
+		return
+	}
+	if h.postpone(d, it) {
+		return
+	}
+	delete(h.ledger, d.ID)
+	if it.postponed != 0 && d.Reason == scheduler.Infeasible {
+		// It became infeasible only because the decision was postponed.
+		d.Reason = it.postponed
+	}
+	n.shed(h, d)
+}
+
+// postpone holds back a shed during synchronisation: until all entries have
+// reported, lower-tier requests that must go first (P2) may not be known yet.
+func (h *hostedPool) postpone(d scheduler.Decision, it *item) bool {
+	if !h.syncing || d.Reason != scheduler.Overload && d.Reason != scheduler.Expired {
+		return false
+	}
+	if it.postponed == 0 {
+		it.postponed = d.Reason
+	}
+	h.postponed = append(h.postponed, d.ID)
+	return true
+}
+
+// endSync submits postponed requests again, now that the pool knows of all.
+func (n *Node) endSync(h *hostedPool) {
+	if !h.syncing {
+		return
+	}
+	h.syncing, h.awaited = false, nil
+	h.sched.SetCautious(n.now, n.now)
+	h.dirty = true
+	postponed := h.postponed
+	h.postponed = nil
+	for _, id := range postponed {
+		if it := h.ledger[id]; it != nil && !it.granted {
+			h.sched.Submit(n.now, it.descriptor)
+		}
+	}
+}
+
+func (n *Node) grant(h *hostedPool, id scheduler.GlobalID, it *item) {
+	name := h.def.Upstreams[it.upstream].Name
+	if id.Entry == n.self {
+		n.table.Grant(n.now, n.decisionAt(h, id, it.descriptor.Attempt), name, n.usable(name))
+		return
+	}
+	sent := n.send(id.Entry, &pb.PeerMessage{Body: &pb.PeerMessage_Grant{Grant: &pb.Grant{
+		Sequence: id.Sequence, Pool: uint64(h.id), Upstream: name, Attempt: it.descriptor.Attempt}}})
+	if !sent {
+		h.drop(n.now, id, scheduler.Unused)
+	}
+}
+
+func (n *Node) decisionAt(h *hostedPool, id scheduler.GlobalID, attempt uint32) dispatch.Decision {
+	return dispatch.Decision{ID: dispatch.ID(id.Sequence), Pool: uint64(h.id), Attempt: attempt,
+		From: dispatch.Holder{Owner: n.self, Local: h.local}}
+}
+
+// usable reports whether a permit for an upstream may be used now.
+func (n *Node) usable(upstream string) bool {
+	return n.view.Trusted() && !n.view.UpstreamLeaving(upstream) && n.addressOf(upstream) != ""
+}
+
+func (n *Node) shed(h *hostedPool, d scheduler.Decision) {
+	if d.ID.Entry == n.self {
+		n.table.Shed(n.now, n.decisionAt(h, d.ID, d.Attempt), shedRefusal(d.Reason, d.RetryAfter))
+		return
+	}
+	n.send(d.ID.Entry, &pb.PeerMessage{Body: &pb.PeerMessage_Shed{Shed: &pb.Shed{
+		Sequence: d.ID.Sequence, Pool: uint64(h.id), Attempt: d.Attempt,
+		Reason: shedToProto[d.Reason], RetryAfterMs: milliseconds(d.RetryAfter)}}})
+}
+
+var shedToProto = map[scheduler.ShedReason]pb.ShedReason{
+	scheduler.Overload:      pb.ShedReason_SHED_REASON_OVERLOAD,
+	scheduler.Expired:       pb.ShedReason_SHED_REASON_EXPIRED,
+	scheduler.Infeasible:    pb.ShedReason_SHED_REASON_INFEASIBLE,
+	scheduler.LimitInFlight: pb.ShedReason_SHED_REASON_LIMIT_IN_FLIGHT,
+	scheduler.LimitQueue:    pb.ShedReason_SHED_REASON_LIMIT_QUEUE,
+	scheduler.NoUpstream:    pb.ShedReason_SHED_REASON_NO_UPSTREAM,
+}
+
+func shedFromProto(reason pb.ShedReason) scheduler.ShedReason {
+	for own, other := range shedToProto {
+		if other == reason {
+			return own
+		}
+	}
+	return scheduler.Overload
+}
+
+// shedRefusal explains a shed to the caller.
+func shedRefusal(reason scheduler.ShedReason, retryAfter time.Duration) dispatch.Refusal {
+	r := dispatch.Refusal{Ran: dispatch.RanNo, RetryAfter: retryAfter}
+	switch reason {
+	case scheduler.Expired:
+		r.Code, r.Reason = "expired_waiting", "the latest start time passed while the request waited"
+		r.Remedy = "retry later or send a later deadline"
+	case scheduler.Infeasible:
+		r.Code, r.Reason = "infeasible_deadline", "the request cannot finish within its deadline even on an idle upstream"
+		r.Remedy = "send a later deadline or fewer tokens"
+	case scheduler.LimitInFlight:
+		r.Code, r.Reason = "limit_in_flight", "the limit of requests in flight is reached"
+		r.Remedy = "send fewer requests or ask an operator to raise the limit"
+	case scheduler.LimitQueue:
+		r.Code, r.Reason = "limit_queue", "the limit of waiting requests is reached"
+		r.Remedy = "send fewer requests or ask an operator to raise the limit"
+	case scheduler.NoUpstream:
+		r.Code, r.Reason = "no_route", "every eligible upstream is leaving or gone"
+		r.Remedy = "run citrongate explain with this kind, organisation and labels"
+	default:
+		r.Code, r.Reason = "shed_overload", "there is more work than the upstreams can serve in time"
+		r.Remedy = "retry after the time given, or use a more urgent tier"
+	}
+	return r
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
--- /dev/null
+++ b/pkg/node/effects.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// carryOut performs an effect of the dispatch table: in process if the holder
+// is this instance, by a message otherwise.
+func (n *Node) carryOut(effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.Offer:
+		n.offer(e.Record)
+	case dispatch.Withdraw:
+		n.withdraw(e)
+	case dispatch.Release:
+		n.release(e)
+	case dispatch.FirstToken:
+		n.firstToken(e)
+	case dispatch.Send:
+		n.emit(Dispatch{ID: RequestID(e.ID), Upstream: e.Upstream, Address: n.addressOf(e.Upstream),
+			Remaining: e.Deadline - n.now})
+	case dispatch.Cancel:
+		n.emit(CancelUpstream{ID: RequestID(e.ID)})
+	case dispatch.Ended:
+		n.ended(e.ID, e.Refusal, e.Silent)
+	case dispatch.Count:
+		n.count(e.Name, e.Reason)
+	}
+}
+
+// hostedAt returns the pool that a holder in this instance stands for.
+func (n *Node) hostedAt(pool uint64, holder dispatch.Holder) (h *hostedPool, here bool) {
+	if holder.Owner != n.self {
+		return nil, false
+	}
+	return n.pools.get(routing.PoolID(pool), holder.Local), true
+}
+
+func (n *Node) globalID(id dispatch.ID) scheduler.GlobalID {
+	return scheduler.GlobalID{Entry: n.self, Sequence: uint64(id)}
+}
+
+func (n *Node) offer(r *dispatch.Record) {
+	if r.State != dispatch.Waiting {
+		return
+	}
+	h, here := n.hostedAt(r.Pool, r.Holder)
+	if here {
+		if h == nil || !n.submitOwn(h, r) {
+			n.table.NotOwner(n.now, dispatch.Decision{ID: r.ID, Pool: r.Pool, Attempt: r.Attempt, From: r.Holder})
+		}
+		return
+	}
+	sent := n.send(r.Holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Submit{Submit: n.submitMessage(r)}})
+	if !sent {
+		n.table.NotOwner(n.now, dispatch.Decision{ID: r.ID, Pool: r.Pool, Attempt: r.Attempt, From: r.Holder})
+	}
+}
+
+// submitOwn queues one of this instance's own requests in a pool hosted here.
+func (n *Node) submitOwn(h *hostedPool, r *dispatch.Record) bool {
+	d, ok := n.descriptorOf(h, r)
+	if !ok {
+		return false
+	}
+	h.submit(n.now, d)
+	return true
+}
+
+func (n *Node) descriptorOf(h *hostedPool, r *dispatch.Record) (scheduler.Descriptor, bool) {
+	class, ok := h.def.ClassIndex(routing.ClassID(r.Class))
+	if !ok {
+		return scheduler.Descriptor{}, false
+	}
+	return scheduler.Descriptor{
+		ID: n.globalID(r.ID), Attempt: r.Attempt, Tier: n.tierOf(r.Tier),
+		Kind: n.kinds.intern(r.Kind), Org: n.orgs.intern(r.Organisation), Class: class,
+		Prompt: r.Prompt, OutMean: r.OutMean, OutHigh: r.OutHigh, Deadline: r.Deadline, Prefix: r.Prefix,
+	}, true
+}
+
+func (n *Node) tierOf(tier uint8) uint8 {
+	if n.cfg.Mutations.IgnoreTiers {
+		return 0
+	}
+	return tier
+}
+
+func (n *Node) submitMessage(r *dispatch.Record) *pb.Submit {
+	return &pb.Submit{
+		Sequence: uint64(r.ID), Pool: r.Pool, Tier: uint32(r.Tier), Kind: r.Kind, Organisation: r.Organisation,
+		Class: r.Class, PromptTokens: r.Prompt, OutputMean: r.OutMean, OutputHigh: r.OutHigh,
+		RemainingMs: milliseconds(r.Deadline - n.now), Prefix: r.Prefix, Attempt: r.Attempt,
+	}
+}
+
+func (n *Node) withdraw(e dispatch.Withdraw) {
+	if h, here := n.hostedAt(e.Pool, e.Holder); here {
+		if h != nil {
+			h.withdraw(n.now, n.globalID(e.ID), e.Attempt)
+		}
+		return
+	}
+	n.send(e.Holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Withdraw{Withdraw: &pb.Withdraw{
+		Sequence: uint64(e.ID), Pool: e.Pool, Attempt: e.Attempt}}})
+}
+
+// withdraw ends a waiting attempt, or its permit if the grant crossed the
+// withdrawal: the entry returns that grant unused.
+func (h *hostedPool) withdraw(now time.Duration, id scheduler.GlobalID, attempt uint32) {
+	if it := h.ledger[id]; it != nil && it.descriptor.Attempt <= attempt {
+		h.drop(now, id, scheduler.Unused)
+	}
+}
+
+func (n *Node) release(e dispatch.Release) {
+	c := scheduler.Completion{
+		ID: n.globalID(e.ID), Outcome: scheduler.Outcome(e.Outcome), OutputTokens: e.OutputTokens,
+		TTFT: e.TTFT, InterToken: e.InterToken, CachedPrompt: e.CachedPrompt,
+	}
+	if h, here := n.hostedAt(e.Pool, e.Holder); here {
+		if h != nil {
+			h.releaseAttempt(n.now, c, e.Attempt)
+		}
+		return
+	}
+	n.send(e.Holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Release{Release: &pb.Release{
+		Sequence: uint64(e.ID), Pool: e.Pool, Attempt: e.Attempt, Outcome: pb.ReleaseOutcome(e.Outcome),
+		OutputTokens: e.OutputTokens, TtftMs: milliseconds(e.TTFT),
+		InterTokenUs: uint32(e.InterToken / time.Microsecond), CachedPromptTokens: e.CachedPrompt}}})
+}
+
+func (h *hostedPool) releaseAttempt(now time.Duration, c scheduler.Completion, attempt uint32) {
+	if it := h.ledger[c.ID]; it != nil && it.descriptor.Attempt <= attempt {
+		h.release(now, c)
+	}
+}
+
+func (n *Node) firstToken(e dispatch.FirstToken) {
+	if h, here := n.hostedAt(e.Pool, e.Holder); here {
+		if h != nil {
+			h.sched.FirstToken(n.now, n.globalID(e.ID), e.TTFT)
+		}
+		return
+	}
+	n.send(e.Holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_FirstToken{FirstToken: &pb.FirstToken{
+		Sequence: uint64(e.ID), Pool: e.Pool, TtftMs: milliseconds(e.TTFT)}}})
+}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -8,7 +8,8 @@
 )
 
 // RequestID identifies a request within one instance. It is never used twice
-// by the same incarnation.
+// by the same incarnation. Edges use ids below 1<<63; the node takes the others
+// for calls that another instance forwarded (RunForwarded).
 type RequestID uint64
 
 // Incarnation identifies one run of an instance. It is drawn from the system's
@@ -116,6 +117,16 @@
 	Instances []ListedInstance
 }
 
+// OrderUpstream asks for an order to an upstream, for example to load a model.
+// It is sent under the upstream's lease; OrderResult answers it.
+type OrderUpstream struct {
+	// Order identifies the answer; it is local to the instance.
+	Order    uint64
+	Upstream string
+	Verb     string
+	Argument string
+}
+
 // OrderDone is the result of a SendOrder action.
 type OrderDone struct {
 	Order  uint64
@@ -170,6 +181,7 @@
 func (FrameReceived) isEvent()      {}
 func (StoreDone) isEvent()          {}
 func (InstanceList) isEvent()       {}
+func (OrderUpstream) isEvent()      {}
 func (OrderDone) isEvent()          {}
 func (CacheEvents) isEvent()        {}
 func (ApplyChange) isEvent()        {}
--- /dev/null
+++ b/pkg/node/hosted.go
@@ -0,0 +1,237 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+)
+
+// Times of a hosted pool.
+const (
+	// syncTime bounds how long a new owner waits for the entries' reports.
+	syncTime = 500 * time.Millisecond
+	// auditBase is the age at which an entry is asked about a request that it
+	// has not mentioned; the interval doubles with each audit. It finds
+	// permits whose release was lost.
+	auditBase = 5 * time.Second
+	// auditInterval is the least time between two audits of one entry.
+	auditInterval = time.Second
+)
+
+// item is what an owner knows of one descriptor.
+type item struct {
+	descriptor scheduler.Descriptor
+	granted    bool
+	upstream   uint32
+	// since is when the item was submitted, granted or adopted.
+	since time.Duration
+	// auditAt is when the entry is asked about the item.
+	auditAt time.Duration
+	audits  uint8
+	// postponed is the reason of a shed that waits for the end of the
+	// synchronisation; 0 if none.
+	postponed scheduler.ShedReason
+}
+
+// hostedPool is a pool that this instance schedules: one that it owns, or the
+// local fixed-share pool of an owner that cannot be reached.
+type hostedPool struct {
+	id    routing.PoolID
+	local bool
+	sched *scheduler.Pool
+	def   *routing.Pool
+	// upstreams maps names to indices of def.Upstreams.
+	upstreams map[string]uint32
+	ledger    map[scheduler.GlobalID]*item
+	// order lists the ledger's keys in order of arrival; ended ones are
+	// removed lazily.
+	order []scheduler.GlobalID
+	dirty bool
+	// share divides the limits of a local pool; 0 if not set.
+	share int
+
+	// syncing is true until the entries in awaited have reported, or syncUntil.
+	syncing   bool
+	syncUntil time.Duration
+	awaited   []uint64
+	postponed []scheduler.GlobalID
+	// askedAt is when an entry was last asked for its requests.
+	askedAt map[uint64]time.Duration
+}
+
+func (n *Node) newHostedPool(def *routing.Pool, local bool) *hostedPool {
+	h := &hostedPool{
+		id: def.ID, local: local,
+		ledger:  map[scheduler.GlobalID]*item{},
+		askedAt: map[uint64]time.Duration{},
+		sched: scheduler.New(scheduler.Config{
+			TargetTTFT: n.cfg.TargetTTFT, TargetInterToken: n.cfg.TargetInterToken,
+			MaxQueue: n.cfg.MaxQueue, Seed: n.seed ^ uint64(def.ID), Share: 1,
+		}),
+	}
+	n.setTopology(h, def)
+	return h
+}
+
+// setTopology gives a pool its upstreams and classes; classes are matched by id.
+func (n *Node) setTopology(h *hostedPool, def *routing.Pool) {
+	topology := scheduler.Topology{
+		Kinds: n.kinds.flowLimit,
+		Orgs:  n.orgs.flowLimit,
+	}
+	h.upstreams = make(map[string]uint32, len(def.Upstreams))
+	for i, u := range def.Upstreams {
+		h.upstreams[u.Name] = uint32(i)
+		topology.Upstreams = append(topology.Upstreams, n.upstreamOf(u))
+	}
+	for _, class := range def.Classes {
+		topology.Classes = append(topology.Classes, scheduler.Class{Upstreams: class.Upstreams})
+	}
+	if h.def != nil {
+		for _, class := range h.def.Classes {
+			index, ok := def.ClassIndex(class.ID)
+			if !ok {
+				topology.Remap = append(topology.Remap, -1)
+				continue
+			}
+			topology.Remap = append(topology.Remap, int32(index))
+		}
+		h.renumber(def)
+	}
+	h.def = def
+	h.dirty = true
+	h.sched.SetTopology(n.now, topology)
+}
+
+// renumber translates the upstream indices of permits to a new definition.
+func (h *hostedPool) renumber(def *routing.Pool) {
+	for _, it := range h.ledger {
+		if !it.granted {
+			continue
+		}
+		name := h.def.Upstreams[it.upstream].Name
+		if index, ok := h.upstreams[name]; ok {
+			it.upstream = index
+			continue
+		}
+		it.upstream = 0
+	}
+}
+
+func (n *Node) upstreamOf(u routing.Upstream) scheduler.Upstream {
+	return scheduler.Upstream{
+		Name: u.Name, Service: u.Spec.GetType() == "service",
+		Concurrency: u.Spec.GetConcurrency(), MaxConcurrency: u.Spec.GetMaxConcurrency(),
+		PrefillTokensPerSecond: u.Spec.GetPrefillTokensPerSecond(),
+		DecodePerToken:         time.Duration(u.Spec.GetDecodeMsPerToken() * float64(time.Millisecond)),
+		Leaving:                n.view.UpstreamLeaving(u.Name),
+	}
+}
+
+func (t *flowTable) flowLimit(i uint32) scheduler.FlowLimit {
+	if int(i) >= len(t.specs) {
+		return scheduler.FlowLimit{}
+	}
+	return scheduler.FlowLimit{Weight: t.weights[i], InFlight: t.specs[i].GetInFlight(), Queued: t.specs[i].GetQueued()}
+}
+
+// submit queues a descriptor. A repeated submission of a granted attempt means
+// that its grant was lost; repeated is then true.
+func (h *hostedPool) submit(now time.Duration, d scheduler.Descriptor) (repeated bool) {
+	h.dirty = true
+	if it, known := h.ledger[d.ID]; known {
+		switch {
+		case d.Attempt < it.descriptor.Attempt:
+			return false
+		case d.Attempt == it.descriptor.Attempt:
+			return it.granted
+		}
+		h.drop(now, d.ID, scheduler.Unused)
+	}
+	h.add(d, &item{descriptor: d, since: now, auditAt: now + auditBase})
+	h.sched.Submit(now, d)
+	return false
+}
+
+func (h *hostedPool) add(d scheduler.Descriptor, it *item) {
+	h.ledger[d.ID] = it
+	h.order = append(h.order, d.ID)
+	if len(h.order) > 2*len(h.ledger)+64 {
+		h.order = slices.DeleteFunc(h.order, func(id scheduler.GlobalID) bool { return h.ledger[id] == nil })
+	}
+}
+
+// drop ends an item: a waiting one is withdrawn, a permit is released.
+func (h *hostedPool) drop(now time.Duration, id scheduler.GlobalID, outcome scheduler.Outcome) {
+	h.release(now, scheduler.Completion{ID: id, Outcome: outcome})
+}
+
+func (h *hostedPool) release(now time.Duration, c scheduler.Completion) {
+	it, known := h.ledger[c.ID]
+	if !known {
+		return
+	}
+	h.dirty = true
+	delete(h.ledger, c.ID)
+	if it.granted {
+		h.sched.Release(now, c)
+		return
+	}
+	h.sched.Withdraw(now, c.ID)
+}
+
+// adopt takes over the permit of a request that an entry reports as in flight.
+func (h *hostedPool) adopt(now time.Duration, f scheduler.InFlight) {
+	if it, known := h.ledger[f.Descriptor.ID]; known {
+		if it.granted {
+			return
+		}
+		h.drop(now, f.Descriptor.ID, scheduler.Unused)
+	}
+	h.dirty = true
+	h.add(f.Descriptor, &item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream,
+		since: now, auditAt: now + auditBase})
+	h.sched.Adopt(now, f)
+}
+
+// itemsOf lists the items of an entry in order of arrival.
+func (h *hostedPool) itemsOf(entry uint64) []scheduler.GlobalID {
+	var ids []scheduler.GlobalID
+	seen := map[scheduler.GlobalID]bool{}
+	for _, id := range h.order {
+		if id.Entry == entry && h.ledger[id] != nil && !seen[id] {
+			seen[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// poolKey identifies a hosted pool.
+type poolKey struct {
+	id    routing.PoolID
+	local bool
+}
+
+// poolSet holds the hosted pools.
+type poolSet struct {
+	byKey map[poolKey]*hostedPool
+	// list is in order of creation, so that iteration is repeatable.
+	list []*hostedPool
+}
+
+func newPoolSet() poolSet { return poolSet{byKey: map[poolKey]*hostedPool{}} }
+
+func (s *poolSet) get(id routing.PoolID, local bool) *hostedPool { return s.byKey[poolKey{id, local}] }
+
+func (s *poolSet) add(h *hostedPool) {
+	s.byKey[poolKey{h.id, h.local}] = h
+	s.list = append(s.list, h)
+}
+
+func (s *poolSet) remove(h *hostedPool) {
+	delete(s.byKey, poolKey{h.id, h.local})
+	s.list = slices.DeleteFunc(s.list, func(other *hostedPool) bool { return other == h })
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -2,4 +2,213 @@
 // machine: events and the time go in, actions come out. It does no I/O, starts
 // no goroutine and reads no clock, so a test can run many nodes in one process
 // and replay a run from its seed.
+//
+// Step accepts any event in any state. Late, repeated and unknown events have
+// no effect beyond returning a permit or answering a peer.
 package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/binding"
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/lease"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	"github.com/citrongate/citrongate/pkg/store"
+)
+
+// Node is the state of one instance. It is not safe for concurrent use.
+type Node struct {
+	cfg  Config
+	seed uint64
+	self uint64
+	// now and out are those of the Step in progress.
+	now time.Duration
+	out []Action
+
+	view     *membership.View
+	table    *dispatch.Table
+	requests map[dispatch.ID]*request
+	frames   outbox
+
+	// Configuration in force, and what is derived from it.
+	set     *configstate.Set
+	routes  *routing.Table
+	poolOf  map[string]routing.PoolID
+	kinds   flowTable
+	orgs    flowTable
+	configs *configstate.Machine
+	headDue time.Duration
+	heardAt time.Duration
+
+	pools     poolSet
+	ownership ownershipState
+	reports   map[reportKey]*report
+	reportDue time.Duration
+	// digests are those of pools owned by others; digestPools are its keys in
+	// order of first use.
+	digests     map[uint64]*digestState
+	digestPools []uint64
+
+	ids    *store.IDSource
+	budget *store.Budget
+	home   *binding.Home
+	claims *binding.Claims
+	calls  callSet
+	leases *lease.Manager
+	orders map[uint64]sentOrder
+
+	drain     drainState
+	decisions []scheduler.Decision
+	nextLocal dispatch.ID
+	untrusted bool
+	lengths   lengths
+}
+
+// New returns a node that has not started; the first Tick starts it.
+func New(cfg Config, seed uint64) *Node {
+	cfg = cfg.withDefaults()
+	self := uint64(cfg.Incarnation)
+	ids := &store.IDSource{}
+	n := &Node{
+		cfg: cfg, seed: seed, self: self, ids: ids,
+		requests: map[dispatch.ID]*request{},
+		reports:  map[reportKey]*report{},
+		digests:  map[uint64]*digestState{},
+		orders:   map[uint64]sentOrder{},
+		kinds:    newFlowTable(),
+		orgs:     newFlowTable(),
+		pools:    newPoolSet(),
+		calls:    newCallSet(),
+		lengths:  newLengths(),
+		view: membership.New(membership.Config{
+			Self: membership.Member{
+				Incarnation: self, PeerAddress: cfg.PeerAddress, CallerAddress: cfg.CallerAddress,
+				AdminAddress: cfg.AdminAddress, FailureDomain: cfg.FailureDomain, Cell: cfg.Cell,
+			},
+			PingInterval: cfg.PingInterval, DeadAfter: cfg.DeadAfter, ListInterval: cfg.ListInterval,
+			Seeds: cfg.Seeds, Seed: seed, IgnoreLeaving: cfg.Mutations.IgnoreLeaving,
+		}),
+		table: dispatch.NewTable(dispatch.Config{
+			Self: self, OwnerTimeout: cfg.OwnerTimeout, RetryBudgetPercent: cfg.RetryBudgetPercent,
+			MaxRequests: cfg.MaxRequests, Seed: seed,
+			DispatchTwice: cfg.Mutations.DispatchTwice, CancelOnDrain: cfg.Mutations.DrainCuts, DenyRun: cfg.Mutations.DenyRun,
+		}),
+		configs: configstate.New(configstate.Config{Incarnation: self, IDs: ids, Seed: seed}),
+		budget:  store.NewBudget(store.BudgetConfig{CallsPerSecond: cfg.CallsPerSecond, Seed: seed}),
+		home: binding.NewHome(binding.HomeConfig{Incarnation: self, MACKey: cfg.TicketSecret,
+			TicketTTL: cfg.TicketTTL, RecordTTL: cfg.RecordTTL, MaxRecords: cfg.MaxRecords}),
+		claims: binding.NewClaims(binding.ClaimsConfig{Incarnation: self, IDs: ids, Seed: seed,
+			Retention: cfg.ClaimRetention, MaxRecords: cfg.MaxRecords}),
+		leases: lease.New(lease.Config{Incarnation: self, IDs: ids, Seed: seed, Duration: cfg.LeaseDuration}),
+	}
+	if cfg.Bootstrap != nil {
+		n.useSet(cfg.Bootstrap)
+	}
+	return n
+}
+
+// Step handles one event at the time now and appends the actions that follow
+// to out. Times must not decrease from call to call.
+func (n *Node) Step(now time.Duration, ev Event, out []Action) []Action {
+	n.now, n.out = max(now, n.now), out
+	n.handle(ev)
+	n.settle()
+	n.flush()
+	out, n.out = n.out, nil
+	return out
+}
+
+func (n *Node) emit(a Action) { n.out = append(n.out, a) }
+
+func (n *Node) handle(ev Event) {
+	switch e := ev.(type) {
+	case SubmitRequest:
+		n.submit(e)
+	case CallerGone:
+		n.callerGone(dispatch.ID(e.ID))
+	case DispatchFailed:
+		n.table.Failed(n.now, dispatch.ID(e.ID))
+	case UpstreamFirstToken:
+		n.table.FirstToken(n.now, dispatch.ID(e.ID))
+	case UpstreamTokens:
+		n.table.Tokens(n.now, dispatch.ID(e.ID), e.Total)
+	case UpstreamDone:
+		n.upstreamDone(e)
+	case FrameReceived:
+		n.frameReceived(e.Frame)
+	case StoreDone:
+		n.storeDone(e.Call, e.Result)
+	case InstanceList:
+		n.instanceList(e)
+	case OrderUpstream:
+		n.orderUpstream(e)
+	case OrderDone:
+		n.orderDone(e)
+	case CacheEvents:
+		n.cacheEvents(e)
+	case ApplyChange:
+		n.applyChange(e)
+	case Drain:
+		n.startDrain()
+	case Tick:
+		n.tick()
+	}
+}
+
+// settle carries out what the components decided until none has more to say.
+// Each round consumes decisions, so it ends.
+func (n *Node) settle() {
+	for {
+		effects := n.table.Take()
+		for _, effect := range effects {
+			n.carryOut(effect)
+		}
+		decided := n.stepPools()
+		if n.takeComponents() || decided || len(effects) > 0 {
+			continue
+		}
+		return
+	}
+}
+
+// takeComponents collects what the state packages want done.
+func (n *Node) takeComponents() bool {
+	config := n.takeConfig()
+	claims := n.takeClaims()
+	orders := n.takeLeases()
+	return config || claims || orders
+}
+
+func (n *Node) tick() {
+	paused := n.view.Tick(n.now)
+	if paused {
+		n.untrusted = true
+		n.leases.OnPause(n.now)
+	}
+	if n.view.WantsList(n.now) {
+		n.emit(ListInstances{})
+	}
+	n.updateOwnership()
+	n.checkOwners()
+	n.table.Entries = n.view.LiveCount()
+	n.table.Tick(n.now)
+	n.tickPools()
+	n.tickReports()
+	n.tickDigests()
+	n.tickConfig()
+	n.tickCalls()
+	n.home.Step(n.now)
+	n.claims.Step(n.now, n.unixSeconds())
+	n.leases.Step(n.now)
+	n.tickDrain()
+}
+
+func (n *Node) unixSeconds() int64 {
+	return int64((n.cfg.WallClockOffset + n.now) / time.Second)
+}
+
+func (n *Node) count(name, reason string) { n.emit(Count{Name: name, Reason: reason}) }
--- /dev/null
+++ b/pkg/node/node_test.go
@@ -0,0 +1,270 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/internal/simtest"
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/node"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// scenario drives a few nodes by commands.
+type scenario struct {
+	t        *testing.T
+	world    *simtest.World
+	fixture  simtest.Fixture
+	byName   map[string]*simtest.Instance
+	requests map[string]*simtest.Request
+	names    []string
+}
+
+func newScenario(t *testing.T) *scenario {
+	return &scenario{t: t, world: simtest.NewWorld(1), byName: map[string]*simtest.Instance{},
+		requests: map[string]*simtest.Request{}}
+}
+
+func (s *scenario) text(d *datadriven.TestData, key, standard string) string {
+	if slices.ContainsFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == key }) {
+		d.ScanArgs(s.t, key, &standard)
+	}
+	return standard
+}
+
+func (s *scenario) number(d *datadriven.TestData, key string, standard int) int {
+	if slices.ContainsFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == key }) {
+		d.ScanArgs(s.t, key, &standard)
+	}
+	return standard
+}
+
+func (s *scenario) at(d *datadriven.TestData) *simtest.Instance {
+	i := s.byName[s.text(d, "at", "n1")]
+	require.NotNil(s.t, i, d.Pos)
+	return i
+}
+
+func (s *scenario) command(d *datadriven.TestData) string {
+	w := s.world
+	switch d.Cmd {
+	case "start":
+		s.start(d)
+	case "run":
+		duration, err := time.ParseDuration(s.text(d, "for", "1s"))
+		require.NoError(s.t, err)
+		w.Loop.RunUntil(w.Loop.Now() + duration)
+	case "submit":
+		s.submit(d)
+	case "requests":
+		return s.show()
+	case "owner":
+		return s.owner(s.text(d, "type", "engine"))
+	case "kill":
+		w.Kill(s.at(d))
+	case "restart":
+		i := s.at(d)
+		s.byName[i.Name] = w.Restart(i)
+	case "pause":
+		w.Pause(s.at(d))
+	case "resume":
+		w.Resume(s.at(d))
+	case "drain":
+		s.at(d).Drain()
+	case "cut":
+		s.cut(d)
+	case "heal":
+		w.Heal()
+		w.Loss = 0
+	case "loss":
+		w.Loss = float64(s.number(d, "percent", 100)) / 100
+	case "leaving":
+		w.SetListed(node.ListedInstance{Name: s.text(d, "upstream", ""), Incarnation: "1", Upstream: true, Leaving: true})
+	case "engine":
+		s.engine(d)
+	case "outage":
+		w.Platform.SetOutage(s.text(d, "on", "true") == "true")
+	case "apply":
+		return s.apply(d)
+	case "counts":
+		return s.counts(s.text(d, "name", ""))
+	case "status":
+		return s.status()
+	default:
+		s.t.Fatalf("%s: unknown command %s", d.Pos, d.Cmd)
+	}
+	return ""
+}
+
+func (s *scenario) start(d *datadriven.TestData) {
+	s.fixture = simtest.Fixture{Engines: s.number(d, "engines", 2), Services: s.number(d, "services", 1),
+		Concurrency: uint32(s.number(d, "concurrency", 4))}
+	s.fixture.AddUpstreams(s.world)
+	for n := 1; n <= s.number(d, "nodes", 1); n++ {
+		config := s.fixture.Config(n)
+		if s.text(d, "bootstrap", "true") == "true" {
+			config.Bootstrap = s.fixture.Set()
+		}
+		s.byName[config.Name] = s.world.Start(config)
+	}
+}
+
+// submit sends requests named NAME, or NAME1 to NAMEn with count=n.
+func (s *scenario) submit(d *datadriven.TestData) {
+	name, count := s.text(d, "name", "r"), s.number(d, "count", 1)
+	for n := 1; n <= count; n++ {
+		each := name
+		if count > 1 {
+			each = fmt.Sprint(name, n)
+		}
+		spec := simtest.Spec{Kind: s.text(d, "kind", "normal"), Organisation: "small", Prompt: 100,
+			Output: uint32(s.number(d, "output", 20)), Key: s.text(d, "key", ""),
+			Remaining: time.Duration(s.number(d, "deadline-ms", 5000)) * time.Millisecond}
+		if spec.Kind != "order" && spec.Kind != "lookup" {
+			spec.Model = simtest.Model
+		}
+		if ticketAt := s.text(d, "ticket", ""); ticketAt != "" {
+			ticket, _ := s.byName[ticketAt].Node.IssueTicket(s.world.Loop.Now())
+			spec.Key = ticket + ".k"
+		}
+		s.requests[each] = s.at(d).Submit(spec)
+		s.names = append(s.names, each)
+	}
+}
+
+func (s *scenario) show() string {
+	var b strings.Builder
+	for _, name := range s.names {
+		r := s.requests[name]
+		fmt.Fprintf(&b, "%s: %s dispatched=%d\n", name, outcome(r), len(r.Dispatches))
+	}
+	s.names = nil
+	return b.String()
+}
+
+func outcome(r *simtest.Request) string {
+	switch r.Outcome {
+	case simtest.OutcomeAnswered:
+		return "answered"
+	case simtest.OutcomeRefused:
+		return "refused " + r.Code + " ran=" + r.Ran
+	case simtest.OutcomeLost:
+		return "connection lost"
+	}
+	return "open"
+}
+
+// owner prints who owns the pool of the engines or of the services.
+func (s *scenario) owner(upstreamType string) string {
+	var lines []string
+	for name, i := range s.byName {
+		if !i.Alive {
+			continue
+		}
+		for _, p := range i.Node.PoolSummaries() {
+			def := i.Node.Routes().Pool(p.Pool)
+			if def.Upstreams[0].Spec.Type != upstreamType {
+				continue
+			}
+			line := fmt.Sprintf("%s: owner %s", name, s.nameOf(uint64(p.Owner)))
+			if p.Hosted {
+				line += " hosted"
+			}
+			if p.Local {
+				line += " local"
+			}
+			lines = append(lines, line)
+		}
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func (s *scenario) nameOf(incarnation uint64) string {
+	for _, i := range s.world.Instances {
+		if i.Incarnation == incarnation {
+			return i.Name
+		}
+	}
+	return "nobody"
+}
+
+func (s *scenario) cut(d *datadriven.TestData) {
+	from, to := s.byName[s.text(d, "from", "")], s.byName[s.text(d, "to", "")]
+	s.world.Cut(from.Address, to.Address)
+	if s.text(d, "both", "") != "" {
+		s.world.Cut(to.Address, from.Address)
+	}
+}
+
+func (s *scenario) engine(d *datadriven.TestData) {
+	engine := s.world.Engines[s.text(d, "name", "e1")]
+	if s.text(d, "do", "kill") == "kill" {
+		engine.Kill()
+		return
+	}
+	engine.Restart()
+}
+
+// apply submits a change that creates the whole fixture, or relabels one object.
+func (s *scenario) apply(d *datadriven.TestData) string {
+	before := len(s.world.Trace.Changes)
+	change := node.ApplyChange{Change: uint64(before + 1), Puts: s.fixture.Objects()}
+	if name := s.text(d, "organisation", ""); name != "" {
+		change.Puts = []*pb.Object{{Meta: &pb.ObjectMeta{Kind: configstate.KindOrganisation, Name: name},
+			Spec: &pb.Object_Organisation{Organisation: &pb.OrganisationSpec{}}}}
+	}
+	s.at(d).Change(change)
+	s.world.Loop.RunUntil(s.world.Loop.Now() + 2*time.Second)
+	var b strings.Builder
+	for _, c := range s.world.Trace.Changes[before:] {
+		fmt.Fprintf(&b, "accepted=%v revision=%d code=%s\n", c.Done.Accepted, c.Done.Revision, c.Done.Code)
+	}
+	return b.String()
+}
+
+func (s *scenario) counts(name string) string {
+	var lines []string
+	for c := range s.world.Trace.Counts {
+		if c.Name == name {
+			lines = append(lines, c.Reason)
+		}
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, " ") + "\n"
+}
+
+func (s *scenario) status() string {
+	var lines []string
+	for name, i := range s.byName {
+		if i.Alive {
+			set := i.Node.ConfigSet()
+			lines = append(lines, fmt.Sprintf("%s: revision %d ready=%v %s", name, revision(set), i.Node.Ready(), i.Node.NotReadyReason()))
+		}
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func revision(set *configstate.Set) uint64 {
+	if set == nil {
+		return 0
+	}
+	return set.Revision
+}
+
+// TestScenarios guards against lost, doubled or stuck requests in the cases of
+// section 11 of the design: see the comments in the scripts.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScenario(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.command(d) })
+	})
+}
--- /dev/null
+++ b/pkg/node/orders.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/lease"
+)
+
+// sentOrder is an order whose result is not known yet.
+type sentOrder struct {
+	upstream      string
+	fencingNumber uint64
+}
+
+// orderUpstream queues an order. It is sent once this instance holds the
+// upstream's lease.
+func (n *Node) orderUpstream(e OrderUpstream) {
+	spec := n.upstreamSpec(e.Upstream)
+	if spec == nil {
+		n.emit(OrderResult{Order: e.Order, Status: OrderNotSent})
+		return
+	}
+	n.leases.Submit(n.now, lease.Order{ID: e.Order, Upstream: e.Upstream, Verb: e.Verb, Argument: e.Argument,
+		ChecksFencing: spec.GetChecksFencing()})
+}
+
+// takeLeases carries out what the lease manager wants done.
+func (n *Node) takeLeases() bool {
+	calls, sends, notSent := n.leases.Take()
+	n.submitCalls(calls)
+	for _, s := range sends {
+		n.orders[s.Order.ID] = sentOrder{s.Order.Upstream, s.FencingNumber}
+		n.emit(SendOrder{Order: s.Order.ID, Upstream: s.Order.Upstream, Address: n.addressOf(s.Order.Upstream),
+			FencingNumber: s.FencingNumber, Verb: s.Order.Verb, Argument: s.Order.Argument,
+			SendWithin: max(s.SendBy-n.now, time.Duration(0))})
+	}
+	for _, id := range notSent {
+		n.emit(OrderResult{Order: id, Status: OrderNotSent})
+	}
+	return len(calls)+len(sends)+len(notSent) > 0
+}
+
+func (n *Node) orderDone(e OrderDone) {
+	sent, ok := n.orders[e.Order]
+	if !ok {
+		return
+	}
+	delete(n.orders, e.Order)
+	if e.Status == OrderRefusedFencing {
+		n.leases.Fenced(sent.upstream, sent.fencingNumber)
+	}
+	n.emit(OrderResult(e))
+}
--- /dev/null
+++ b/pkg/node/ownership.go
@@ -0,0 +1,262 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// ownershipState follows the owners of all pools.
+type ownershipState struct {
+	// epoch, revision and leaving are what owners was computed from.
+	epoch, revision, leaving uint64
+	owners                   map[routing.PoolID]uint64
+	// pingedAt is when the owner of a pool was last pinged for an answer, and
+	// localSince when the local pool took over.
+	pingedAt, localSince map[routing.PoolID]time.Duration
+	// dead holds the members whose requests were dropped.
+	dead map[uint64]bool
+}
+
+// updateOwnership follows changes of the members, of the configuration and of
+// leaving upstreams.
+func (n *Node) updateOwnership() {
+	if n.set == nil {
+		return
+	}
+	epoch, leaving := n.view.Epoch(), n.view.UpstreamsVersion()
+	o := &n.ownership
+	if o.owners != nil && o.epoch == epoch && o.leaving == leaving && o.revision == n.set.Revision {
+		n.regainTrust()
+		return
+	}
+	refresh := o.leaving != leaving || o.revision != n.set.Revision
+	o.epoch, o.leaving, o.revision = epoch, leaving, n.set.Revision
+	if o.pingedAt == nil {
+		o.pingedAt = map[routing.PoolID]time.Duration{}
+		o.localSince = map[routing.PoolID]time.Duration{}
+	}
+	o.owners = map[routing.PoolID]uint64{}
+	for _, def := range n.routes.Pools() {
+		o.owners[def.ID] = n.view.Owner(uint64(def.ID))
+	}
+	n.dropPools()
+	if refresh {
+		for _, h := range n.pools.list {
+			n.setTopology(h, n.routes.Pool(h.id))
+		}
+	}
+	n.hostPools()
+	n.noteDeaths()
+	for _, pool := range n.table.Pools() {
+		n.refreshRoute(routing.PoolID(pool))
+	}
+	n.regainTrust()
+}
+
+// dropPools gives up pools that this instance does not own any more. Waiting
+// requests of other entries are answered NotOwner at once, also during the
+// first seconds after the change: two owners that both decide could shed a
+// higher tier at one while the other keeps a lower one (P2).
+func (n *Node) dropPools() {
+	for _, h := range slices.Clone(n.pools.list) {
+		owner, exists := n.ownership.owners[h.id]
+		if exists && (h.local || owner == n.self) {
+			continue
+		}
+		n.pools.remove(h)
+		for _, id := range h.order {
+			if it := h.ledger[id]; it != nil && !it.granted && id.Entry != n.self {
+				delete(h.ledger, id)
+				n.sendNotOwner(id.Entry, uint64(h.id), id.Sequence, it.descriptor.Attempt)
+			}
+		}
+	}
+}
+
+// sendNotOwner answers a descriptor, together with what this instance knows of
+// the owner, so that the entry's view catches up without waiting for gossip.
+func (n *Node) sendNotOwner(to, pool, sequence uint64, attempt uint32) {
+	n.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_NotOwner{NotOwner: &pb.NotOwner{
+		Sequence: sequence, Pool: pool, Attempt: attempt}}})
+	if updates := n.view.Updates(); len(updates) > 0 {
+		n.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{MemberUpdates: &pb.MemberUpdates{Updates: updates}}})
+	}
+}
+
+// hostPools starts the pools that this instance owns now.
+func (n *Node) hostPools() {
+	for _, def := range n.routes.Pools() {
+		if n.ownership.owners[def.ID] == n.self && n.pools.get(def.ID, false) == nil {
+			h := n.newHostedPool(def, false)
+			n.pools.add(h)
+			n.beginSync(h)
+		}
+	}
+}
+
+// beginSync asks all live entries for their requests in a pool.
+func (n *Node) beginSync(h *hostedPool) {
+	h.awaited = h.awaited[:0]
+	n.view.Live(func(m membership.Member) { h.awaited = append(h.awaited, m.Incarnation) })
+	if len(h.awaited) == 0 {
+		return
+	}
+	h.syncing, h.syncUntil = true, n.now+syncTime
+	h.sched.SetCautious(n.now, h.syncUntil)
+	for _, entry := range h.awaited {
+		n.askEntry(h, entry)
+	}
+}
+
+func (n *Node) askEntry(h *hostedPool, entry uint64) {
+	h.askedAt[entry] = n.now
+	n.send(entry, &pb.PeerMessage{Body: &pb.PeerMessage_SyncRequest{SyncRequest: &pb.SyncRequest{Pool: uint64(h.id)}}})
+}
+
+// regainTrust synchronises again after a pause, once a member has answered.
+func (n *Node) regainTrust() {
+	if !n.untrusted || !n.view.Trusted() {
+		return
+	}
+	n.untrusted = false
+	for _, h := range n.pools.list {
+		h.dirty = true
+		if !h.local {
+			n.beginSync(h)
+		}
+	}
+	for _, pool := range n.table.Pools() {
+		n.reportTo(routing.PoolID(pool))
+	}
+}
+
+// refreshRoute tells the dispatch table who owns a pool.
+func (n *Node) refreshRoute(pool routing.PoolID) {
+	owner, ok := n.ownership.owners[pool]
+	if !ok {
+		return
+	}
+	if n.table.SetOwner(n.now, uint64(pool), owner) {
+		n.endLocal(pool)
+		n.reportTo(pool)
+	}
+}
+
+// reportTo hands all requests of a pool to its owner: waiting ones to be
+// queued, dispatched ones to be counted.
+func (n *Node) reportTo(pool routing.PoolID) {
+	owner := n.ownership.owners[pool]
+	waiting, inFlight := n.table.Sync(n.now, uint64(pool), owner)
+	if owner == n.self {
+		n.adoptOwn(pool, waiting, inFlight)
+		return
+	}
+	if len(waiting)+len(inFlight) > 0 {
+		n.send(owner, &pb.PeerMessage{Body: &pb.PeerMessage_Sync{Sync: n.syncMessage(uint64(pool), waiting, inFlight)}})
+	}
+}
+
+func (n *Node) syncMessage(pool uint64, waiting, inFlight []*dispatch.Record) *pb.Sync {
+	message := &pb.Sync{Pool: pool}
+	for _, r := range waiting {
+		message.Waiting = append(message.Waiting, n.submitMessage(r))
+	}
+	for _, r := range inFlight {
+		message.InFlight = append(message.InFlight, &pb.InFlight{Request: n.submitMessage(r), Upstream: r.Upstream,
+			OutputTokens: r.Tokens, AgeMs: milliseconds(n.now - r.DispatchedAt)})
+	}
+	return message
+}
+
+func (n *Node) adoptOwn(pool routing.PoolID, waiting, inFlight []*dispatch.Record) {
+	h := n.pools.get(pool, false)
+	if h == nil {
+		return
+	}
+	for _, r := range waiting {
+		n.submitOwn(h, r)
+	}
+	for _, r := range inFlight {
+		d, ok := n.descriptorOf(h, r)
+		index, known := h.upstreams[r.Upstream]
+		if ok && known {
+			h.adopt(n.now, scheduler.InFlight{Descriptor: d, Upstream: index, OutputTokens: r.Tokens, Age: n.now - r.DispatchedAt})
+		}
+	}
+}
+
+// noteDeaths drops the requests of entries that were declared dead. The
+// scheduler keeps their permits for a grace period, since an upstream notices
+// closed connections only after a while.
+func (n *Node) noteDeaths() {
+	dead := map[uint64]bool{}
+	for _, m := range n.view.Members() {
+		if m.State != membership.Dead {
+			continue
+		}
+		dead[m.Incarnation] = true
+		if n.ownership.dead[m.Incarnation] {
+			continue
+		}
+		for _, h := range n.pools.list {
+			n.dropEntry(h, m.Incarnation)
+		}
+	}
+	n.ownership.dead = dead
+}
+
+func (n *Node) dropEntry(h *hostedPool, entry uint64) {
+	if items := h.itemsOf(entry); len(items) > 0 {
+		h.sched.DropEntry(n.now, entry)
+		h.dirty = true
+		for _, id := range items {
+			delete(h.ledger, id)
+		}
+	}
+	n.reported(h, entry)
+}
+
+// reported notes that an entry has answered a SyncRequest.
+func (n *Node) reported(h *hostedPool, entry uint64) {
+	h.awaited = slices.DeleteFunc(h.awaited, func(id uint64) bool { return id == entry })
+	if h.syncing && len(h.awaited) == 0 {
+		n.endSync(h)
+	}
+}
+
+// tickPools ends synchronisations and audits items whose entries have been
+// silent about them.
+func (n *Node) tickPools() {
+	share := n.view.LiveCount()
+	for _, h := range n.pools.list {
+		if h.syncing && n.now >= h.syncUntil {
+			n.endSync(h)
+		}
+		if h.local {
+			n.setShare(h, share)
+			continue
+		}
+		n.audit(h)
+	}
+}
+
+func (n *Node) audit(h *hostedPool) {
+	for _, id := range h.order {
+		it := h.ledger[id]
+		if it == nil || id.Entry == n.self || n.now < it.auditAt {
+			continue
+		}
+		if n.now-h.askedAt[id.Entry] < auditInterval {
+			continue
+		}
+		it.audits = min(it.audits+1, 6)
+		it.auditAt = n.now + auditBase<<it.audits
+		n.askEntry(h, id.Entry)
+	}
+}
--- /dev/null
+++ b/pkg/node/peers.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// frameReceived handles the messages of another instance in their order.
+func (n *Node) frameReceived(frame *pb.Frame) {
+	from := frame.GetFrom()
+	if from == 0 || from == n.self {
+		return
+	}
+	n.heardAt = n.now
+	n.view.Heard(n.now, from, frame.ConfigRevision)
+	for _, message := range frame.Messages {
+		n.messageReceived(from, message)
+	}
+	if frame.ConfigRevision > n.revision() {
+		n.configs.OnPeerRevision(n.now, from, frame.ConfigRevision)
+	}
+	n.updateOwnership()
+}
+
+func (n *Node) messageReceived(from uint64, message *pb.PeerMessage) {
+	switch m := message.GetBody().(type) {
+	case *pb.PeerMessage_Ping:
+		n.view.OnPing(n.now, from, m.Ping)
+	case *pb.PeerMessage_Ack:
+		n.view.OnAck(n.now, from, m.Ack)
+	case *pb.PeerMessage_PingRequest:
+		n.view.OnPingRequest(n.now, from, m.PingRequest)
+	case *pb.PeerMessage_Join:
+		n.view.OnJoin(n.now, from, m.Join)
+	case *pb.PeerMessage_JoinReply:
+		n.view.OnJoinReply(n.now, from, m.JoinReply)
+	case *pb.PeerMessage_MemberUpdates:
+		n.view.OnUpdates(n.now, m.MemberUpdates)
+	case *pb.PeerMessage_ConfigPull:
+		n.onConfigPull(from, m.ConfigPull)
+	case *pb.PeerMessage_ConfigPush:
+		n.configs.OnPush(n.now, from, m.ConfigPush)
+	case *pb.PeerMessage_BindingCall:
+		n.onBindingCall(from, m.BindingCall)
+	case *pb.PeerMessage_BindingReply:
+		n.onBindingReply(from, m.BindingReply)
+	default:
+		n.schedulingReceived(from, message)
+	}
+}
+
+// schedulingReceived handles the messages between entries and owners.
+func (n *Node) schedulingReceived(from uint64, message *pb.PeerMessage) {
+	switch m := message.GetBody().(type) {
+	case *pb.PeerMessage_Submit:
+		n.onSubmit(from, m.Submit)
+	case *pb.PeerMessage_Withdraw:
+		n.onWithdraw(from, m.Withdraw)
+	case *pb.PeerMessage_Grant:
+		n.onGrant(from, m.Grant)
+	case *pb.PeerMessage_Shed:
+		n.onShed(from, m.Shed)
+	case *pb.PeerMessage_NotOwner:
+		n.onNotOwner(from, m.NotOwner)
+	case *pb.PeerMessage_FirstToken:
+		n.onFirstToken(from, m.FirstToken)
+	case *pb.PeerMessage_Progress:
+		n.onProgress(from, m.Progress)
+	case *pb.PeerMessage_Release:
+		n.onRelease(from, m.Release)
+	case *pb.PeerMessage_Digest:
+		n.onDigest(from, m.Digest)
+	case *pb.PeerMessage_SyncRequest:
+		n.onSyncRequest(from, m.SyncRequest)
+	case *pb.PeerMessage_Sync:
+		n.onSync(from, m.Sync)
+	}
+}
+
+// descriptorFrom translates a descriptor of another entry. It fails if this
+// instance has another configuration revision, which lacks the class.
+func (n *Node) descriptorFrom(h *hostedPool, from uint64, m *pb.Submit) (scheduler.Descriptor, bool) {
+	class, ok := h.def.ClassIndex(routing.ClassID(m.GetClass()))
+	if !ok || m.Tier >= scheduler.MaxTiers {
+		return scheduler.Descriptor{}, false
+	}
+	return scheduler.Descriptor{
+		ID: scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, Attempt: m.Attempt, Tier: n.tierOf(uint8(m.Tier)),
+		Kind: n.kinds.intern(m.Kind), Org: n.orgs.intern(m.Organisation), Class: class,
+		Prompt: m.PromptTokens, OutMean: m.OutputMean, OutHigh: m.OutputHigh,
+		Deadline: n.now + time.Duration(m.RemainingMs)*time.Millisecond, Prefix: m.Prefix,
+	}, true
+}
+
+func (n *Node) onSubmit(from uint64, m *pb.Submit) {
+	h := n.pools.get(routing.PoolID(m.Pool), false)
+	if h == nil {
+		n.sendNotOwner(from, m.Pool, m.Sequence, m.Attempt)
+		return
+	}
+	d, ok := n.descriptorFrom(h, from, m)
+	if !ok {
+		n.count("submits", "unknown_class")
+		n.sendNotOwner(from, m.Pool, m.Sequence, m.Attempt)
+		return
+	}
+	if repeated := h.submit(n.now, d); repeated {
+		n.count("retries", dispatch.PermitLost)
+		n.grant(h, d.ID, h.ledger[d.ID])
+	}
+}
+
+func (n *Node) onWithdraw(from uint64, m *pb.Withdraw) {
+	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
+		h.withdraw(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, m.Attempt)
+	}
+}
+
+func decisionFrom(from, pool, sequence uint64, attempt uint32) dispatch.Decision {
+	return dispatch.Decision{ID: dispatch.ID(sequence), Pool: pool, Attempt: attempt, From: dispatch.Holder{Owner: from}}
+}
+
+func (n *Node) onGrant(from uint64, m *pb.Grant) {
+	n.view.Answered(n.now, from)
+	n.table.Grant(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt), m.Upstream, n.usable(m.Upstream))
+}
+
+func (n *Node) onShed(from uint64, m *pb.Shed) {
+	n.view.Answered(n.now, from)
+	refusal := shedRefusal(shedFromProto(m.Reason), time.Duration(m.RetryAfterMs)*time.Millisecond)
+	n.table.Shed(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt), refusal)
+}
+
+func (n *Node) onNotOwner(from uint64, m *pb.NotOwner) {
+	n.view.Answered(n.now, from)
+	n.table.NotOwner(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt))
+}
+
+func (n *Node) onFirstToken(from uint64, m *pb.FirstToken) {
+	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
+		h.sched.FirstToken(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond)
+		h.dirty = true
+	}
+}
+
+func (n *Node) onRelease(from uint64, m *pb.Release) {
+	h := n.pools.get(routing.PoolID(m.Pool), false)
+	if h == nil {
+		return
+	}
+	h.releaseAttempt(n.now, scheduler.Completion{
+		ID: scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, Outcome: scheduler.Outcome(m.Outcome),
+		OutputTokens: m.OutputTokens, TTFT: time.Duration(m.TtftMs) * time.Millisecond,
+		InterToken: time.Duration(m.InterTokenUs) * time.Microsecond, CachedPrompt: m.CachedPromptTokens,
+	}, m.Attempt)
+}
+
+// onSyncRequest answers an owner. Its answer also shows that the owner takes
+// itself to be one, so the view is brought up to date first.
+func (n *Node) onSyncRequest(from uint64, m *pb.SyncRequest) {
+	n.updateOwnership()
+	waiting, inFlight := n.table.Sync(n.now, m.Pool, from)
+	n.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_Sync{Sync: n.syncMessage(m.Pool, waiting, inFlight)}})
+}
+
+// onSync merges an entry's report of all its requests in a pool.
+func (n *Node) onSync(from uint64, m *pb.Sync) {
+	h := n.pools.get(routing.PoolID(m.Pool), false)
+	if h == nil {
+		for _, submit := range m.Waiting {
+			n.sendNotOwner(from, m.Pool, submit.Sequence, submit.Attempt)
+		}
+		return
+	}
+	mentioned := map[uint64]bool{}
+	for _, f := range m.InFlight {
+		mentioned[f.GetRequest().GetSequence()] = true
+		n.adoptFrom(h, from, f)
+	}
+	for _, submit := range m.Waiting {
+		mentioned[submit.Sequence] = true
+		n.onSubmit(from, submit)
+	}
+	n.dropUnmentioned(h, from, mentioned)
+	n.reported(h, from)
+}
+
+func (n *Node) adoptFrom(h *hostedPool, from uint64, f *pb.InFlight) {
+	if f.GetRequest() == nil {
+		return
+	}
+	d, ok := n.descriptorFrom(h, from, f.Request)
+	index, known := h.upstreams[f.Upstream]
+	if ok && known {
+		h.adopt(n.now, scheduler.InFlight{Descriptor: d, Upstream: index, OutputTokens: f.OutputTokens,
+			Age: time.Duration(f.AgeMs) * time.Millisecond})
+	}
+}
+
+// dropUnmentioned ends what the entry was asked about and did not report. Items
+// newer than the question are kept, since the report may have crossed them.
+func (n *Node) dropUnmentioned(h *hostedPool, from uint64, mentioned map[uint64]bool) {
+	asked, ok := h.askedAt[from]
+	if !ok {
+		return
+	}
+	for _, id := range h.itemsOf(from) {
+		if it := h.ledger[id]; !mentioned[id.Sequence] && it.since < asked {
+			n.count("permits", "audited")
+			h.drop(n.now, id, scheduler.Canceled)
+		}
+	}
+}
+
+// instanceList hands the platform's list to the membership.
+func (n *Node) instanceList(e InstanceList) {
+	listed := make([]membership.Listed, 0, len(e.Instances))
+	for _, line := range e.Instances {
+		listed = append(listed, membership.Listed(line))
+	}
+	n.view.OnList(n.now, e.OK, listed)
+	n.updateOwnership()
+}
+
+// cacheEvents passes hints about prefix caches to the pools hosted here.
+func (n *Node) cacheEvents(e CacheEvents) {
+	n.count("cache_events", "received")
+}
--- /dev/null
+++ b/pkg/node/reports.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"math"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+const (
+	// reportWindow is the interval over which progress is observed. It leaves
+	// an owner several observations within the 2 s in which a straggler must
+	// be detected.
+	reportWindow = 500 * time.Millisecond
+	// reportAtLeast is the longest time between two reports on an upstream
+	// with streams in progress.
+	reportAtLeast = 2 * time.Second
+	// reportChange is the relative change of the time between tokens that is
+	// reported at once.
+	reportChange = 0.25
+)
+
+// reportKey identifies what is observed: one upstream for one holder.
+type reportKey struct {
+	pool     uint64
+	upstream string
+	holder   dispatch.Holder
+}
+
+// report is what was observed in the present window and last sent.
+type report struct {
+	streams, stalled uint32
+	gaps             uint32
+	gapSum           time.Duration
+
+	sent         pb.Progress
+	sentAt       time.Duration
+	tokensBefore map[dispatch.ID]uint32
+}
+
+func (n *Node) tickReports() {
+	if n.now < n.reportDue {
+		return
+	}
+	n.reportDue = n.now + reportWindow
+	var order []reportKey
+	n.table.Each(func(r *dispatch.Record) {
+		if !r.InFlight() || r.OutHigh == 0 {
+			return
+		}
+		key := reportKey{r.Pool, r.Upstream, r.Holder}
+		rep := n.reports[key]
+		if rep == nil {
+			rep = &report{}
+			n.reports[key] = rep
+		}
+		if rep.streams == 0 {
+			order = append(order, key)
+		}
+		rep.observe(r)
+	})
+	for _, key := range order {
+		n.sendReport(key, n.reports[key])
+	}
+	for key, rep := range n.reports {
+		if rep.streams == 0 {
+			delete(n.reports, key)
+			continue
+		}
+		rep.streams, rep.stalled, rep.gaps, rep.gapSum = 0, 0, 0, 0
+	}
+}
+
+// observe adds one stream to the window.
+func (rep *report) observe(r *dispatch.Record) {
+	rep.streams++
+	if rep.tokensBefore == nil {
+		rep.tokensBefore = map[dispatch.ID]uint32{}
+	}
+	before := rep.tokensBefore[r.ID]
+	rep.tokensBefore[r.ID] = r.Tokens
+	switch {
+	case r.State != dispatch.Streaming:
+	case r.Tokens == before:
+		rep.stalled++
+	case before > 0:
+		rep.gaps += r.Tokens - before
+		rep.gapSum += reportWindow
+	}
+}
+
+func (rep *report) interToken() time.Duration {
+	if rep.gaps == 0 {
+		return 0
+	}
+	return rep.gapSum / time.Duration(rep.gaps)
+}
+
+// sendReport reports by exception: when something changed, or now and then.
+func (n *Node) sendReport(key reportKey, rep *report) {
+	now := &pb.Progress{Pool: key.pool, Upstream: key.upstream, Streams: rep.streams, Stalled: rep.stalled,
+		InterTokenUs: uint32(rep.interToken() / time.Microsecond)}
+	if h, here := n.hostedAt(key.pool, key.holder); here {
+		if h != nil {
+			n.progress(h, n.self, now)
+		}
+		return
+	}
+	changed := now.Stalled != rep.sent.Stalled || relativeChange(now.InterTokenUs, rep.sent.InterTokenUs) > reportChange
+	if !changed && n.now-rep.sentAt < reportAtLeast {
+		return
+	}
+	rep.sent.Stalled, rep.sent.InterTokenUs, rep.sentAt = now.Stalled, now.InterTokenUs, n.now
+	n.send(key.holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Progress{Progress: now}})
+}
+
+func relativeChange(a, b uint32) float64 {
+	if a == b {
+		return 0
+	}
+	return math.Abs(float64(a)-float64(b)) / float64(max(b, 1))
+}
+
+func (n *Node) onProgress(from uint64, m *pb.Progress) {
+	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
+		n.progress(h, from, m)
+	}
+}
+
+func (n *Node) progress(h *hostedPool, entry uint64, m *pb.Progress) {
+	index, ok := h.upstreams[m.Upstream]
+	if !ok {
+		return
+	}
+	h.sched.Progress(n.now, scheduler.Observation{Entry: entry, Upstream: index, Streams: m.Streams, Stalled: m.Stalled,
+		InterToken: time.Duration(m.InterTokenUs) * time.Microsecond})
+	h.dirty = true
+}
--- /dev/null
+++ b/pkg/node/submit.go
@@ -0,0 +1,225 @@
+package node
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/routing"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// fallbackDeadline is used where neither caller, kind nor tier names one.
+const fallbackDeadline = 30 * time.Second
+
+// defaultMaxOutput is used where neither caller nor kind bounds the output.
+const defaultMaxOutput = 4096
+
+// request is what the node keeps of a request beside its dispatch record.
+type request struct {
+	SubmitRequest
+	deadline time.Duration
+}
+
+func (r *request) route() routing.Request {
+	return routing.Request{Kind: r.Kind, Organisation: r.Organisation, Model: r.Model, Labels: r.Labels}
+}
+
+func (n *Node) submit(e SubmitRequest) {
+	id := dispatch.ID(e.ID)
+	if id == 0 || id&forwardedBit != 0 || n.requests[id] != nil {
+		return
+	}
+	r := &request{SubmitRequest: e, deadline: n.now + n.remaining(&e)}
+	if refusal := n.admission(); refusal.Code != "" {
+		if n.nonIdempotent(e.Kind) && e.IdempotencyKey != "" {
+			// An earlier attempt under the same key may have run.
+			refusal.Ran = dispatch.RanUnknown
+		}
+		n.refuse(id, refusal)
+		return
+	}
+	n.requests[id] = r
+	if n.nonIdempotent(e.Kind) {
+		n.submitCall(id, r, 0)
+		return
+	}
+	n.enqueue(id, r)
+}
+
+// admission returns a refusal if the instance takes no new requests.
+func (n *Node) admission() dispatch.Refusal {
+	if n.drain.closed {
+		return dispatch.Refusal{Code: "draining", Ran: dispatch.RanNo, Reason: "this instance is stopping",
+			Remedy: "retry at another instance of the discovery answer"}
+	}
+	if !n.Ready() && !n.drain.started {
+		return dispatch.Refusal{Code: "not_ready", Ran: dispatch.RanNo, Reason: n.NotReadyReason(),
+			Remedy: "retry at another instance", RetryAfter: time.Second}
+	}
+	return dispatch.Refusal{}
+}
+
+// enqueue resolves a request and starts its dispatch record.
+func (n *Node) enqueue(id dispatch.ID, r *request) {
+	target, err := n.routes.Resolve(r.route())
+	if err != nil {
+		n.refuseRequest(id, resolveRefusal(err))
+		return
+	}
+	mean, high := n.lengths.predict(n, r)
+	n.refreshRoute(target.Pool)
+	n.table.Submit(n.now, dispatch.Request{
+		ID: id, Kind: r.Kind, Organisation: r.Organisation,
+		Pool: uint64(target.Pool), Class: uint64(target.Class), Tier: target.Tier,
+		Prompt: r.PromptTokens, OutMean: mean, OutHigh: high,
+		Prefix: r.Prefix, Deadline: r.deadline,
+		KeepRunning: n.nonIdempotent(r.Kind),
+	}, n.kinds.limits(r.Kind), n.orgs.limits(r.Organisation))
+}
+
+// resolveRefusal translates an error of routing into a refusal.
+func resolveRefusal(err error) dispatch.Refusal {
+	refusal := dispatch.Refusal{Code: "internal", Ran: dispatch.RanNo, Reason: err.Error(), Remedy: "report this to an operator"}
+	switch {
+	case errorx.IsOfType(err, routing.ErrUnknownKind):
+		refusal.Code, refusal.Remedy = "unknown_kind", "use a request kind that an operator has created"
+	case errorx.IsOfType(err, routing.ErrUnknownOrganisation):
+		refusal.Code, refusal.Remedy = "forbidden", "ask an operator to create the organisation"
+	case errorx.IsOfType(err, routing.ErrForbidden):
+		refusal.Code, refusal.Remedy = "forbidden", "ask an operator to allow the kind for the organisation"
+	case errorx.IsOfType(err, routing.ErrUnknownModel):
+		refusal.Code, refusal.Remedy = "unknown_model", "use a model that an upstream serves"
+	case errorx.IsOfType(err, routing.ErrNoRoute):
+		refusal.Code, refusal.Remedy = "no_route", "run citrongate explain with this kind, organisation and labels"
+	}
+	return refusal
+}
+
+// remaining returns the time until the deadline of a new request.
+func (n *Node) remaining(e *SubmitRequest) time.Duration {
+	remaining := e.Remaining
+	if n.set != nil && remaining <= 0 {
+		kind := n.set.Kinds[e.Kind].GetRequestKind()
+		milliseconds := kind.GetDefaultDeadlineMs()
+		if milliseconds == 0 {
+			milliseconds = n.set.Tiers[kind.GetTier()].GetTier().GetDefaultDeadlineMs()
+		}
+		remaining = time.Duration(milliseconds) * time.Millisecond
+	}
+	if remaining <= 0 {
+		remaining = fallbackDeadline
+	}
+	return min(remaining, n.cfg.MaxDeadline)
+}
+
+func (n *Node) nonIdempotent(kind string) bool {
+	return n.set != nil && n.set.Kinds[kind].GetRequestKind().GetNonIdempotent()
+}
+
+// refuseRequest ends a request that has no dispatch record.
+func (n *Node) refuseRequest(id dispatch.ID, refusal dispatch.Refusal) {
+	n.count("refusals", refusal.Code)
+	n.ended(id, refusal, false)
+}
+
+// refuse tells the caller edge that a request ends without an answer.
+func (n *Node) refuse(id dispatch.ID, r dispatch.Refusal) {
+	n.count("refusals", r.Code)
+	n.emitRefuse(id, r)
+}
+
+func (n *Node) emitRefuse(id dispatch.ID, r dispatch.Refusal) {
+	n.emit(Refuse{ID: RequestID(id), Code: r.Code, Ran: Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter})
+}
+
+func (n *Node) callerGone(id dispatch.ID) {
+	if n.table.Record(id) != nil {
+		n.table.Cancel(n.now, id)
+		return
+	}
+	n.callGone(id)
+}
+
+var results = map[UpstreamResult]dispatch.Result{
+	ResultComplete:   dispatch.AnsweredWhole,
+	ResultRefused:    dispatch.UpstreamRefused,
+	ResultBroken:     dispatch.AnswerBroken,
+	ResultMismatched: dispatch.AnswerMismatched,
+	ResultDeadline:   dispatch.DeadlinePassed,
+}
+
+func (n *Node) upstreamDone(e UpstreamDone) {
+	id := dispatch.ID(e.ID)
+	if r := n.requests[id]; r != nil && e.Result == ResultComplete {
+		n.lengths.observe(r, e.OutputTokens)
+	}
+	if call := n.calls.running[id]; call != nil {
+		call.outcome = e.Outcome
+	}
+	n.table.Finish(n.now, id, results[e.Result], e.OutputTokens, e.CachedPromptTokens)
+}
+
+// ended forgets a request and answers whoever waits for it. A refusal with an
+// empty code means that the answer was whole and the edge has relayed it.
+func (n *Node) ended(id dispatch.ID, refusal dispatch.Refusal, silent bool) {
+	if n.calls.running[id] != nil {
+		n.callEnded(id, refusal, silent)
+	} else if refusal.Code != "" && !silent {
+		n.emitRefuse(id, refusal)
+	}
+	delete(n.requests, id)
+}
+
+func (n *Node) addressOf(upstream string) string {
+	if n.set == nil {
+		return ""
+	}
+	return n.set.Upstreams[upstream].GetUpstream().GetAddress()
+}
+
+// flowTable interns the names of kinds or organisations and holds their limits.
+type flowTable struct {
+	index map[string]uint32
+	names []string
+	specs []*pb.Limits
+	// weights are parallel to names.
+	weights []float64
+}
+
+func newFlowTable() flowTable { return flowTable{index: map[string]uint32{}} }
+
+func (t *flowTable) intern(name string) uint32 {
+	if i, ok := t.index[name]; ok {
+		return i
+	}
+	i := uint32(len(t.names))
+	t.index[name] = i
+	t.names = append(t.names, name)
+	t.specs = append(t.specs, nil)
+	t.weights = append(t.weights, 0)
+	return i
+}
+
+func (t *flowTable) set(name string, weight float64, limits *pb.Limits) {
+	i := t.intern(name)
+	t.specs[i], t.weights[i] = limits, weight
+}
+
+func (t *flowTable) clear() {
+	for i := range t.specs {
+		t.specs[i], t.weights[i] = nil, 0
+	}
+}
+
+// limits returns the limits that the entry checks its share of.
+func (t *flowTable) limits(name string) dispatch.Limits {
+	i, ok := t.index[name]
+	if !ok {
+		return dispatch.Limits{}
+	}
+	l := t.specs[i]
+	return dispatch.Limits{RequestsPerSecond: l.GetRequestsPerSecond(), Burst: l.GetBurst(),
+		InFlight: l.GetInFlight(), Queued: l.GetQueued()}
+}
