simtest: world of a few nodes, invariants program

Cause: the promises must hold under faults, alone and in pairs. Ruled out: judging by the nodes' own counters; the fakes and a trace judge.

--- /dev/null
+++ b/internal/simtest/cmd/invariants/tiers.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/internal/simtest"
+)
+
+const (
+	// decisionSlack covers the way of a decision from the owner to the entry
+	// and back: two message delays, a tick and the delay of a handover.
+	decisionSlack = 100 * time.Millisecond
+	// repairTime is how long a lost frame may delay what its receiver knows:
+	// the first repetition of an offer, with its jitter.
+	repairTime = 700 * time.Millisecond
+	// takeoverTime is how long after the loss of a process others may still
+	// wait for it: the owner timeout, a tick, and the synchronisation.
+	takeoverTime = 1000 * time.Millisecond
+)
+
+// checkTierOrder: at the moment a request is shed, no lower-tier request waits
+// at a reachable instance for the same upstreams, and none was dispatched while
+// it waited. All model kinds of the fixture share all engines.
+//
+// Not reachable are an instance that is paused or was until a moment ago, one
+// whose frames are lost, and an owner that has just been killed or paused.
+func checkTierOrder(r *run, v *verdict) {
+	var model []*simtest.Request
+	for _, request := range r.world.Trace.Requests {
+		if request.Spec.Model != "" {
+			model = append(model, request)
+		}
+	}
+	for _, shed := range model {
+		if shed.Code != "shed_overload" && shed.Code != "expired_waiting" {
+			continue
+		}
+		if r.unreachable(shed, shed.Address) || r.processLost(shed) {
+			continue
+		}
+		v.judged++
+		for _, lower := range model {
+			if lower.Spec.Tier > shed.Spec.Tier {
+				r.compare(v, shed, lower)
+			}
+		}
+	}
+}
+
+func (r *run) compare(v *verdict, shed, lower *simtest.Request) {
+	if lower.Submitted > shed.Ended-decisionSlack {
+		return
+	}
+	if dispatched := lower.Dispatches; len(dispatched) > 0 {
+		at := dispatched[len(dispatched)-1].At
+		if at > shed.Submitted+decisionSlack && at < shed.Ended-decisionSlack && !r.unreachable(shed, lower.Address) {
+			v.fail("%s was dispatched at %v while this waited and was shed: %s", show(lower), at, show(shed))
+		}
+		return
+	}
+	if (lower.Ended == 0 || lower.Ended > shed.Ended+decisionSlack) && !r.unreachable(shed, lower.Address) {
+		v.fail("%s waited while this was shed: %s", show(lower), show(shed))
+	}
+}
+
+// unreachable reports whether an instance could not be reached at some time
+// while a request waited: it was paused, or frames to or from it were lost.
+func (r *run) unreachable(shed *simtest.Request, address string) bool {
+	from, until := shed.Submitted-repairTime, shed.Ended+decisionSlack
+	if r.hitBetween(address, from, until, "lost", "kill") {
+		return true
+	}
+	return r.pausedBetween(address, from, until)
+}
+
+// pausedBetween reports whether a process was paused at some time of an
+// interval, or had not yet found out who owns what after a pause.
+func (r *run) pausedBetween(address string, from, until time.Duration) bool {
+	since := time.Duration(-1)
+	for _, d := range r.world.Trace.Disturbances {
+		if d.Address != address {
+			continue
+		}
+		switch d.What {
+		case "pause":
+			since = d.At
+		case "resume":
+			if since >= 0 && since <= until && d.At+takeoverTime >= from {
+				return true
+			}
+			since = -1
+		}
+	}
+	return since >= 0 && since <= until
+}
+
+// processLost reports whether a process was killed, paused or resumed while the
+// request waited, or shortly before, so that the owner was out of reach.
+func (r *run) processLost(shed *simtest.Request) bool {
+	for _, d := range r.world.Trace.Disturbances {
+		if d.What != "lost" && d.At <= shed.Ended && shed.Submitted < d.At+takeoverTime {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/simtest/trace.go
@@ -0,0 +1,129 @@
+package simtest
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+)
+
+// Outcome is what the caller of a request saw.
+type Outcome uint8
+
+// Outcomes of requests.
+const (
+	// OutcomeNone means that the request had not ended.
+	OutcomeNone Outcome = iota
+	OutcomeAnswered
+	OutcomeRefused
+	// OutcomeLost means that the caller's connection broke.
+	OutcomeLost
+	// OutcomeGone means that the caller left.
+	OutcomeGone
+)
+
+// Request is the trace of one request.
+type Request struct {
+	ID                scheduler.GlobalID
+	Spec              Spec
+	Instance, Address string
+	Submitted         time.Duration
+	// Dispatches lists what the node decided; Receipts say what upstreams saw.
+	Dispatches []Receipt
+
+	Ended   time.Duration
+	Outcome Outcome
+	// Code, Ran and Reason are those of a refusal.
+	Code, Ran, Reason string
+	// Ends counts how often the caller was answered.
+	Ends int
+	// AnsweredWith is the id that the relayed answer carried; zero for replies from a record.
+	AnsweredWith scheduler.GlobalID
+	// RecordedBody is the body of a reply from a record.
+	RecordedBody string
+	// Tokens is the length of an engine's answer.
+	Tokens uint32
+}
+
+func (r *Request) end(now time.Duration, outcome Outcome, refusal node.Refuse) {
+	r.Ends++
+	if r.Outcome == OutcomeNone {
+		r.Ended, r.Outcome = now, outcome
+		r.Code, r.Ran, r.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
+	}
+}
+
+// Receipt is a request that was handed to an upstream.
+type Receipt struct {
+	At       time.Duration
+	ID       scheduler.GlobalID
+	Upstream string
+	Address  string
+}
+
+// Disturbance is a fault that hit one process.
+type Disturbance struct {
+	At      time.Duration
+	Address string
+	What    string
+}
+
+// InForce is a revision that came into force, or the end of a drain.
+type InForce struct {
+	At       time.Duration
+	Instance uint64
+	Revision uint64
+}
+
+// ChangeResult is the answer to an operator.
+type ChangeResult struct {
+	At       time.Duration
+	Instance uint64
+	Done     node.ChangeDone
+}
+
+// OrderRun is an order that an upstream carried out.
+type OrderRun struct {
+	At       time.Duration
+	Upstream string
+	Number   uint64
+	Instance uint64
+}
+
+// Trace records what callers, upstreams and operators saw.
+type Trace struct {
+	Requests     []*Request
+	Received     []Receipt
+	Disturbances []Disturbance
+	Changes      []ChangeResult
+	InForce      []InForce
+	Drained      []InForce
+	Orders       []OrderRun
+	Counts       map[node.Count]int
+
+	byID map[scheduler.GlobalID]*Request
+}
+
+func (t *Trace) add(r *Request) {
+	if t.byID == nil {
+		t.byID = map[scheduler.GlobalID]*Request{}
+	}
+	t.Requests = append(t.Requests, r)
+	t.byID[r.ID] = r
+}
+
+// Find returns the trace of a request, or nil.
+func (t *Trace) Find(id scheduler.GlobalID) *Request { return t.byID[id] }
+
+func (t *Trace) dispatched(id scheduler.GlobalID, upstream string, now time.Duration) {
+	if r := t.byID[id]; r != nil {
+		r.Dispatches = append(r.Dispatches, Receipt{At: now, ID: id, Upstream: upstream})
+	}
+}
+
+func (t *Trace) count(c node.Count) {
+	if t.Counts == nil {
+		t.Counts = map[node.Count]int{}
+	}
+	t.Counts[c]++
+}
