configstate: keep segments for 16 revisions after they were replaced

Cause: a segment that was written long ago and replaced a moment ago could be deleted at once, while an instance still read the head that names it. Ruled out: keeping a fixed number of segments per index: cold ones stay for ever. Change: age counts from the next segment of the same index. Recorded answers take at most 8 MiB by default in each of Home and Claims.

--- a/pkg/binding/claims.go
+++ b/pkg/binding/claims.go
@@ -25,7 +25,7 @@
 	MaxRecords int
 	// MaxRecordsPerOrganisation bounds one organisation's records; 0 means half of MaxRecords.
 	MaxRecordsPerOrganisation int
-	// MaxOutcomeBytes bounds the bytes of answers in memory; 0 means 16 MiB.
+	// MaxOutcomeBytes bounds the bytes of answers in memory; 0 means 8 MiB.
 	MaxOutcomeBytes int
 }
 
--- a/pkg/binding/home.go
+++ b/pkg/binding/home.go
@@ -20,7 +20,7 @@
 	MaxRecords int
 	// MaxRecordsPerOrganisation bounds one organisation's records; 0 means half of MaxRecords.
 	MaxRecordsPerOrganisation int
-	// MaxOutcomeBytes bounds the bytes of recorded answers; 0 means 16 MiB.
+	// MaxOutcomeBytes bounds the bytes of recorded answers; 0 means 8 MiB.
 	MaxOutcomeBytes int
 }
 
--- a/pkg/binding/record.go
+++ b/pkg/binding/record.go
@@ -67,7 +67,7 @@
 		maxPerOrganisation = (maxRecords + 1) / 2
 	}
 	if maxOutcomeBytes == 0 {
-		maxOutcomeBytes = 16 << 20
+		maxOutcomeBytes = 8 << 20
 	}
 	return records{
 		byKey:              map[digest]*record{},
--- a/pkg/configstate/cleanup.go
+++ b/pkg/configstate/cleanup.go
@@ -1,6 +1,8 @@
 package configstate
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/store"
@@ -37,19 +39,46 @@
 	})
 }
 
+// deleteSegments deletes the segments that no head of the last keepRevisions
+// revisions names.
 func (m *Machine) deleteSegments(entries []store.Entry) {
-	deletes := 0
+	var listed [SegmentCount][]segmentEntry
 	for _, e := range entries {
-		index, revision, ok := parseSegmentKey(e.Key)
-		if !ok || index < 0 || index >= SegmentCount || deletes == maxDeletes {
-			continue
+		if index, revision, ok := parseSegmentKey(e.Key); ok && index >= 0 && index < SegmentCount {
+			listed[index] = append(listed[index], segmentEntry{e, revision})
 		}
-		// A segment that a head newer than ours names is newer than our revision.
-		if m.held[index].GetRevision() == revision || revision+keepRevisions > m.current.Revision {
-			continue
+	}
+	deletes := 0
+	for index, segments := range listed {
+		slices.SortFunc(segments, func(a, b segmentEntry) int { return cmp.Compare(a.revision, b.revision) })
+		for i, s := range segments {
+			if deletes == maxDeletes || !m.isObsolete(index, segments, i) {
+				continue
+			}
+			deletes++
+			op := store.Op{Kind: store.Delete, Key: s.entry.Key, Version: s.entry.Version}
+			m.call(op, store.PriorityCleanup, store.ReasonConfigCleanup, func(time.Duration, store.Result) {})
+		}
+	}
+}
+
+type segmentEntry struct {
+	entry    store.Entry
+	revision uint64
+}
+
+// isObsolete reports whether segment i of an index was replaced at least
+// keepRevisions ago. A segment above the one in force was either written for a
+// change that failed, or belongs to a head that this instance has not seen and
+// whose revision is then above its own.
+func (m *Machine) isObsolete(index int, segments []segmentEntry, i int) bool {
+	named := m.held[index].GetRevision()
+	replacedAt := segments[i].revision
+	if segments[i].revision < named {
+		if i+1 == len(segments) || segments[i+1].revision > named {
+			return false
 		}
-		deletes++
-		op := store.Op{Kind: store.Delete, Key: e.Key, Version: e.Version}
-		m.call(op, store.PriorityCleanup, store.ReasonConfigCleanup, func(time.Duration, store.Result) {})
+		replacedAt = segments[i+1].revision
 	}
+	return segments[i].revision != named && replacedAt+keepRevisions <= m.current.Revision
 }
--- a/pkg/configstate/machine_test.go
+++ b/pkg/configstate/machine_test.go
@@ -282,19 +282,25 @@
 	require.Equal(t, first.Revision, c.instances[1].Current().Revision)
 }
 
-// TestCleanupKeepsNamedSegments guards against deleting a segment that a
-// current head names, and against segments that pile up in the store.
+// TestCleanupKeepsNamedSegments guards against deleting a segment that one of
+// the last ten heads names, however old the segment is, and against segments
+// that pile up in the store.
 func TestCleanupKeepsNamedSegments(t *testing.T) {
 	c := newCluster(t, 2)
-	require.True(t, c.run(c.instances[0], Change{ID: 1, Puts: []*pb.Object{organisation("old", 1)}}).Accepted)
-	for id := uint64(2); id < 80; id++ {
-		d := c.run(c.instances[id%2], Change{ID: id, Puts: []*pb.Object{organisation("hot", float64(id))}})
-		require.True(t, d.Accepted)
-		head := &pb.ConfigHead{}
-		require.NoError(t, proto.Unmarshal(c.store.Current(headKey).Value, head))
-		for i, revision := range head.SegmentRevisions {
-			if revision != 0 {
-				require.NotZero(t, c.store.Current(segmentKey(i, revision)).Version)
+	for id := uint64(1); id < 120; id++ {
+		puts := []*pb.Object{organisation("hot", float64(id))}
+		if id%31 == 1 {
+			puts = append(puts, organisation("cold", float64(id)))
+		}
+		require.True(t, c.run(c.instances[id%2], Change{ID: id, Puts: puts}).Accepted)
+		heads := c.store.History[headKey]
+		for _, version := range heads[max(0, len(heads)-10):] {
+			head := &pb.ConfigHead{}
+			require.NoError(t, proto.Unmarshal(version.Value, head))
+			for i, revision := range head.SegmentRevisions {
+				if revision != 0 {
+					require.NotZero(t, c.store.Current(segmentKey(i, revision)).Version, "head %d, segment %d/%d", head.Revision, i, revision)
+				}
 			}
 		}
 	}
