node, membership: owners need a configuration; handover in one frame

Ruled out: a grace period in which the old owner keeps deciding; that makes two. Change: members without a configuration do not own; the first configuration is announced to the cell; ownership is brought up to date before each message.

--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -33,8 +33,9 @@
 	// noticed earlier, by the digests that the caller sends to owners.
 	resendBase = time.Second
 	resendMax  = 4 * time.Second
-	// deniedDelay is how long a retry waits that has no budget.
-	deniedDelay = 500 * time.Millisecond
+	// deniedDelay is how long a request waits for which there is no retry
+	// budget, unless its owner changes before.
+	deniedDelay = 200 * time.Millisecond
 	// retryJitterMin and retryJitterMax bound the delay of a retry.
 	retryJitterMin = 10 * time.Millisecond
 	retryJitterMax = 60 * time.Millisecond
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -147,7 +147,7 @@
 	if !known {
 		m = v.add(now, u)
 	}
-	m.ConfigRevision = max(m.ConfigRevision, u.ConfigRevision)
+	v.noteRevision(m, u.ConfigRevision)
 	switch u.State {
 	case pb.MemberState_MEMBER_STATE_LEAVING:
 		v.setLeaving(m)
--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -14,11 +14,13 @@
 func score(key, incarnation uint64) uint64 { return mix(key ^ mix(incarnation)) }
 
 // Owner returns the instance that owns a key: the one with the highest
-// rendezvous score of the members that are alive and not leaving. Suspect
-// members do not own, since work would wait for them until they are declared
-// dead. If nobody else is left, suspect and then leaving members are considered.
+// rendezvous score of the members that are alive, not leaving and have a
+// configuration. Suspect members do not own, since work would wait for them
+// until they are declared dead. If nobody else is left, members without a
+// known configuration, then suspect, then leaving ones are considered.
 func (v *View) Owner(key uint64) uint64 {
 	for _, accept := range []func(*member) bool{
+		func(m *member) bool { return m.State == Alive && !m.Leaving && m.ConfigRevision > 0 },
 		func(m *member) bool { return m.State == Alive && !m.Leaving },
 		func(m *member) bool { return m.State != Dead && !m.Leaving },
 		func(m *member) bool { return m.State != Dead },
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -147,8 +147,24 @@
 // Self returns the instance's own entry.
 func (v *View) Self() Member { return v.self.Member }
 
-// SetConfigRevision sets the revision that is reported to other members.
-func (v *View) SetConfigRevision(revision uint64) { v.self.ConfigRevision = revision }
+// SetConfigRevision sets the revision that is reported to other members. With
+// its first configuration an instance may become an owner, so it tells all.
+func (v *View) SetConfigRevision(revision uint64) {
+	first := v.self.ConfigRevision == 0
+	v.self.ConfigRevision = revision
+	if first && revision > 0 {
+		v.changed()
+		v.broadcast(healthUpdate(v.self.Member))
+	}
+}
+
+// noteRevision records the revision in force at a member.
+func (v *View) noteRevision(m *member, revision uint64) {
+	if m.ConfigRevision == 0 && revision > 0 {
+		v.changed()
+	}
+	m.ConfigRevision = max(m.ConfigRevision, revision)
+}
 
 // Epoch changes whenever an owner may have changed.
 func (v *View) Epoch() uint64 { return v.epoch }
@@ -210,7 +226,7 @@
 func (v *View) Heard(now time.Duration, from uint64, configRevision uint64) {
 	if m, ok := v.members[from]; ok {
 		m.heard = now
-		m.ConfigRevision = max(m.ConfigRevision, configRevision)
+		v.noteRevision(m, configRevision)
 		if m.State == Dead && now-m.notified >= v.cfg.PingInterval {
 			// The ping carries what is held against the member, so that it refutes.
 			m.notified = now
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -56,6 +56,9 @@
 
 // schedulingReceived handles the messages between entries and owners.
 func (n *Node) schedulingReceived(from uint64, message *pb.PeerMessage) {
+	// Updates of members that came earlier in the same frame may have made this
+	// instance the owner.
+	n.updateOwnership()
 	switch m := message.GetBody().(type) {
 	case *pb.PeerMessage_Submit:
 		n.onSubmit(from, m.Submit)
