simtest: pause at the worst moment for a lease

Cause: the mutant fencing-ignored was not caught: a pause rarely met an order that was about to be sent. Ruled out: a longer write delay for all orders, which lost the 20 ms of a normal edge. Change: half of the pauses hit the process that is about to send an order.

--- a/internal/simtest/cmd/invariants/fault.go
+++ b/internal/simtest/cmd/invariants/fault.go
@@ -34,9 +34,16 @@
 	}},
 	{"pause", func(r *run, random *rand.Rand, at time.Duration) {
 		r.at(at, func() {
-			i := r.victim(random)
-			r.world.Pause(i)
-			r.at(at+between(random, 1200, 5000), func() { r.world.Resume(i) })
+			if random.Float64() < 0.5 {
+				r.pause(r.victim(random), between(random, 1200, 5000))
+				return
+			}
+			// The worst moment for a lease: an order is about to be sent.
+			length := between(random, 3000, 6000)
+			r.world.OnOrder = func(i *simtest.Instance) {
+				r.world.OnOrder = nil
+				r.pause(i, length)
+			}
 		})
 	}},
 	{"one-way-cut", func(r *run, random *rand.Rand, at time.Duration) {
@@ -118,6 +125,11 @@
 	return live[random.IntN(len(live))]
 }
 
+func (r *run) pause(i *simtest.Instance, length time.Duration) {
+	r.world.Pause(i)
+	r.world.Loop.After(length, func() { r.world.Resume(i) })
+}
+
 func (r *run) anyLive(random *rand.Rand) *simtest.Instance {
 	live := r.world.Live()
 	return live[random.IntN(len(live))]
--- a/internal/simtest/cmd/invariants/run.go
+++ b/internal/simtest/cmd/invariants/run.go
@@ -78,7 +78,7 @@
 	r.fixture.AddUpstreams(r.world)
 	for n := 1; n <= nodes; n++ {
 		config := r.fixture.Config(n)
-		config.LeaseDuration = 2 * time.Second
+		config.LeaseDuration = time.Second
 		config.Mutations = m.node
 		r.instances = append(r.instances, r.world.Start(config))
 	}
@@ -103,7 +103,7 @@
 		r.arrivals(3, r.lookup)
 		r.arrivals(4, r.order)
 		r.arrivals(0.6, func() { r.change(r.anyLive(r.random), "") })
-		r.arrivals(1.5, r.upstreamOrder)
+		r.arrivals(4, r.upstreamOrder)
 	})
 	// A flood of the lowest tier, then of the highest.
 	r.flood(8*time.Second, 10*time.Second, 150, r.batch)
--- a/internal/simtest/edge.go
+++ b/internal/simtest/edge.go
@@ -175,4 +175,7 @@
 		w.Loop.After(upstreamDelay, func() { i.step(node.OrderDone{Order: a.Order, Status: status}) })
 	}
 	w.Loop.After(time.Duration(w.Loop.Rand.Float64()*float64(20*time.Millisecond)), write)
+	if w.OnOrder != nil {
+		w.OnOrder(i)
+	}
 }
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -37,6 +37,9 @@
 	UncheckedAnswers bool
 	// SwapAnswers makes engines answer with another request's id now and then.
 	SwapAnswers float64
+	// OnOrder, if set, is called when a process is about to send an order, so
+	// that a fault can hit it at that moment.
+	OnOrder func(*Instance)
 	// IgnoreFencing is a mutation: upstreams accept orders with an old number.
 	IgnoreFencing bool
 
