--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,11 +41,14 @@
 	n.set, n.routes = set, routes
 	n.kinds.clear()
 	n.orgs.clear()
-	for name, object := range set.Kinds {
-		n.kinds.set(name, object.GetRequestKind().GetWeight(), object.GetRequestKind().GetLimits())
-	}
-	for name, object := range set.Organisations {
-		n.orgs.set(name, object.GetOrganisation().GetWeight(), object.GetOrganisation().GetLimits())
+	// In sorted order, so that the interned numbers do not depend on map order.
+	for _, name := range slices.Sorted(maps.Keys(set.Kinds)) {
+		spec := set.Kinds[name].GetRequestKind()
+		n.kinds.set(name, spec.GetWeight(), spec.GetLimits())
+	}
+	for _, name := range slices.Sorted(maps.Keys(set.Organisations)) {
+		spec := set.Organisations[name].GetOrganisation()
+		n.orgs.set(name, spec.GetWeight(), spec.GetLimits())
 	}
 	n.poolOf = map[string]routing.PoolID{}
 	for _, pool := range routes.Pools() {
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -80,6 +80,7 @@
 	}
 	h.syncing, h.awaited = false, nil
 	h.sched.SetCautious(n.now, n.now)
+	n.inheritLimits(h)
 	h.dirty = true
 	postponed := h.postponed
 	h.postponed = nil
@@ -90,6 +91,20 @@
 	}
 }
 
+// inheritLimits starts from the limits that the former owner had learned, as
+// far as the work in flight shows them.
+func (n *Node) inheritLimits(h *hostedPool) {
+	inFlight := make([]uint32, len(h.def.Upstreams))
+	for _, it := range h.ledger {
+		if it.granted {
+			inFlight[it.upstream]++
+		}
+	}
+	for upstream, count := range inFlight {
+		h.sched.RaiseLimit(n.now, uint32(upstream), count)
+	}
+}
+
 func (n *Node) grant(h *hostedPool, id scheduler.GlobalID, it *item) {
 	name := h.def.Upstreams[it.upstream].Name
 	if id.Entry == n.self {
--- a/pkg/node/lengths.go
+++ b/pkg/node/lengths.go
@@ -1,12 +1,18 @@
 package node
 
-// lengths predicts the output tokens of a request from earlier ones of the same
-// kind and organisation.
-type lengths struct{}
+import (
+	"github.com/citrongate/citrongate/pkg/scheduler/predict"
+)
 
-func newLengths() lengths { return lengths{} }
+// lengths predicts the output tokens of a request from earlier answers to the
+// same kind and organisation.
+type lengths struct{ predictor *predict.Predictor }
 
-// predict returns the mean and the 0.9 quantile of the predicted output tokens.
+func newLengths() lengths { return lengths{predictor: predict.New(predict.Config{})} }
+
+// predict returns the mean and the 0.9 quantile of the predicted output tokens,
+// both at most what the caller or the kind allows. Calls to plain services have
+// none.
 func (l *lengths) predict(n *Node, r *request) (mean, high uint32) {
 	kind := n.set.Kinds[r.Kind].GetRequestKind()
 	if !kind.GetModelCall() {
@@ -19,7 +25,12 @@
 	if bound == 0 {
 		bound = defaultMaxOutput
 	}
-	return min(bound, 256), min(bound, 1024)
+	e := l.predictor.Predict(n.kinds.intern(r.Kind), n.orgs.intern(r.Organisation))
+	return max(min(bound, e.Mean), 1), max(min(bound, e.High), 1)
 }
 
-func (l *lengths) observe(r *request, tokens uint32) {}
+func (l *lengths) observe(n *Node, r *request, tokens uint32) {
+	if n.set.Kinds[r.Kind].GetRequestKind().GetModelCall() {
+		l.predictor.Observe(n.kinds.intern(r.Kind), n.orgs.intern(r.Organisation), tokens)
+	}
+}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -230,7 +230,22 @@
 	n.updateOwnership()
 }
 
-// cacheEvents passes hints about prefix caches to the pools hosted here.
+// cacheEvents passes hints about prefix caches to the pools hosted here. Events
+// are late and have gaps, so the pools treat them as hints only.
 func (n *Node) cacheEvents(e CacheEvents) {
-	n.count("cache_events", "received")
+	if e.Gap {
+		n.count("cache_events", "gap")
+	}
+	for _, h := range n.pools.list {
+		index, ok := h.upstreams[e.Upstream]
+		if !ok {
+			continue
+		}
+		for _, prefix := range e.Cached {
+			h.sched.CacheEvent(index, prefix, true)
+		}
+		for _, prefix := range e.Evicted {
+			h.sched.CacheEvent(index, prefix, false)
+		}
+	}
 }
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -153,7 +153,7 @@
 func (n *Node) upstreamDone(e UpstreamDone) {
 	id := dispatch.ID(e.ID)
 	if r := n.requests[id]; r != nil && e.Result == ResultComplete {
-		n.lengths.observe(r, e.OutputTokens)
+		n.lengths.observe(n, r, e.OutputTokens)
 	}
 	if call := n.calls.running[id]; call != nil {
 		call.outcome = e.Outcome
