--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -60,7 +61,7 @@
 		known[m.PeerAddress] = true
 	}
 	var unknown []string
-	for _, address := range v.join.addresses {
+	for _, address := range append(slices.Clone(v.join.addresses), v.cfg.Seeds...) {
 		if !known[address] {
 			unknown = append(unknown, address)
 		}
@@ -99,7 +100,12 @@
 	v.Apply(now, reply.Members)
 	v.trust()
 	if _, sameCell := v.members[from]; sameCell {
-		v.join.joined = true
+		if !v.join.joined {
+			// All members must agree on the new owners at once; gossip would
+			// leave two owners for about a second.
+			v.join.joined = true
+			v.broadcast(healthUpdate(v.self.Member))
+		}
 		return
 	}
 	if !v.join.joined {
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -25,6 +25,7 @@
 type prober struct {
 	sequence uint32
 	next     time.Duration
+	nextDead time.Duration
 	// round is the shuffled order of the current round; every member is pinged
 	// once per round, which bounds the detection time.
 	round []uint64
@@ -52,6 +53,27 @@
 	}
 }
 
+// PingThroughOthers asks other members to ping one that does not answer. It
+// returns false if there is nobody to ask.
+func (v *View) PingThroughOthers(incarnation uint64) bool {
+	sequence := v.probe.nextSequence()
+	others := v.pick(indirectPings, incarnation)
+	for _, m := range others {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_PingRequest{
+			PingRequest: &pb.PingRequest{Sequence: sequence, Target: incarnation}}})
+	}
+	return len(others) > 0
+}
+
+// LastRelayed returns when another member last passed on an answer of a
+// member; 0 if never.
+func (v *View) LastRelayed(incarnation uint64) time.Duration {
+	if m, ok := v.members[incarnation]; ok {
+		return m.relayed
+	}
+	return 0
+}
+
 func (v *View) ping(m *member, sequence uint32) {
 	v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_Ping{Ping: &pb.Ping{
 		Sequence: sequence, Target: m.Incarnation, Updates: v.piggyback(m.Incarnation)}}})
@@ -67,6 +89,7 @@
 	v.probe.next = max(v.probe.next+v.cfg.PingInterval, now)
 	v.failProbe(now)
 	v.dropRelays(now)
+	v.pingDead(now)
 	if m := v.nextTarget(); m != nil {
 		v.probe.target, v.probe.sent = m.Incarnation, v.probe.nextSequence()
 		v.probe.sentAt, v.probe.indirect = now, false
@@ -74,6 +97,26 @@
 	}
 }
 
+// deadPingInterval is the time between pings to members taken for dead. One
+// that answers was only cut off; the ping tells it so, and it refutes.
+const deadPingInterval = 2 * time.Second
+
+func (v *View) pingDead(now time.Duration) {
+	if now < v.probe.nextDead {
+		return
+	}
+	v.probe.nextDead = now + deadPingInterval
+	var dead []*member
+	for _, id := range v.order {
+		if m := v.members[id]; m.State == Dead {
+			dead = append(dead, m)
+		}
+	}
+	if len(dead) > 0 {
+		v.ping(dead[v.random.IntN(len(dead))], v.probe.nextSequence())
+	}
+}
+
 // askOthers asks other members to ping the silent target.
 func (v *View) askOthers() {
 	v.probe.indirect = true
@@ -154,6 +197,11 @@
 func (v *View) OnAck(now time.Duration, from uint64, ack *pb.Ack) {
 	v.Apply(now, ack.Updates)
 	v.trust()
+	if ack.Target == from {
+		v.Answered(now, from)
+	} else if m, ok := v.members[ack.Target]; ok {
+		m.relayed = now
+	}
 	v.contacts.answered(ack.Target)
 	if r, ok := v.probe.relays[ack.Sequence]; ok && ack.Target == from {
 		delete(v.probe.relays, ack.Sequence)
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -5,7 +5,8 @@
 //
 // Invariants:
 //   - the messages sent per ping interval do not depend on the cell's size,
-//     except for a reader's announcement and the announcement of a leave;
+//     except for a reader's announcements and for rare events: a join, a leave,
+//     the suspicion of an owner that work waits for, and its refutation;
 //   - leaving is sticky: once known for an incarnation it is never undone;
 //   - a member's sequence number never decreases, and only the member itself
 //     raises it.
@@ -94,8 +95,13 @@
 	Member
 	// since is when State was entered.
 	since time.Duration
-	// heard is when a frame of the member last arrived.
-	heard time.Duration
+	// heard is when a frame of the member last arrived; answered is when it
+	// last answered something that this instance sent.
+	heard, answered time.Duration
+	// relayed is when another member last passed on an answer of this one.
+	relayed time.Duration
+	// notified is when a member taken for dead was last told so.
+	notified time.Duration
 }
 
 // View is one instance's view of its cell. It is not safe for concurrent use.
@@ -144,7 +150,7 @@
 // SetConfigRevision sets the revision that is reported to other members.
 func (v *View) SetConfigRevision(revision uint64) { v.self.ConfigRevision = revision }
 
-// Epoch changes whenever the set of live, not leaving members changes.
+// Epoch changes whenever an owner may have changed.
 func (v *View) Epoch() uint64 { return v.epoch }
 
 // Members returns all known members of the cell with the instance itself
@@ -205,11 +211,53 @@
 	if m, ok := v.members[from]; ok {
 		m.heard = now
 		m.ConfigRevision = max(m.ConfigRevision, configRevision)
+		if m.State == Dead && now-m.notified >= v.cfg.PingInterval {
+			// The ping carries what is held against the member, so that it refutes.
+			m.notified = now
+			v.ping(m, v.probe.nextSequence())
+		}
 		return
 	}
 	v.contacts.heard(from, configRevision)
 }
 
+// Answered records that a member answered something that this instance sent,
+// which shows that both directions work.
+func (v *View) Answered(now time.Duration, from uint64) {
+	if m, ok := v.members[from]; ok {
+		m.answered = now
+	}
+}
+
+// LastAnswer returns when a member last answered; 0 if never.
+func (v *View) LastAnswer(incarnation uint64) time.Duration {
+	if m, ok := v.members[incarnation]; ok {
+		return m.answered
+	}
+	return 0
+}
+
+// Suspect makes a member suspect that did not answer while requests waited for
+// it, and tells every member of the cell, so that all agree on the next owner
+// without waiting for gossip.
+func (v *View) Suspect(now time.Duration, incarnation uint64) {
+	m, ok := v.members[incarnation]
+	if !ok || m.State != Alive {
+		return
+	}
+	v.setState(now, m, Suspect)
+	v.broadcast(healthUpdate(m.Member))
+}
+
+// broadcast sends an update to every live member of the cell. It is used for
+// rare events only.
+func (v *View) broadcast(update *pb.MemberUpdate) {
+	v.Live(func(m Member) {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
+			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
+	})
+}
+
 // Trusted reports whether the view may be relied on for ownership. It is false
 // after a pause, until another member has answered.
 func (v *View) Trusted() bool { return !v.paused }
@@ -227,10 +275,7 @@
 func (v *View) announceSelf() {
 	update := leavingUpdate(v.self.Member)
 	v.gossip.add(update, v.LiveCount())
-	v.Live(func(m Member) {
-		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
-			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
-	})
+	v.broadcast(update)
 }
 
 // Outbox returns the messages to send and empties the list.
@@ -338,9 +383,7 @@
 	if m.State == state {
 		return
 	}
-	if (m.State == Dead) != (state == Dead) {
-		v.changed()
-	}
+	v.changed()
 	m.State, m.since = state, now
 	v.gossip.add(healthUpdate(m.Member), v.LiveCount())
 }
@@ -358,3 +401,21 @@
 	})
 	return candidates[:min(n, len(candidates))]
 }
+
+// Sample returns up to n distinct random live members.
+func (v *View) Sample(n int) []uint64 {
+	var ids []uint64
+	for _, m := range v.pick(n, 0) {
+		ids = append(ids, m.Incarnation)
+	}
+	return ids
+}
+
+// Contacts returns the incarnations of the contacts in other cells.
+func (v *View) Contacts() []uint64 {
+	var ids []uint64
+	for _, m := range v.contacts.all() {
+		ids = append(ids, m.Incarnation)
+	}
+	return ids
+}
