daemon: event loop, actions, planned stop; citrongate serve

Cause: the node needs a process that steps it and carries out its actions. Change: internal/daemon, cmd/citrongate/serve.go and its line in main.go. Conclusion: none yet.

--- a/cmd/citrongate/main.go
+++ b/cmd/citrongate/main.go
@@ -41,6 +41,7 @@
 		Suggest:               true,
 		Action:                rootAction,
 		Commands: []*cli.Command{
+			serveCommand(),
 			checkCommand(),
 			applyCommand(),
 			getCommand(),
--- /dev/null
+++ b/cmd/citrongate/serve.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/citrongate/citrongate/internal/daemon"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run an entry instance",
+		Description: `Runs until SIGTERM or SIGINT, then leaves discovery, finishes what is in
+progress and exits. A second signal stops at once. The log goes to the standard
+error as JSON lines.
+
+Example:
+  citrongate serve -c examples/entry.ini`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Required: true, Usage: "settings `FILE`"},
+			&cli.StringFlag{
+				Name: "bootstrap-operator-sha256", Sources: cli.EnvVars("CITRONGATE_BOOTSTRAP_OPERATOR_SHA256"),
+				Usage: "SHA-256 `DIGEST` of an operator's token, instead of [bootstrap] operator_token_sha256",
+			},
+		},
+		Action: runServe,
+	}
+}
+
+func runServe(_ context.Context, command *cli.Command) error {
+	loaded, err := settings.Load(command.String("config"))
+	if err != nil {
+		return err
+	}
+	if digest := command.String("bootstrap-operator-sha256"); digest != "" {
+		loaded.Bootstrap.OperatorTokenSha256 = digest
+	}
+	log := telemetry.NewLogger(errWriter(command), loaded.GetLog().GetLevel())
+	telemetry.RouteNBIO(log)
+	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) daemon.Machine { return node.New(cfg, seed) })
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	if err := d.Start(); err != nil {
+		return err
+	}
+	defer d.Close()
+	return waitForStop(d, signals, log)
+}
+
+// waitForStop returns after a planned stop has finished or after a second signal.
+func waitForStop(d *daemon.Daemon, signals <-chan os.Signal, log zerolog.Logger) error {
+	select {
+	case <-signals:
+		d.Drain()
+	case <-d.Draining():
+	}
+	finished := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		defer close(finished)
+		d.Finish(ctx)
+	}()
+	select {
+	case <-finished:
+		log.Info().Msg("planned stop finished")
+		return nil
+	case <-signals:
+		log.Warn().Msg("stopped at once by a second signal")
+		return errorx.Interrupted.New("stopped at once by a second signal; requests in progress were cut")
+	}
+}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -37,10 +37,9 @@
 		limit = c.daemon.maxDeadline
 	}
 	wait, stop := context.WithTimeout(ctx, limit+answerGrace)
-	defer func() { stop() }()
+	defer stop()
 	for {
-		action := c.mailbox.next(wait)
-		switch a := action.(type) {
+		switch a := c.mailbox.next(wait).(type) {
 		case node.Dispatch:
 			if c.exchange(ctx, a) {
 				return
@@ -52,22 +51,26 @@
 			c.recorded(a.Outcome)
 			return
 		case nil:
-			if ctx.Err() == nil {
-				c.giveUp()
-				return
-			}
-			c.daemon.loop.post(node.CallerGone{ID: c.id})
-			if !c.request.NonIdempotent {
-				return
-			}
-			// The call may still have to run, so that its outcome is recorded.
-			ctx = context.WithoutCancel(ctx)
-			stop()
-			wait, stop = context.WithTimeout(ctx, limit+answerGrace)
+			c.waitEnded(ctx)
+			return
 		}
 	}
 }
 
+// waitEnded handles the end of the wait for the node, since the caller went
+// away or the time is over.
+func (c *call) waitEnded(ctx context.Context) {
+	if ctx.Err() == nil {
+		c.giveUp()
+		return
+	}
+	c.daemon.loop.post(node.CallerGone{ID: c.id})
+	if c.request.NonIdempotent {
+		// The call may still have to run, so that its outcome is recorded.
+		c.run(context.WithoutCancel(ctx))
+	}
+}
+
 // giveUp answers a request that the node does not answer.
 func (c *call) giveUp() {
 	c.daemon.loop.post(node.CallerGone{ID: c.id})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,8 +69,10 @@
 	storeCalls chan struct{}
 	orders     chan struct{}
 	listing    atomic.Bool
-	drained    chan struct{}
-	drainOnce  sync.Once
+	// draining is closed at the start of a planned stop, drained when no work is left.
+	draining  chan struct{}
+	drained   chan struct{}
+	drainOnce sync.Once
 
 	// ctx ends when the daemon stops; background work is counted in wait.
 	ctx  context.Context
@@ -107,6 +109,7 @@
 		compile:     make(chan *configstate.Set, 1),
 		storeCalls:  make(chan struct{}, maxStoreCalls),
 		orders:      make(chan struct{}, maxOrders),
+		draining:    make(chan struct{}),
 		drained:     make(chan struct{}),
 		ctx:         ctx, stop: stop,
 	}
@@ -224,6 +227,7 @@
 	d.drainOnce.Do(func() {
 		d.log.Info().Msg("planned stop started")
 		d.leaving.Store(true)
+		close(d.draining)
 		d.goRun(func() {
 			d.register()
 			d.loop.post(node.Drain{})
@@ -231,12 +235,17 @@
 	})
 }
 
-// Drained is closed when no work is left after Drain.
-func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+// Draining is closed when a planned stop has started, by Drain or by an operator.
+func (d *Daemon) Draining() <-chan struct{} { return d.draining }
 
-// Finish waits until callers have taken their answers, for at most flushTimeout
-// or until ctx ends.
+// Finish waits for the end of a planned stop: until no work is left and callers
+// have taken their answers. It returns early if ctx ends.
 func (d *Daemon) Finish(ctx context.Context) {
+	select {
+	case <-d.drained:
+	case <-ctx.Done():
+		return
+	}
 	d.front.CloseConnections()
 	ctx, stop := context.WithTimeout(ctx, flushTimeout)
 	defer stop()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -243,11 +244,11 @@
 	return s
 }
 
-// readUpTo reads n bytes, or less if a request without body ends before.
+// readUpTo reads n bytes, or less if the header block ends before.
 func readUpTo(c net.Conn, n int) string {
 	head := ""
 	one := make([]byte, 1)
-	for len(head) < n && !(strings.HasPrefix(head, "GET ") && strings.HasSuffix(head, "\r\n\r\n")) {
+	for len(head) < n && !strings.HasSuffix(head, "\r\n\r\n") {
 		if _, err := c.Read(one); err != nil {
 			break
 		}
@@ -388,37 +389,38 @@
 
 // TestControl guards against wrong order statuses and misread reports.
 func TestControl(t *testing.T) {
-	status := 200
-	body := ""
+	var status atomic.Int64
+	var body atomic.Value
+	body.Store("")
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if status == 0 {
+		if status.Load() == 0 {
 			panic(http.ErrAbortHandler)
 		}
-		w.WriteHeader(status)
-		_, _ = io.WriteString(w, body)
+		w.WriteHeader(int(status.Load()))
+		_, _ = io.WriteString(w, body.Load().(string))
 	}))
 	defer server.Close()
 	client, address, ctx := newTestClient(t), server.Listener.Addr().String(), context.Background()
 	later := time.Now().Add(time.Minute)
 	for code, want := range map[int]node.OrderStatus{200: node.OrderApplied, 409: node.OrderRefusedFencing, 400: node.OrderNotSent, 500: node.OrderUnknown, 0: node.OrderUnknown} {
-		status = code
+		status.Store(int64(code))
 		require.Equal(t, want, client.SendOrder(ctx, address, Order{FencingNumber: 3, Verb: "load_model", Argument: "m"}, later), "status %d", code)
 	}
-	status = 200
+	status.Store(200)
 	require.Equal(t, node.OrderNotSent, client.SendOrder(ctx, address, Order{Verb: "x"}, time.Now().Add(-time.Second)), "too late")
 
-	body = `{"running":2,"waiting":3,"age_ms":900}`
+	body.Store(`{"running":2,"waiting":3,"age_ms":900}`)
 	report, err := client.Load(ctx, address)
 	require.NoError(t, err)
 	require.Equal(t, LoadReport{Running: 2, Waiting: 3}, report)
 
-	body = `{"next":9,"gap":false,"events":[{"seq":8,"type":"cached","prefix":"00000000000000ff"},{"seq":9,"type":"evicted","prefix":"1"}]}`
+	body.Store(`{"next":9,"gap":false,"events":[{"seq":8,"type":"cached","prefix":"00000000000000ff"},{"seq":9,"type":"evicted","prefix":"1"}]}`)
 	events, next, err := client.CacheEventsSince(ctx, address, 7)
 	require.NoError(t, err)
 	require.Equal(t, uint64(9), next)
 	require.Equal(t, node.CacheEvents{Cached: []uint64{255}, Evicted: []uint64{1}}, events)
 
-	body = `{"next":9,"gap":false,"events":[{"seq":8,"type":"cached","prefix":"zz"}]}`
+	body.Store(`{"next":9,"gap":false,"events":[{"seq":8,"type":"cached","prefix":"zz"}]}`)
 	events, _, err = client.CacheEventsSince(ctx, address, 7)
 	require.NoError(t, err)
 	require.True(t, events.Gap, "an event that can not be read is a gap")
