--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -135,7 +135,9 @@
 	case pb.MemberState_MEMBER_STATE_SUSPECT, pb.MemberState_MEMBER_STATE_DEAD:
 		if u.Sequence >= v.self.Sequence {
 			v.self.Sequence = u.Sequence + 1
-			v.gossip.add(healthUpdate(v.self.Member), v.LiveCount())
+			update := healthUpdate(v.self.Member)
+			v.gossip.add(update, v.LiveCount())
+			v.broadcast(update)
 		}
 	}
 }
@@ -145,7 +147,7 @@
 	if !known {
 		m = v.add(now, u)
 	}
-	m.ConfigRevision = max(m.ConfigRevision, u.ConfigRevision)
+	v.noteRevision(m, u.ConfigRevision)
 	switch u.State {
 	case pb.MemberState_MEMBER_STATE_LEAVING:
 		v.setLeaving(m)
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -5,7 +5,8 @@
 //
 // Invariants:
 //   - the messages sent per ping interval do not depend on the cell's size,
-//     except for a reader's announcement and the announcement of a leave;
+//     except for a reader's announcements and for rare events: a join, a leave,
+//     the suspicion of an owner that work waits for, and its refutation;
 //   - leaving is sticky: once known for an incarnation it is never undone;
 //   - a member's sequence number never decreases, and only the member itself
 //     raises it.
@@ -97,6 +98,8 @@
 	// heard is when a frame of the member last arrived; answered is when it
 	// last answered something that this instance sent.
 	heard, answered time.Duration
+	// relayed is when another member last passed on an answer of this one.
+	relayed time.Duration
 	// notified is when a member taken for dead was last told so.
 	notified time.Duration
 }
@@ -144,10 +147,26 @@
 // Self returns the instance's own entry.
 func (v *View) Self() Member { return v.self.Member }
 
-// SetConfigRevision sets the revision that is reported to other members.
-func (v *View) SetConfigRevision(revision uint64) { v.self.ConfigRevision = revision }
+// SetConfigRevision sets the revision that is reported to other members. With
+// its first configuration an instance may become an owner, so it tells all.
+func (v *View) SetConfigRevision(revision uint64) {
+	first := v.self.ConfigRevision == 0
+	v.self.ConfigRevision = revision
+	if first && revision > 0 {
+		v.changed()
+		v.broadcast(healthUpdate(v.self.Member))
+	}
+}
+
+// noteRevision records the revision in force at a member.
+func (v *View) noteRevision(m *member, revision uint64) {
+	if m.ConfigRevision == 0 && revision > 0 {
+		v.changed()
+	}
+	m.ConfigRevision = max(m.ConfigRevision, revision)
+}
 
-// Epoch changes whenever the set of live, not leaving members changes.
+// Epoch changes whenever an owner may have changed.
 func (v *View) Epoch() uint64 { return v.epoch }
 
 // Members returns all known members of the cell with the instance itself
@@ -207,7 +226,7 @@
 func (v *View) Heard(now time.Duration, from uint64, configRevision uint64) {
 	if m, ok := v.members[from]; ok {
 		m.heard = now
-		m.ConfigRevision = max(m.ConfigRevision, configRevision)
+		v.noteRevision(m, configRevision)
 		if m.State == Dead && now-m.notified >= v.cfg.PingInterval {
 			// The ping carries what is held against the member, so that it refutes.
 			m.notified = now
@@ -234,6 +253,27 @@
 	return 0
 }
 
+// Suspect makes a member suspect that did not answer while requests waited for
+// it, and tells every member of the cell, so that all agree on the next owner
+// without waiting for gossip.
+func (v *View) Suspect(now time.Duration, incarnation uint64) {
+	m, ok := v.members[incarnation]
+	if !ok || m.State != Alive {
+		return
+	}
+	v.setState(now, m, Suspect)
+	v.broadcast(healthUpdate(m.Member))
+}
+
+// broadcast sends an update to every live member of the cell. It is used for
+// rare events only.
+func (v *View) broadcast(update *pb.MemberUpdate) {
+	v.Live(func(m Member) {
+		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
+			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
+	})
+}
+
 // Trusted reports whether the view may be relied on for ownership. It is false
 // after a pause, until another member has answered.
 func (v *View) Trusted() bool { return !v.paused }
@@ -251,10 +291,7 @@
 func (v *View) announceSelf() {
 	update := leavingUpdate(v.self.Member)
 	v.gossip.add(update, v.LiveCount())
-	v.Live(func(m Member) {
-		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{
-			MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}})
-	})
+	v.broadcast(update)
 }
 
 // Outbox returns the messages to send and empties the list.
@@ -362,9 +399,7 @@
 	if m.State == state {
 		return
 	}
-	if (m.State == Dead) != (state == Dead) {
-		v.changed()
-	}
+	v.changed()
 	m.State, m.since = state, now
 	v.gossip.add(healthUpdate(m.Member), v.LiveCount())
 }
