--- a/internal/simtest/measurement/arrivals.go
+++ b/internal/simtest/measurement/arrivals.go
@@ -67,6 +67,14 @@
 	return "calm"
 }
 
+// down is the part of the served time in which the faulty engine is away.
+func (s Scenario) down() float64 {
+	if !s.engineDeath {
+		return 0
+	}
+	return engineDown.Seconds() / (measureTo - servedFrom).Seconds()
+}
+
 func (s Scenario) isCalm() bool { return s.Name == s.calmName() }
 
 // overload is the rate of a flood as a multiple of the capacity bound.
--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -159,15 +159,23 @@
 	}
 	if flood >= 0 && d.kinds[flood].tier == 0 {
 		list = append(list, c.collect("top_tier_of_bound", func(p, run int) float64 {
-			return ofBound(c, &result(p, run).servedTopMix, topArrived(d, result(p, run)))
+			r := result(p, run)
+			return part(rateOf(&r.servedTopMix), r.servedTopMix.bound(d.engines, targetInterToken, c.scenario.down()), topArrived(d, r))
+		}).with(atLeast(0.95)), c.collect("top_tier_of_capacity", func(p, run int) float64 {
+			r := result(p, run)
+			return part(rateOf(&r.servedTopMix), r.topCapacity, topArrived(d, r))
 		}).with(atLeast(0.95)))
 	}
 	if flood >= 0 {
 		list = append(list, c.collect("other_kinds_keep", func(p, run int) float64 {
-			part, _ := kept(d, flood, calmOf(p, run), result(p, run))
-			return part
+			least, _ := kept(d, flood, calmOf(p, run), result(p, run))
+			return least
 		}).with(atLeast(0.95)), c.collect("total_of_bound", func(p, run int) float64 {
-			return ofBound(c, &result(p, run).servedMix, math.Inf(1))
+			r := result(p, run)
+			return part(rateOf(&r.servedMix), r.servedMix.bound(d.engines, targetInterToken, c.scenario.down()), math.Inf(1))
+		}).with(atLeast(0.9)), c.collect("total_of_capacity", func(p, run int) float64 {
+			r := result(p, run)
+			return part(rateOf(&r.servedMix), r.capacity, math.Inf(1))
 		}).with(atLeast(0.9)))
 	}
 	if c.scenario.largeCaller {
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -192,11 +192,9 @@
 		return
 	}
 	for _, c := range u.classes {
-		for tier := range p.tiers {
-			if p.tiers[tier].lines[c].count > 0 {
-				u.pressed = true
-				return
-			}
+		if p.classes[c].waiting > 0 {
+			u.pressed = true
+			return
 		}
 	}
 }
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -127,6 +127,7 @@
 	}
 	l.tail = r
 	l.count++
+	p.classes[r.Class].waiting++
 	l.cost += r.cost
 	t.waiting++
 }
@@ -196,6 +197,7 @@
 	}
 	r.linePrev, r.lineNext = nil, nil
 	l.count--
+	p.classes[r.Class].waiting--
 	l.cost -= r.cost
 	t.waiting--
 	if l.count == 0 {
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -12,6 +12,8 @@
 	usable bool
 	// free is the number of upstreams that can take a request now.
 	free int
+	// waiting counts the waiting requests of all tiers.
+	waiting int
 	// overlaps lists the classes that share a usable upstream with this one,
 	// itself included.
 	overlaps []overlap
