scheduler: queue bursts, but keep the queue short in lasting overload

Cause: a short admitted wait saves late answers in a lasting flood, but it sheds bursts that the engines have time for, and each shed takes the lower tiers with it (new scenario bursts-highest: one second of twice the capacity in every six). Change: the admitted part of the slack falls from 0.5 to 0.05 while work has been waiting for seconds; the capacity of an engine whose limit still grows fast is taken as twice that at its present limit.

--- a/internal/simtest/measurement/arrivals.go
+++ b/internal/simtest/measurement/arrivals.go
@@ -34,6 +34,8 @@
 	straggler   bool
 	engineDeath bool
 	ownerDeath  bool
+	// bursts limits the flood to one second in burstPeriod.
+	bursts bool
 	// tight uses the tight deadlines.
 	tight bool
 }
@@ -49,6 +51,7 @@
 		{Name: "calm", floodKind: none},
 		{Name: "flood-lowest", floodKind: low},
 		{Name: "flood-highest", floodKind: high},
+		{Name: "bursts-highest", floodKind: high, bursts: true},
 		{Name: "large-caller", floodKind: large, largeCaller: true},
 		{Name: "straggler", floodKind: none, straggler: true},
 		{Name: "engine-death", floodKind: none, engineDeath: true},
@@ -80,6 +83,10 @@
 // overload is the rate of a flood as a multiple of the capacity bound.
 const overload = 2.0
 
+// burstPeriod separates the starts of bursts. With one second of flood in each,
+// the engines have enough time for all work on average.
+const burstPeriod = 6 * time.Second
+
 // largeOrg is the organisation that floods in the large-caller scenario.
 const largeOrg = 0
 
@@ -113,7 +120,11 @@
 			org = largeOrg
 		}
 		rate := overload * kindMix(d, flood).bound(d.engines, targetInterToken, 0)
-		list = append(list, poisson(d, flood, rate, measureFrom, measureTo, random, org)...)
+		for _, a := range poisson(d, flood, rate, measureFrom, measureTo, random, org) {
+			if !s.bursts || (a.at-measureFrom)%burstPeriod < time.Second {
+				list = append(list, a)
+			}
+		}
 	}
 	slices.SortStableFunc(list, func(a, b arrival) int { return int(a.at - b.at) })
 	for i := range list {
--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -152,6 +152,9 @@
 			return result(p, run).tierGoodput(d, tier)
 		}))
 	}
+	if c.scenario.bursts {
+		return append(list, c.commonFigures()...)
+	}
 	if flood >= 0 && d.kinds[flood].tier > 0 {
 		list = append(list, c.collect("top_tier_of_calm", func(p, run int) float64 {
 			return result(p, run).tierGoodput(d, 0) / calmOf(p, run).tierGoodput(d, 0)
--- a/internal/simtest/measurement/result.go
+++ b/internal/simtest/measurement/result.go
@@ -56,7 +56,7 @@
 		result.PrefillWasted += e.PrefillBroken
 	}
 	result.addCalls(d, r.calls)
-	if s.floodKind(d) >= 0 {
+	if s.floodKind(d) >= 0 && !s.bursts {
 		result.capacity = carried(d.engines, result.served, s.down())
 		if d.kinds[s.floodKind(d)].tier == 0 {
 			result.topCapacity = carried(d.engines, result.servedTop, s.down())
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -27,6 +27,9 @@
 	// do reaches its limit within seconds of a flood.
 	nearTarget   = 0.75
 	growthFactor = 1.1
+	// relaxedCapacity is the assumed ratio of true capacity to that at the
+	// present limit while the limit still grows fast.
+	relaxedCapacity = 2
 	// prefillBudget is the part of the target for the first token that prompts
 	// waiting at one engine may take.
 	prefillBudget = 0.5
@@ -58,6 +61,8 @@
 	first, gap  targetCount
 	windowStart time.Duration
 	pressed     bool
+	// relaxed is true if the last window was well within both targets.
+	relaxed bool
 
 	// ttft and interToken are smoothed observations in nanoseconds, 0 if none.
 	ttft, interToken float64
@@ -215,11 +220,12 @@
 
 func (p *Pool) endWindow(now time.Duration, u *upstream) {
 	slow := u.interToken > p.gapTarget()
+	u.relaxed = u.first.relaxed() && u.gap.relaxed()
 	switch {
 	case u.first.exceeded() || u.gap.exceeded() || slow:
 		u.limit = max(1, min(u.limit, float64(u.inFlight)+1)*decreaseFactor)
 	case !u.pressed:
-	case u.first.relaxed() && u.gap.relaxed():
+	case u.relaxed:
 		u.limit = min(max(u.limit*growthFactor, u.limit+1), u.maximum())
 	default:
 		u.limit = min(u.limit+1, u.maximum())
@@ -354,6 +360,9 @@
 		u.capacity = 0
 		if !u.Leaving && !u.quarantined {
 			u.capacity = float64(p.limitOf(u)) * u.slotCost / u.slotTime * float64(time.Second)
+			if u.relaxed {
+				u.capacity *= relaxedCapacity
+			}
 		}
 	}
 	for c := range p.classes {
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -51,6 +51,9 @@
 	kinds minHeap[*kindQueue]
 	// arrivals is the rate of admitted cost per second.
 	arrivals rate
+	// overload is 0 in calm times and 1 in lasting overload, as of overloadAt.
+	overload   float64
+	overloadAt time.Duration
 	// active is the place in tierState.active, -1 if count is 0.
 	active int
 }
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -5,10 +5,19 @@
 const (
 	// limitRetryAfter is the delay advised after a refusal by a limit.
 	limitRetryAfter = time.Second
-	// admitFraction is the part of a request's slack that its expected wait may
-	// take. The rest covers errors of the estimate; a request that starts at
+	// The expected wait of a new request may take burstFraction of its slack
+	// after a calm time, falling to steadyFraction in lasting overload. A long
+	// queue helps in a burst, since the work can be done later. In lasting
+	// overload it only makes every answer later, and a request that starts at
 	// its latest start time misses its deadline one time in ten.
-	admitFraction           = 0.25
+	burstFraction  = 0.5
+	steadyFraction = 0.05
+	// overloadRise and overloadFall are the times in which a line counts as
+	// lastingly overloaded, and as calm again.
+	overloadRise = 4 * time.Second
+	overloadFall = 10 * time.Second
+	// overloadStep bounds the time that one submission accounts for.
+	overloadStep            = 500 * time.Millisecond
 	minRetryAfter           = 100 * time.Millisecond
 	maxRetryAfter           = 30 * time.Second
 	minCapacityFraction     = 0.02
@@ -39,7 +48,8 @@
 	latest := max(d.Deadline-loaded, now+time.Duration(float64(slack)*latestStartMeanFraction))
 	latest = min(latest, d.Deadline-idle)
 	wait := p.expectedWait(now, &d, c)
-	if wait > time.Duration(admitFraction*float64(latest-now)) ||
+	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, wait > 0)
+	if wait > allowed ||
 		p.waiting >= p.config.MaxQueue && !p.makeRoom(d) {
 		p.overloaded = append(p.overloaded, refusal{d, wait})
 		return
@@ -50,6 +60,20 @@
 	p.enqueue(r)
 }
 
+// allowedWait returns the wait that a new request with the given slack may
+// expect. It follows how long work has been waiting.
+func (l *line) allowedWait(now, slack time.Duration, waits bool) time.Duration {
+	elapsed := min(now-l.overloadAt, overloadStep)
+	if waits {
+		l.overload = min(1, l.overload+float64(elapsed)/float64(overloadRise))
+	} else {
+		l.overload = max(0, l.overload-float64(now-l.overloadAt)/float64(overloadFall))
+	}
+	l.overloadAt = now
+	fraction := burstFraction - l.overload*(burstFraction-steadyFraction)
+	return time.Duration(fraction * float64(slack))
+}
+
 // expectedWait estimates how long a new request would wait: the queued work
 // that is served before it, divided by the capacity of its class that higher
 // tiers leave.
