scheduler: leave the top tier the speed that its deadlines need

Change: the target between tokens also follows the tightest deadlines of the top tier in relation to their predicted output, while lower tiers have more than a fifth of the requests in flight. Predictions use four buckets for each doubling instead of two, since the quantile of capped answers came out up to a quarter too high.

--- a/pkg/scheduler/learning_test.go
+++ b/pkg/scheduler/learning_test.go
@@ -189,3 +189,23 @@
 	p.Submit(0, Descriptor{ID: GlobalID{1, 2}, Prompt: 1000, OutMean: 100, OutHigh: 2000, Deadline: 10 * time.Second})
 	require.Equal(t, 3450*time.Millisecond, p.requests.get(GlobalID{1, 2}).latest)
 }
+
+// TestNeedOfTheTopTierLowersTheTarget guards against lower tiers that fill the
+// engines beyond what the deadlines of the top tier allow until the first are
+// missed, and against a lower target when only the top tier has work.
+func TestNeedOfTheTopTierLowersTheTarget(t *testing.T) {
+	p := poolWith(Config{}, Upstream{Name: "a"})
+	full := p.gapTarget()
+	tight := Descriptor{Tier: 0, OutHigh: 200}
+	loose := Descriptor{Tier: 0, OutHigh: 20}
+	low := Descriptor{Tier: 2, OutHigh: 2000}
+	for range 100 {
+		p.learnNeed(&tight, 8*time.Second, 0)
+		p.learnNeed(&loose, 8*time.Second, 0)
+		p.learnNeed(&low, 8*time.Second, 0)
+	}
+	p.tiers[0].flight = 10
+	require.Equal(t, full, p.gapTarget(), "no lower tier is in flight")
+	p.tiers[2].flight = 10
+	require.InDelta(t, float64(8*time.Second)/200/needMargin, p.gapTarget(), 0.1*full)
+}
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -22,6 +22,13 @@
 	lateStep, onTimeStep = 0.02, 0.0002
 	minPace              = 0.5
 	minPaceGain          = 0.1
+	// needMargin covers outputs above the 0.9 quantile and the first token.
+	needMargin = 1.2
+	needFall   = 0.05
+	needRise   = 0.002
+	// minLowerShare is the part of lower tiers in flight from which the need of
+	// the top tier counts.
+	minLowerShare = 0.2
 	// nearTarget is the part of a target from which growth is additive. Below
 	// it the limit grows by growthFactor, so that an engine that had little to
 	// do reaches its limit within seconds of a flood.
@@ -236,7 +243,37 @@
 
 // gapTarget returns the target between tokens in nanoseconds.
 func (p *Pool) gapTarget() float64 {
-	return p.pace * float64(p.config.TargetInterToken)
+	pace := p.pace
+	if p.lowerShare() > minLowerShare {
+		pace = min(pace, p.need)
+	}
+	return pace * float64(p.config.TargetInterToken)
+}
+
+// lowerShare returns the part of the requests in flight that is not of the top tier.
+func (p *Pool) lowerShare() float64 {
+	top, all := p.tiers[0].flight, uint32(0)
+	for i := range p.tiers {
+		all += p.tiers[i].flight
+	}
+	return 1 - float64(top)/float64(max(1, all))
+}
+
+// learnNeed follows the time between tokens at which the deadlines of the top
+// tier can be met, before the first one is missed. It falls quickly and rises
+// slowly, so that the kind with the tightest deadlines decides.
+func (p *Pool) learnNeed(d *Descriptor, remaining time.Duration, perPrompt float64) {
+	if d.Tier != 0 || d.OutHigh == 0 {
+		return
+	}
+	left := float64(remaining) - float64(d.Prompt)*perPrompt
+	gap := left / (needMargin * float64(d.OutHigh))
+	need := min(1, max(minPace, gap/float64(p.config.TargetInterToken)))
+	weight := needRise
+	if need < p.need {
+		weight = needFall
+	}
+	smooth(&p.need, need, weight)
 }
 
 // learnPace moves the pace towards one late answer in a hundred in the top
@@ -249,11 +286,7 @@
 	if tier != 0 {
 		return
 	}
-	top, all := p.tiers[0].flight, uint32(0)
-	for i := range p.tiers {
-		all += p.tiers[i].flight
-	}
-	gain := max(minPaceGain, 1-float64(top)/float64(max(1, all)))
+	gain := max(minPaceGain, p.lowerShare())
 	if late {
 		p.pace = max(minPace, p.pace-gain*lateStep)
 	} else {
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -43,7 +43,9 @@
 	overloaded []refusal
 
 	// pace is the part of the target between tokens that is aimed at.
-	pace           float64
+	pace float64
+	// need is the part that the deadlines of the top tier ask for.
+	need           float64
 	cautiousUntil  time.Duration
 	nextCheck      time.Duration
 	nextCapacities time.Duration
@@ -74,6 +76,7 @@
 	return &Pool{
 		config:     config,
 		pace:       1,
+		need:       1,
 		hints:      newHintTable(config.Seed),
 		requests:   newTable[GlobalID, request](hashID),
 		kindStates: newTable[uint32, limitState[*kindQueue]](hashUint32),
--- a/pkg/scheduler/predict/predict.go
+++ b/pkg/scheduler/predict/predict.go
@@ -14,8 +14,8 @@
 	// shows within some minutes.
 	decay = 0.995
 	// bucketsPerDoubling buckets of the histogram cover each doubling of length.
-	bucketsPerDoubling = 2
-	buckets            = 36
+	bucketsPerDoubling = 4
+	buckets            = 64
 )
 
 // Estimate is a prediction of output tokens.
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -38,6 +38,7 @@
 	c := &p.classes[d.Class]
 	idle := c.idle.serviceTime(d.Prompt, d.OutMean)
 	loaded := c.loaded.serviceTime(d.Prompt, max(d.OutMean, d.OutHigh))
+	p.learnNeed(&d, d.Deadline-now, c.loaded.perPrompt)
 	slack := d.Deadline - now - idle
 	if slack < 0 {
 		p.refuse(d, Infeasible, 0)
