node: a forwarded call that was refused as not run stays refused

An entry repeats an unanswered forward every second. If the home's refusal (ran: no) crosses a repetition, the home ran the repetition although the caller had been told that the call did not run. Ruled out: reporting ran: unknown after a repetition; under load most forwards wait for over a second, so most sheds would become unknown.

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -46,6 +46,7 @@
 	byOrigin map[originKey]dispatch.ID
 	// forwards are in order of submission.
 	forwards []*forward
+	refused  refusedForwards
 }
 
 func newCallSet() callSet {
@@ -155,6 +156,9 @@
 	if c.origin != 0 {
 		reply := &pb.BindingReply{Sequence: c.sequence, Outcome: c.outcome}
 		if refusal.Code != "" {
+			if r := n.requests[id]; r != nil && refusal.Ran == dispatch.RanNo {
+				n.calls.refused.add(originKey{c.origin, c.sequence}, refusal, r.deadline)
+			}
 			reply.Outcome = nil
 			reply.Code, reply.Ran, reply.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
 		}
@@ -243,6 +247,7 @@
 		}
 	}
 	n.expireJoined()
+	n.calls.refused.sweep(n.now)
 }
 
 // expireJoined ends calls that wait for another call of the same key, or for a
@@ -279,6 +284,15 @@
 	if n.calls.byOrigin[key] != 0 {
 		return
 	}
+	if refused, ok := n.calls.refused.byOrigin[key]; ok {
+		n.replyRefusal(from, m.Sequence, refused.refusal)
+		return
+	}
+	if n.calls.refused.full() {
+		n.replyRefusal(from, m.Sequence, dispatch.Refusal{Code: "limit_in_flight", Ran: dispatch.RanUnknown,
+			Reason: "the home of the key refused too many forwarded calls lately", Remedy: "send the call again under the same key later"})
+		return
+	}
 	if refusal := n.admission(); refusal.Code != "" && refusal.Code != "draining" {
 		// A drained home still answers for keys that it ran.
 		refusal.Ran = dispatch.RanUnknown
