--- a/pkg/configstate/validate_test.go
+++ b/pkg/configstate/validate_test.go
@@ -84,9 +84,7 @@
 		m := New(Config{})
 		for range rapid.IntRange(1, 30).Draw(t, "changes") {
 			var change Change
-			for _, o := range rapid.SliceOfNDistinct(rapid.Custom(draw), 0, 3, objectName).Draw(t, "puts") {
-				change.Puts = append(change.Puts, o)
-			}
+			change.Puts = rapid.SliceOfNDistinct(rapid.Custom(draw), 0, 3, objectName).Draw(t, "puts")
 			if present := m.Current().Objects(); len(present) > 0 && rapid.Bool().Draw(t, "delete") {
 				meta := rapid.SampledFrom(present).Draw(t, "object").Meta
 				if !slices.ContainsFunc(change.Puts, func(o *pb.Object) bool { return objectName(o) == meta.Kind+"/"+meta.Name }) {
