binding, routing: tests of bucket bounds, cells and explanations

Cause: full buckets, retention, dropped bodies and BuildCell were not covered. Ruled out: reaching a full bucket through the model test; it takes 13,000 claims. Change: three cases of a full bucket; one scenario of routing in a cell. Measured: go test ./pkg/binding ./pkg/routing passes.

--- a/pkg/binding/binding_test.go
+++ b/pkg/binding/binding_test.go
@@ -1,13 +1,16 @@
 package binding
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/citrongate/citrongate/pkg/store"
 	"github.com/citrongate/citrongate/pkg/store/storetest"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -180,3 +183,55 @@
 		}
 	})
 }
+
+// TestBucketBounds guards against a bucket that outgrows the object API's value
+// size, against dropping a claim before its retention time, and against
+// recorded bodies that crowd out claims.
+func TestBucketBounds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		body int
+		runs bool
+	}{
+		{"full of recent claims", time.Hour, 0, false},
+		{"full of claims past retention", 169 * time.Hour, 0, true},
+		{"full of recorded bodies", time.Hour, maxStoredBody, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.now = 200 * time.Hour
+			key := keyDigest("o", "k")
+			bucket := &pb.ClaimBucket{}
+			for i, size := 0, 0; size <= maxBucketBytes-claimOverhead; i++ {
+				claim := &pb.Claim{KeyDigest: []byte(fmt.Sprintf("%016d", i)), Incarnation: 1 << 60, Sequence: 1,
+					ClaimedAtUnixS: f.unix() - int64(c.age/time.Second), RequestDigest: key[:]}
+				if c.body > 0 {
+					claim.Outcome = &pb.BindingOutcome{HttpStatus: 200, Body: make([]byte, c.body)}
+				}
+				bucket.Claims = append(bucket.Claims, claim)
+				// Each claim takes a tag and a length besides its own bytes.
+				size += 2 + proto.Size(claim)
+			}
+			f.store.Do(store.Op{Kind: store.Create, Key: bucketKey(bucketOf(key)), Value: marshal(bucket)}, storetest.None)
+			r := f.submit(f.hosts[0], call("o", "k", "x"))
+			r.call.Deadline = f.now + time.Minute
+			for len(f.hosts[0].network.Calls) > 0 {
+				f.advance(f.hosts[0], 0, storetest.None)
+			}
+			require.Equal(t, c.runs, len(f.hosts[0].running) == 1)
+			if !c.runs {
+				require.Equal(t, "store_unavailable", r.answer.Refusal.Code)
+				require.Equal(t, RanNo, r.answer.Refusal.Ran)
+			}
+			after := f.store.Current(bucketKey(bucketOf(key)))
+			require.LessOrEqual(t, len(after.Value), maxBucketBytes)
+			stored := &pb.ClaimBucket{}
+			require.NoError(t, proto.Unmarshal(after.Value, stored))
+			if c.body > 0 {
+				require.Len(t, stored.Claims, len(bucket.Claims)+1, "claims outlive their bodies")
+				require.True(t, stored.Claims[0].Outcome.BodyOmitted)
+			}
+		})
+	}
+}
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -269,3 +269,33 @@
 		}
 	})
 }
+
+// TestBuildCellAndExplain guards against upstreams of another cell that receive
+// work, and against an explanation that does not name what failed.
+func TestBuildCellAndExplain(t *testing.T) {
+	far := upstream("far", "engine", map[string]string{"team": "fx"}, "m0")
+	far.GetUpstream().FailureDomain = "y"
+	set := configstate.NewSet(3, []*pb.Object{
+		tier("gold", 0), kind("k", "gold", true, nil), organisation("o", map[string]string{"team": "fx"}), far,
+		upstream("near", "engine", map[string]string{"team": "fx"}, "m0"), upstream("other", "engine", map[string]string{"team": "rates"}, "m0"),
+		upstream("small", "engine", map[string]string{"team": "fx"}, "m1"), upstream("ledger", "service", map[string]string{"team": "fx"}),
+		routeObject("first", 1, "team=rates", ""), routeObject("second", 2, "team=fx,!canary", "team=fx"),
+	})
+	table, err := BuildCell(set, []string{"z"})
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), table.Revision())
+	request := Request{Kind: "k", Organisation: "o", Model: "m0", Labels: map[string]string{"team": "rates"}}
+	target, err := table.Resolve(request)
+	require.NoError(t, err)
+	require.Equal(t, []string{"near"}, names(table, target), "the organisation's label wins over the caller's")
+	e := table.Explain(request)
+	require.Equal(t, "fx", e.Labels["team"])
+	require.Equal(t, []RouteExplanation{{Route: "first", Order: 1, Failed: "team=rates"}, {Route: "second", Order: 2, Chosen: true}}, e.Routes)
+	require.Equal(t, []UpstreamExplanation{
+		{"ledger", "type engine, since request kind k has model_call true"}, {"near", ""}, {"other", "team=fx"}, {"small", `serves model "m0"`},
+	}, e.Upstreams)
+	request.Labels["canary"] = "yes"
+	_, err = table.Resolve(request)
+	require.Equal(t, "no_route", Code(err))
+	require.Equal(t, Requirement("!canary"), table.Explain(request).Routes[1].Failed)
+}
