node, membership: spread suspicions at once; a Sync lists delayed retries

Ruled out: faster gossip, which costs every instance all the time. Change: the first to suspect a member tells the cell; Sync lists all waiting requests; an answer without a record is kept as one with the body left out.

--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -116,7 +116,9 @@
 				r.Holder = holder
 			}
 			inFlight = append(inFlight, r)
-		case p.owner == owner && r.Holder == holder && now >= r.notBefore:
+		case p.owner == owner && r.Holder == holder:
+			// The owner asks, so this is no retry that needs a delay.
+			r.notBefore = 0
 			t.markOffered(now, r)
 			waiting = append(waiting, r)
 		}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -133,7 +133,7 @@
 	if !ok || m.State != Alive {
 		return
 	}
-	v.setState(now, m, Suspect)
+	v.Suspect(now, m.Incarnation)
 	v.ping(m, v.probe.nextSequence())
 }
 
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -6,7 +6,7 @@
 // Invariants:
 //   - the messages sent per ping interval do not depend on the cell's size,
 //     except for a reader's announcements and for rare events: a join, a leave,
-//     the suspicion of an owner that work waits for, and its refutation;
+//     a suspicion by the first to notice, and its refutation;
 //   - leaving is sticky: once known for an incarnation it is never undone;
 //   - a member's sequence number never decreases, and only the member itself
 //     raises it.
@@ -253,9 +253,11 @@
 	return 0
 }
 
-// Suspect makes a member suspect that did not answer while requests waited for
-// it, and tells every member of the cell, so that all agree on the next owner
-// without waiting for gossip.
+// Suspect makes a member suspect that answered neither this instance nor the
+// others that it asked, and tells every member of the cell, so that all agree on
+// the next owner without waiting for gossip. Who learns of a suspicion does not
+// repeat it, so the messages per failure grow with the cell only, and not with
+// its square.
 func (v *View) Suspect(now time.Duration, incarnation uint64) {
 	m, ok := v.members[incarnation]
 	if !ok || m.State != Alive {
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -26,7 +26,6 @@
 	// runs is true if this call was told to run.
 	runs    bool
 	outcome *pb.BindingOutcome
-	gone    bool
 }
 
 // forward is a call that this instance forwarded to its home.
@@ -117,6 +116,10 @@
 	if c.origin != 0 {
 		delete(n.calls.byOrigin, originKey{c.origin, c.sequence})
 	}
+	if c.runs && refusal.Code == "" && c.outcome == nil {
+		// The answer was whole, but the edge could not record it.
+		c.outcome = &pb.BindingOutcome{HttpStatus: 200, BodyOmitted: true}
+	}
 	n.answerCall(id, c, refusal, silent)
 	if !c.runs {
 		return
@@ -161,7 +164,7 @@
 		n.send(c.origin, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: reply}})
 		return
 	}
-	if refusal.Code != "" && !silent && !c.gone {
+	if refusal.Code != "" && !silent {
 		n.emitRefuse(id, refusal)
 	}
 }
@@ -169,7 +172,7 @@
 // replyRecorded answers a call with the recorded outcome of its key.
 func (n *Node) replyRecorded(id dispatch.ID, outcome *pb.BindingOutcome) {
 	c := n.calls.running[id]
-	if c.origin == 0 && !c.gone {
+	if c.origin == 0 {
 		n.emit(ReplyRecorded{ID: RequestID(id), Outcome: outcome})
 	}
 	c.outcome = outcome
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/dispatch"
@@ -9,9 +8,10 @@
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
-// stepPools lets every pool with news decide. It returns true if any did.
+// stepPools lets every pool with news decide. It returns true if any did. What
+// follows from a decision happens later, so the set of pools does not change here.
 func (n *Node) stepPools() (decided bool) {
-	for _, h := range slices.Clone(n.pools.list) {
+	for _, h := range n.pools.list {
 		if !h.dirty && n.now < h.sched.NextWake(n.now) {
 			continue
 		}
@@ -26,7 +26,7 @@
 		}
 		h.dirty = false
 		n.decisions = h.sched.Step(n.now, n.decisions[:0])
-		for _, d := range slices.Clone(n.decisions) {
+		for _, d := range n.decisions {
 			n.decide(h, d)
 			decided = true
 		}
