node, membership, dispatch: bounded state; scenarios for routes, cells, list

Cause: three maps grew without bound: tokens per stream of a busy upstream, routes of former pools, bindings of former instances. Ruled out: clearing them by age, since each has an exact end.

--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -133,6 +133,20 @@
 			t.tickRecord(now, r)
 		}
 	}
+	t.forgetIdle()
+}
+
+// forgetIdle drops pools without requests, since the pools of a configuration
+// come and go.
+func (t *Table) forgetIdle() {
+	t.poolIDs = slices.DeleteFunc(t.poolIDs, func(id uint64) bool {
+		p := t.pools[id]
+		if len(p.records) > 0 || p.local {
+			return false
+		}
+		delete(t.pools, id)
+		return true
+	})
 }
 
 func (t *Table) tickRecord(now time.Duration, r *Record) {
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -76,6 +76,7 @@
 		}
 		v.listEntry(line)
 	}
+	v.forgetBound()
 	if v.join.joined {
 		v.rejoin()
 	}
@@ -138,6 +139,15 @@
 	return m
 }
 
+// forgetBound drops the bindings of members that are no longer remembered.
+func (v *View) forgetBound() {
+	for id, incarnation := range v.list.bound {
+		if v.memberOrSelf(incarnation) == nil {
+			delete(v.list.bound, id)
+		}
+	}
+}
+
 func (v *View) isBound(incarnation uint64) bool {
 	for _, bound := range v.list.bound {
 		if bound == incarnation {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -79,10 +79,6 @@
 	Body    *pb.PeerMessage
 }
 
-// pauseLimit is how late a tick may be before the instance no longer trusts
-// its view, since others may have declared it dead in the meantime.
-const pauseLimit = time.Second
-
 // settleTime is how long a starting instance waits for an answer to its joins
 // before it takes itself to be the first of its cell.
 const settleTime = 2 * time.Second
@@ -276,10 +272,6 @@
 	})
 }
 
-// Trusted reports whether the view may be relied on for ownership. It is false
-// after a pause, until another member has answered.
-func (v *View) Trusted() bool { return !v.paused }
-
 // Leave marks this instance as leaving and tells every member of the cell.
 func (v *View) Leave(now time.Duration) {
 	if v.self.Leaving {
@@ -346,36 +338,6 @@
 	return time.Duration(v.random.Float64() * float64(d))
 }
 
-// resume handles the end of a pause: timers that ran out during the pause say
-// nothing about the others, and the others may have declared this one dead.
-func (v *View) resume(now, gap time.Duration) {
-	v.probe.cancel()
-	for _, id := range v.order {
-		v.members[id].since += gap
-	}
-	if v.liveOthers() == 0 {
-		return
-	}
-	v.paused, v.pausedAt = true, now
-	v.changed()
-	for _, m := range v.pick(3, 0) {
-		v.ping(m, v.probe.nextSequence())
-	}
-}
-
-func (v *View) liveOthers() int {
-	count := 0
-	v.Live(func(Member) { count++ })
-	return count
-}
-
-func (v *View) trust() {
-	if v.paused {
-		v.paused = false
-		v.changed()
-	}
-}
-
 // expire declares suspects dead and forgets old tombstones.
 func (v *View) expire(now time.Duration) {
 	for _, id := range slices.Clone(v.order) {
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -26,9 +26,10 @@
 }
 
 type instance struct {
-	view   *membership.View
-	paused bool
-	killed bool
+	address string
+	view    *membership.View
+	paused  bool
+	killed  bool
 }
 
 // cell runs several views against each other with a fixed message delay.
@@ -50,13 +51,13 @@
 
 func address(id uint64) string { return fmt.Sprintf("10.0.0.%d:1", id) }
 
-func (c *cell) start(id uint64, cellName string, seeds ...uint64) {
+func (c *cell) start(id uint64, at, cellName string, seeds ...uint64) {
 	var addresses []string
 	for _, seed := range seeds {
 		addresses = append(addresses, address(seed))
 	}
-	c.nodes[id] = &instance{view: membership.New(membership.Config{
-		Self:         membership.Member{Incarnation: id, PeerAddress: address(id), Cell: cellName},
+	c.nodes[id] = &instance{address: at, view: membership.New(membership.Config{
+		Self:         membership.Member{Incarnation: id, PeerAddress: at, Cell: cellName},
 		PingInterval: 500 * time.Millisecond, DeadAfter: 2 * time.Second, ListInterval: time.Second,
 		Seeds: addresses, Seed: id,
 	})}
@@ -85,7 +86,7 @@
 	for _, m := range c.nodes[id].view.Outbox() {
 		c.sent[id]++
 		for _, to := range c.ids {
-			if address(to) == m.Address && !c.cut[[2]uint64{id, to}] {
+			if c.nodes[to].address == m.Address && !c.cut[[2]uint64{id, to}] {
 				c.flights = append(c.flights, flight{c.now + delay, id, to, m.Body})
 			}
 		}
@@ -176,7 +177,11 @@
 		if has(d, "seed") {
 			seeds = append(seeds, number(c.t, d, "seed"))
 		}
-		c.start(number(c.t, d, "id"), name, seeds...)
+		at := address(number(c.t, d, "id"))
+		if has(d, "address") {
+			at = address(number(c.t, d, "address"))
+		}
+		c.start(number(c.t, d, "id"), at, name, seeds...)
 	case "run":
 		var text string
 		d.ScanArgs(c.t, "for", &text)
@@ -280,7 +285,7 @@
 	perNode := func(size uint64) float64 {
 		c := newCell(t)
 		for id := uint64(1); id <= size; id++ {
-			c.start(id, "a", max(1, id-1))
+			c.start(id, address(id), "a", max(1, id-1))
 		}
 		c.run(10 * time.Second)
 		c.sent = map[uint64]int{}
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -25,6 +25,8 @@
 	byName   map[string]*simtest.Instance
 	requests map[string]*simtest.Request
 	names    []string
+	// seen is how many receipts came before the last change was in force.
+	seen int
 }
 
 func newScenario(t *testing.T) *scenario {
@@ -95,6 +97,8 @@
 		return s.apply(d)
 	case "runs":
 		return fmt.Sprintln(w.Services["s1"].KeyRuns[s.text(d, "key", "")])
+	case "received":
+		return s.received()
 	case "counts":
 		return s.counts(s.text(d, "name", ""))
 	case "status":
@@ -111,6 +115,9 @@
 	s.fixture.AddUpstreams(s.world)
 	for n := 1; n <= s.number(d, "nodes", 1); n++ {
 		config := s.fixture.Config(n)
+		if cells := s.number(d, "cells", 1); cells > 1 {
+			config.Cell = fmt.Sprint("c", n%cells)
+		}
 		if s.text(d, "bootstrap", "true") == "true" {
 			config.Bootstrap = s.fixture.Set()
 		}
@@ -223,8 +230,14 @@
 		change.Puts = []*pb.Object{{Meta: &pb.ObjectMeta{Kind: configstate.KindOrganisation, Name: name},
 			Spec: &pb.Object_Organisation{Organisation: &pb.OrganisationSpec{}}}}
 	}
+	if upstream := s.text(d, "route-to", ""); upstream != "" {
+		change.Puts = []*pb.Object{{Meta: &pb.ObjectMeta{Kind: configstate.KindRoute, Name: "engines"},
+			Spec: &pb.Object_Route{Route: &pb.RouteSpec{Order: 2, Upstreams: "name=" + upstream}}}}
+	}
 	s.at(d).Change(change)
-	s.world.Loop.RunUntil(s.world.Loop.Now() + 2*time.Second)
+	s.world.Loop.RunUntil(s.world.Loop.Now() + 300*time.Millisecond)
+	s.seen = len(s.world.Trace.Received)
+	s.world.Loop.RunUntil(s.world.Loop.Now() + 1700*time.Millisecond)
 	var b strings.Builder
 	for _, c := range s.world.Trace.Changes[before:] {
 		fmt.Fprintf(&b, "accepted=%v revision=%d code=%s\n", c.Done.Accepted, c.Done.Revision, c.Done.Code)
@@ -232,6 +245,15 @@
 	return b.String()
 }
 
+// received counts what each upstream received since the last change.
+func (s *scenario) received() string {
+	counts := map[string]int{}
+	for _, receipt := range s.world.Trace.Received[s.seen:] {
+		counts[receipt.Upstream]++
+	}
+	return fmt.Sprintln(counts)
+}
+
 func (s *scenario) counts(name string) string {
 	var lines []string
 	for c := range s.world.Trace.Counts {
--- a/pkg/node/reports.go
+++ b/pkg/node/reports.go
@@ -36,9 +36,12 @@
 	gaps             uint32
 	gapSum           time.Duration
 
-	sent         pb.Progress
-	sentAt       time.Duration
-	tokensBefore map[dispatch.ID]uint32
+	// sent is what was last reported.
+	sentStalled, sentInterTokenUs uint32
+	sentAt                        time.Duration
+	// before and tokens hold the tokens of each stream at the end of the last
+	// window and of this one.
+	before, tokens map[dispatch.ID]uint32
 }
 
 func (n *Node) tickReports() {
@@ -54,7 +57,7 @@
 		key := reportKey{r.Pool, r.Upstream, r.Holder}
 		rep := n.reports[key]
 		if rep == nil {
-			rep = &report{}
+			rep = &report{before: map[dispatch.ID]uint32{}, tokens: map[dispatch.ID]uint32{}}
 			n.reports[key] = rep
 		}
 		if rep.streams == 0 {
@@ -70,18 +73,15 @@
 			delete(n.reports, key)
 			continue
 		}
-		rep.streams, rep.stalled, rep.gaps, rep.gapSum = 0, 0, 0, 0
+		rep.next()
 	}
 }
 
 // observe adds one stream to the window.
 func (rep *report) observe(r *dispatch.Record) {
 	rep.streams++
-	if rep.tokensBefore == nil {
-		rep.tokensBefore = map[dispatch.ID]uint32{}
-	}
-	before := rep.tokensBefore[r.ID]
-	rep.tokensBefore[r.ID] = r.Tokens
+	before := rep.before[r.ID]
+	rep.tokens[r.ID] = r.Tokens
 	switch {
 	case r.State != dispatch.Streaming:
 	case r.Tokens == before:
@@ -92,6 +92,13 @@
 	}
 }
 
+// next starts a new window and forgets the streams that have ended.
+func (rep *report) next() {
+	rep.streams, rep.stalled, rep.gaps, rep.gapSum = 0, 0, 0, 0
+	rep.before, rep.tokens = rep.tokens, rep.before
+	clear(rep.tokens)
+}
+
 func (rep *report) interToken() time.Duration {
 	if rep.gaps == 0 {
 		return 0
@@ -109,11 +116,11 @@
 		}
 		return
 	}
-	changed := now.Stalled != rep.sent.Stalled || relativeChange(now.InterTokenUs, rep.sent.InterTokenUs) > reportChange
+	changed := now.Stalled != rep.sentStalled || relativeChange(now.InterTokenUs, rep.sentInterTokenUs) > reportChange
 	if !changed && n.now-rep.sentAt < reportAtLeast {
 		return
 	}
-	rep.sent.Stalled, rep.sent.InterTokenUs, rep.sentAt = now.Stalled, now.InterTokenUs, n.now
+	rep.sentStalled, rep.sentInterTokenUs, rep.sentAt = now.Stalled, now.InterTokenUs, n.now
 	n.send(key.holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Progress{Progress: now}})
 }
 
