--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -6,7 +6,7 @@
 // Invariants:
 //   - the messages sent per ping interval do not depend on the cell's size,
 //     except for a reader's announcements and for rare events: a join, a leave,
-//     the suspicion of an owner that work waits for, and its refutation;
+//     a suspicion by the first to notice, and its refutation;
 //   - leaving is sticky: once known for an incarnation it is never undone;
 //   - a member's sequence number never decreases, and only the member itself
 //     raises it.
@@ -79,10 +79,6 @@
 	Body    *pb.PeerMessage
 }
 
-// pauseLimit is how late a tick may be before the instance no longer trusts
-// its view, since others may have declared it dead in the meantime.
-const pauseLimit = time.Second
-
 // settleTime is how long a starting instance waits for an answer to its joins
 // before it takes itself to be the first of its cell.
 const settleTime = 2 * time.Second
@@ -253,9 +249,11 @@
 	return 0
 }
 
-// Suspect makes a member suspect that did not answer while requests waited for
-// it, and tells every member of the cell, so that all agree on the next owner
-// without waiting for gossip.
+// Suspect makes a member suspect that answered neither this instance nor the
+// others that it asked, and tells every member of the cell, so that all agree on
+// the next owner without waiting for gossip. Who learns of a suspicion does not
+// repeat it, so the messages per failure grow with the cell only, and not with
+// its square.
 func (v *View) Suspect(now time.Duration, incarnation uint64) {
 	m, ok := v.members[incarnation]
 	if !ok || m.State != Alive {
@@ -274,10 +272,6 @@
 	})
 }
 
-// Trusted reports whether the view may be relied on for ownership. It is false
-// after a pause, until another member has answered.
-func (v *View) Trusted() bool { return !v.paused }
-
 // Leave marks this instance as leaving and tells every member of the cell.
 func (v *View) Leave(now time.Duration) {
 	if v.self.Leaving {
@@ -344,36 +338,6 @@
 	return time.Duration(v.random.Float64() * float64(d))
 }
 
-// resume handles the end of a pause: timers that ran out during the pause say
-// nothing about the others, and the others may have declared this one dead.
-func (v *View) resume(now, gap time.Duration) {
-	v.probe.cancel()
-	for _, id := range v.order {
-		v.members[id].since += gap
-	}
-	if v.liveOthers() == 0 {
-		return
-	}
-	v.paused, v.pausedAt = true, now
-	v.changed()
-	for _, m := range v.pick(3, 0) {
-		v.ping(m, v.probe.nextSequence())
-	}
-}
-
-func (v *View) liveOthers() int {
-	count := 0
-	v.Live(func(Member) { count++ })
-	return count
-}
-
-func (v *View) trust() {
-	if v.paused {
-		v.paused = false
-		v.changed()
-	}
-}
-
 // expire declares suspects dead and forgets old tombstones.
 func (v *View) expire(now time.Duration) {
 	for _, id := range slices.Clone(v.order) {
