daemon: close the administration address last and at once

Cause: make demo found an instance still running after its administration address was closed; nbhttp's Shutdown waits for open connections. Change: Finish has flushed all answers, so servers stop at once; the administration server stops last.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,8 @@
 	maxOrders = 64
 	// flushTimeout bounds the wait for callers to take the rest of their answers at the end.
 	flushTimeout = 30 * time.Second
+	// closeTimeout bounds the last export of metrics.
+	closeTimeout = time.Second
 )
 
 // Daemon is one running instance.
@@ -260,15 +262,14 @@
 	}
 }
 
-// Close stops at once and releases everything.
+// Close stops at once and releases everything. The administration address is
+// closed last, so that an operator who sees it closed knows that the rest is.
 func (d *Daemon) Close() {
 	d.stop()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range []*httpfront.Server{d.callers, d.operators} {
-		if server != nil {
-			server.Stop(ctx)
-		}
+	if d.callers != nil {
+		d.callers.Stop()
 	}
 	if d.peers != nil {
 		d.peers.Close()
@@ -277,6 +278,9 @@
 	d.upstream.Close()
 	d.platform.Close()
 	d.metrics.Close(ctx)
+	if d.operators != nil {
+		d.operators.Stop()
+	}
 }
 
 // seeds are the peer addresses to join through, without the own one.
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -81,11 +81,7 @@
 	})
 	require.NoError(t, err)
 	require.NoError(t, server.Start())
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		server.Stop(ctx)
-	})
+	t.Cleanup(server.Stop)
 	f.server = server
 	return f
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -4,7 +4,6 @@
 package httpfront
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -128,8 +127,8 @@
 	return unsent
 }
 
-// Stop closes the listener and all connections.
-func (s *Server) Stop(ctx context.Context) { _ = s.engine.Shutdown(ctx) }
+// Stop closes the listener and all connections at once.
+func (s *Server) Stop() { s.engine.Stop() }
 
 // onData parses input of one connection; nbhttp's own handler would close the
 // connection without an answer when the input is not valid.
