--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -159,7 +159,7 @@
 	if status, ok := refusalStatus(a); ok {
 		return store.Result{Status: status}
 	}
-	if a.status < 200 || a.status >= 300 {
+	if a.lost || a.status < 200 || a.status >= 300 {
 		return store.Result{Status: store.Unknown}
 	}
 	if !versioned {
