platform: a fresh connection for each write

Cause: TestStatuses failed now and then: a write on a reused connection that the server was closing came back as unknown. Ruled out: repeating the write in the transport, which could apply it twice. Change: writes have a connection of their own, reads reuse connections and are repeated by the transport. Conclusion: none.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -31,9 +31,14 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	base      string
-	timeout   time.Duration
-	transport *http.Transport
+	base    string
+	timeout time.Duration
+	// reads reuses connections; its transport repeats a read that meets a
+	// connection that was just closed.
+	reads *http.Transport
+	// writes has a fresh connection per call, so that the closing of an idle
+	// connection never leaves it unknown whether a write took effect.
+	writes *http.Transport
 }
 
 // NewClient returns a client of the platform at address. A call counts as
@@ -42,14 +47,16 @@
 	return &Client{
 		base:    "http://" + address,
 		timeout: timeout,
-		transport: httpconn.NewTransport(httpconn.Options{
-			MaxPerHost: connections, DialTimeout: timeout, Reuse: true,
-		}),
+		reads:   httpconn.NewTransport(httpconn.Options{MaxPerHost: connections, DialTimeout: timeout, Reuse: true}),
+		writes:  httpconn.NewTransport(httpconn.Options{MaxPerHost: connections, DialTimeout: timeout}),
 	}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.reads.CloseIdleConnections()
+	c.writes.CloseIdleConnections()
+}
 
 // answer is one HTTP answer or what is known without it.
 type answer struct {
@@ -95,21 +102,25 @@
 
 // exchange sends one request and reads its whole answer.
 func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) answer {
-	tracked, guard := httpconn.Track(ctx)
-	req, err := http.NewRequestWithContext(tracked, method, c.base+path, nil)
+	transport, sealed := c.reads, func() bool { return true }
+	if method != http.MethodGet {
+		tracked, guard := httpconn.Track(ctx)
+		ctx, transport, sealed = tracked, c.writes, guard.Seal
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
 	if err != nil {
 		return answer{unsent: true}
 	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	if body != nil {
+	if len(body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(body))
 		req.ContentLength = int64(len(body))
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		sent := guard.Seal()
+		sent := sealed()
 		return answer{lost: sent, unsent: !sent}
 	}
 	defer resp.Body.Close()
