demo: run against the daemon

Ruled out: disown for background processes, since an ended one then stays visible to kill -0 and the drained entry seemed to run on.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,19 +16,18 @@
 desk_token=desk-trial-token
 lab_token=lab-trial-token
 operator_token=operator-trial-token
-pids=()
 
-# stop_all ends every process that this script started.
+# stop_all ends every process that this script started and that still runs.
 stop_all() {
   local pid
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for _ in $(seq 50); do
-    local left=0
-    for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null && left=1; done
-    [ "$left" = 0 ] && return
+  for pid in $(jobs -rp); do kill -TERM "$pid" 2>/dev/null || true; done
+  for _ in $(seq 20); do
+    [ -z "$(jobs -rp)" ] && return
     sleep 0.1
   done
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  # Entries that are still draining.
+  for pid in $(jobs -rp); do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
 }
 trap stop_all EXIT
 trap 'exit 1' INT TERM
@@ -43,8 +42,6 @@
   local name=$1
   shift
   "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-  disown $!
 }
 
 # until_true SECONDS COMMAND... repeats a command until it succeeds.
@@ -104,7 +101,7 @@
 INI
   "$gate" check -c "$run/$name.ini"
   start "$name" "$gate" serve -c "$run/$name.ini"
-  entry_pid+=("${pids[-1]}")
+  entry_pid+=($!)
 done
 
 export CITRONGATE_TOKEN=$operator_token
@@ -152,6 +149,7 @@
 wave_pid=$!
 sleep 2.5
 kill -KILL "${entry_pid[2]}"
+wait "${entry_pid[2]}" 2>/dev/null || true
 wait "$wave_pid" || fail "wave 2 failed"
 
 echo "== wave 3: entry-2 is drained while all kinds of calls run through it"
@@ -160,7 +158,7 @@
 sleep 1.5
 "$gate" drain --admin "${admins[1]}" --wait --timeout 25s || fail "entry-2 did not stop"
 wait "$wave_pid" || fail "wave 3 failed"
-kill -0 "${entry_pid[1]}" 2>/dev/null && fail "entry-2 still runs after its drain"
+wait "${entry_pid[1]}" || fail "entry-2 did not exit cleanly after its drain"
 
 echo "== status of the entry that is left"
 "$gate" status --admin "${admins[0]}"
