daemon: tests with the real node and the stand-ins

Cause: the path from caller to upstream, drain, disconnect and the operator API had no test. Change: internal/daemon/daemon_test.go; each test starts instances on loopback and checks engines' and services' own counts of runs.

--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,452 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/internal/standin/engine"
+	"github.com/citrongate/citrongate/internal/standin/platform"
+	"github.com/citrongate/citrongate/internal/standin/service"
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// site is a set of outside systems.
+type site struct {
+	t        *testing.T
+	platform string
+	engine   *httptest.Server
+	service  *httptest.Server
+	next     int
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	p := httptest.NewServer(platform.New(platform.Config{InstanceTTL: 5 * time.Second}).Handler())
+	t.Cleanup(p.Close)
+	config := engine.Defaults()
+	config.Models, config.CacheEventLag = []string{"m"}, 0
+	config.StepBase = time.Millisecond
+	e := engine.New(config)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); e.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-done })
+	s := &site{t: t, platform: p.Listener.Addr().String(), engine: httptest.NewServer(e.Handler()), service: httptest.NewServer(service.New(service.Config{}).Handler())}
+	t.Cleanup(s.engine.Close)
+	t.Cleanup(s.service.Close)
+	return s
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+type instance struct {
+	*Daemon
+	t     *testing.T
+	admin string
+	entry string
+}
+
+// start runs an instance with the real node.
+func (s *site) start(extra string) *instance {
+	s.t.Helper()
+	s.next++
+	entry, admin := freeAddress(s.t), freeAddress(s.t)
+	text := fmt.Sprintf("[instance]\nname = entry-%d\nfailure_domain = z\nregion = r\n[listen]\ncaller = %s\nadmin = %s\npeer = %s\n[platform]\naddress = %s\n[bootstrap]\noperator_token_sha256 = %s\n%s",
+		s.next, entry, admin, freeAddress(s.t), s.platform, digest("op"), extra)
+	loaded, err := settings.Parse("test", []byte(text))
+	require.NoError(s.t, err)
+	d, err := New(loaded, zerolog.Nop(), func(cfg node.Config, seed uint64) Machine { return node.New(cfg, seed) })
+	require.NoError(s.t, err)
+	require.NoError(s.t, d.Start())
+	s.t.Cleanup(func() {
+		if d.ctx.Err() == nil {
+			d.Close()
+		}
+	})
+	return &instance{Daemon: d, t: s.t, admin: admin, entry: entry}
+}
+
+// configure applies the test configuration and waits until it is in force.
+func (s *site) configure(instances ...*instance) {
+	s.t.Helper()
+	objects := fmt.Sprintf(`{"objects":[
+		{"meta":{"kind":"Tier","name":"t"},"tier":{"rank":0,"default_deadline_ms":20000}},
+		{"meta":{"kind":"Organisation","name":"acme"},"organisation":{"token_sha256":[%q]}},
+		{"meta":{"kind":"Organisation","name":"other"},"organisation":{"token_sha256":[%q]}},
+		{"meta":{"kind":"RequestKind","name":"default"},"request_kind":{"tier":"t","model_call":true,"max_output_tokens":100000}},
+		{"meta":{"kind":"RequestKind","name":"lookup"},"request_kind":{"tier":"t"}},
+		{"meta":{"kind":"RequestKind","name":"book"},"request_kind":{"tier":"t","non_idempotent":true}},
+		{"meta":{"kind":"Upstream","name":"e1"},"upstream":{"address":%q,"type":"engine","failure_domain":"z","models":["m"]}},
+		{"meta":{"kind":"Upstream","name":"s1"},"upstream":{"address":%q,"type":"service","failure_domain":"z"}},
+		{"meta":{"kind":"Route","name":"models"},"route":{"order":1,"requests":"kind=default","upstreams":"type=engine"}},
+		{"meta":{"kind":"Route","name":"services"},"route":{"order":2,"requests":"kind in (lookup,book)","upstreams":"type=service"}},
+		{"meta":{"kind":"Operator","name":"reader"},"operator":{"token_sha256":[%q],"read_only":true}}]}`,
+		digest("acme-token"), digest("other-token"), s.engine.Listener.Addr(), s.service.Listener.Addr(), digest("reader-token"))
+	status, _, text := instances[0].call("POST", instances[0].admin, "/admin/v1/apply", "op", objects)
+	require.Equal(s.t, 200, status, text)
+	for _, i := range instances {
+		i.until("configuration in force and ready", func() bool {
+			status, _, _ := i.call("GET", i.admin, "/readyz", "", "")
+			return status == 200 && i.config.Load() != nil
+		})
+	}
+}
+
+// until waits for a state that must come. The bound only ends a test that hangs.
+func (i *instance) until(what string, reached func() bool) {
+	i.t.Helper()
+	for range 3000 {
+		if reached() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.FailNow(i.t, "never reached: "+what)
+}
+
+func request(method, address, path, token, body string, header ...string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	for n := 0; n < len(header); n += 2 {
+		req.Header.Set(header[n], header[n+1])
+	}
+	return req
+}
+
+func (i *instance) call(method, address, path, token, body string, header ...string) (int, http.Header, string) {
+	i.t.Helper()
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(request(method, address, path, token, body, header...))
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(i.t, err)
+	return resp.StatusCode, resp.Header, string(text)
+}
+
+// control reads the control API of a stand-in.
+func control[T any](t *testing.T, server *httptest.Server, path string) T {
+	t.Helper()
+	var out T
+	resp, err := http.Get(server.URL + path)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
+
+func setFaults(t *testing.T, server *httptest.Server, faults string) {
+	t.Helper()
+	resp, err := http.Post(server.URL+"/control/state", "application/json", strings.NewReader(faults))
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, 200, resp.StatusCode)
+}
+
+func chat(tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"hello there"}],"max_tokens":%d,"stream":%t}`, tokens, stream)
+}
+
+type errorAnswer struct {
+	Error struct {
+		Code, Ran string
+		RequestID string `json:"request_id"`
+	}
+}
+
+func errorOf(t *testing.T, text string) (code, ran string) {
+	t.Helper()
+	var body errorAnswer
+	require.NoError(t, json.Unmarshal([]byte(text), &body), text)
+	return body.Error.Code, body.Error.Ran
+}
+
+// TestServe guards against a broken path from caller to upstream and back.
+func TestServe(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	status, _, text := i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, true))
+	code, ran := errorOf(t, text)
+	require.Equal(t, []any{503, "not_ready", "no"}, []any{status, code, ran}, "an empty store serves nobody")
+	s.configure(i)
+
+	status, header, text := i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, true), "X-Request-Id", "mine")
+	require.Equal(t, 200, status, text)
+	require.Equal(t, "mine", header.Get("X-Request-Id"))
+	require.True(t, strings.HasSuffix(text, "data: [DONE]\n\n"), text)
+	require.Contains(t, text, `"id":"mine"`)
+
+	status, _, text = i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, false))
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"object":"chat.completion"`)
+
+	status, _, text = i.call("POST", i.entry, "/v1/call/lookup", "acme-token", "what")
+	require.Equal(t, 200, status)
+	require.Contains(t, text, `"received":"what"`)
+
+	setFaults(t, s.engine, `{"break_streams":1,"break_after":3}`)
+	_, _, text = i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(9, true))
+	require.True(t, strings.HasSuffix(text, "data: [DONE]\n\n"), "a cut stream is resumed: %s", text)
+
+	setFaults(t, s.engine, `{"break_streams":1,"break_after":2,"forget_broken":true}`)
+	_, _, text = i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(9, true))
+	_, event, found := strings.Cut(text, "event: error\ndata: ")
+	require.True(t, found, text)
+	code, ran = errorOf(t, event)
+	require.Equal(t, []string{"upstream_broke", "unknown"}, []string{code, ran})
+
+	setFaults(t, s.engine, `{"mismatch_answers":1}`)
+	status, _, text = i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(9, true))
+	code, _ = errorOf(t, text)
+	require.Equal(t, []any{502, "answer_mismatched"}, []any{status, code})
+
+	for id, runs := range control[map[string]int](t, s.engine, "/control/runs") {
+		require.Equal(t, 1, runs, id)
+	}
+}
+
+// TestNonIdempotent guards against a key that runs twice, at one entry or at
+// two, or whose outcome is lost with its caller.
+func TestNonIdempotent(t *testing.T) {
+	s := newSite(t)
+	a := s.start("")
+	b := s.start("")
+	s.configure(a, b)
+	members := func(i *instance) int {
+		var status adminapi.Status
+		_, _, text := i.call("GET", i.admin, "/admin/v1/status", "op", "")
+		_ = json.Unmarshal([]byte(text), &status)
+		return len(status.Instances)
+	}
+	a.until("both know each other", func() bool { return members(a) == 2 && members(b) == 2 })
+
+	var discovery httpfront.Discovery
+	_, _, text := a.call("GET", a.entry, "/v1/discovery", "acme-token", "")
+	require.NoError(t, json.Unmarshal([]byte(text), &discovery))
+	require.ElementsMatch(t, []string{a.entry, b.entry}, discovery.Addresses)
+	key := discovery.Ticket + ".one"
+	status, _, first := b.call("POST", b.entry, "/v1/call/book", "acme-token", "seat 1", "Idempotency-Key", key)
+	require.Equal(t, 200, status, first)
+	status, _, second := a.call("POST", a.entry, "/v1/call/book", "acme-token", "seat 1", "Idempotency-Key", key)
+	require.Equal(t, 200, status, second)
+	require.Equal(t, first, second)
+
+	// A caller that goes away during its call finds the outcome later.
+	setFaults(t, s.service, `{"delay_ms":300}`)
+	gone := discovery.Ticket + ".two"
+	ctx, stop := context.WithCancel(context.Background())
+	req := request("POST", a.entry, "/v1/call/book", "acme-token", "seat 2", "Idempotency-Key", gone)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req.WithContext(ctx))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	a.until("the call runs", func() bool {
+		return control[service.Ledger](t, s.service, "/control/ledger").ByKey[gone] == 1
+	})
+	stop()
+	<-ended
+	status, _, text = b.call("POST", b.entry, "/v1/call/book", "acme-token", "seat 2", "Idempotency-Key", gone)
+	require.Equal(t, 200, status, text)
+	require.Contains(t, text, "seat 2")
+
+	status, _, text = a.call("POST", a.entry, "/v1/call/book", "acme-token", "seat 3", "Idempotency-Key", "no-ticket")
+	require.Equal(t, 200, status, text)
+	for key, runs := range control[service.Ledger](t, s.service, "/control/ledger").ByKey {
+		require.Equal(t, 1, runs, key)
+	}
+}
+
+// TestCallerDisconnect guards against an engine that works for a caller who left.
+func TestCallerDisconnect(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	s.configure(i)
+	ctx, stop := context.WithCancel(context.Background())
+	req := request("POST", i.entry, "/v1/chat/completions", "acme-token", chat(50000, true)).WithContext(ctx)
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	require.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 100))
+	require.NoError(t, err)
+	stop()
+	_ = resp.Body.Close()
+	i.until("the engine canceled", func() bool {
+		return control[engine.Counters](t, s.engine, "/control/counters").Canceled == 1
+	})
+	i.until("nothing is held", func() bool { return i.held.Load() == 0 && len(i.requests.open) == 0 })
+}
+
+// TestMaxRequests guards against holding more requests than the bound.
+func TestMaxRequests(t *testing.T) {
+	s := newSite(t)
+	i := s.start("[limits]\nmax_requests = 16\n")
+	s.configure(i)
+	setFaults(t, s.engine, `{"stall":true}`)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	for range 16 {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, true)).WithContext(ctx))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	i.until("all are held", func() bool { return i.held.Load() == 16 })
+	status, header, text := i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, true))
+	code, ran := errorOf(t, text)
+	require.Equal(t, []any{429, "limit_in_flight", "no"}, []any{status, code, ran})
+	require.Equal(t, "1", header.Get("Retry-After"))
+	stop()
+	for range 16 {
+		<-ended
+	}
+	i.until("none is held", func() bool { return i.held.Load() == 0 })
+}
+
+// TestDrain guards against a planned stop that cuts an answer, refuses callers
+// with an old discovery answer, stays in discovery or never ends.
+func TestDrain(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	s.configure(i)
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request("POST", i.entry, "/v1/chat/completions", "acme-token", chat(400, true)))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	status, _, _ := i.call("POST", i.admin, "/admin/v1/drain", "reader-token", "")
+	require.Equal(t, 403, status)
+	status, _, _ = i.call("POST", i.admin, "/admin/v1/drain", "op", "")
+	require.Equal(t, 202, status)
+	<-i.Draining()
+	i.until("not ready", func() bool { status, _, _ := i.call("GET", i.admin, "/readyz", "", ""); return status == 503 })
+	_, _, text := i.call("GET", i.entry, "/v1/discovery", "acme-token", "")
+	require.NotContains(t, text, i.entry)
+	status, _, text = i.call("POST", i.entry, "/v1/call/lookup", "acme-token", "late")
+	require.Equal(t, 200, status, text)
+	answer, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.True(t, bytes.HasSuffix(answer, []byte("data: [DONE]\n\n")))
+	i.Finish(context.Background())
+	i.Close()
+	status, _, _ = i.call("GET", i.admin, "/healthz", "", "")
+	require.Zero(t, status, "the administration address is closed")
+}
+
+// TestOperatorAPI guards against wrong rights, lost conditions and missing reports.
+func TestOperatorAPI(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	s.configure(i)
+	const tier = "/admin/v1/objects/Tier/t"
+	status, header, _ := i.call("GET", i.admin, tier, "reader-token", "")
+	require.Equal(t, 200, status)
+	etag := header.Get("ETag")
+	for _, c := range []struct {
+		method, path, token, body string
+		header                    []string
+		status                    int
+		code                      string
+	}{
+		{"GET", tier, "", "", nil, 401, "unauthenticated"},
+		{"GET", tier, "acme-token", "", nil, 401, "unauthenticated"},
+		{"PUT", tier, "reader-token", `{"tier":{"rank":0}}`, nil, 403, "forbidden"},
+		{"PUT", tier, "op", `{"tier":{"rank":0}}`, []string{"If-Match", `"99"`}, 412, "conflict"},
+		{"PUT", tier, "op", `{"tier":{"rank":0}}`, []string{"If-None-Match", "*"}, 412, "conflict"},
+		{"PUT", tier, "op", `{"tier":{"rank":99}}`, []string{"If-Match", etag}, 400, "invalid"},
+		{"PUT", tier, "op", `{"meta":{"name":"x"},"tier":{"rank":0}}`, nil, 400, "invalid"},
+		{"PUT", tier, "op", `{`, nil, 400, "invalid"},
+		{"DELETE", tier, "op", "", []string{"If-Match", etag}, 400, "invalid"}, // still referenced
+		{"DELETE", "/admin/v1/objects/Tier/none", "op", "", nil, 404, "not_found"},
+		{"GET", "/admin/v1/objects?kind=None", "op", "", nil, 400, "invalid"},
+		{"POST", "/admin/v1/apply", "op", `{"objects":[{"bad":1}]}`, nil, 400, "invalid"},
+		{"GET", "/admin/v1/none", "op", "", nil, 404, "not_found"},
+	} {
+		status, _, text := i.call(c.method, i.admin, c.path, c.token, c.body, c.header...)
+		code, _ := errorOf(t, text)
+		require.Equal(t, []any{c.status, c.code}, []any{status, code}, "%s %s %s", c.method, c.path, text)
+	}
+	status, _, text := i.call("PUT", i.admin, tier, "op", `{"tier":{"rank":0,"default_deadline_ms":9000}}`, "If-Match", etag)
+	require.Equal(t, 200, status, text)
+	require.JSONEq(t, `{"revision":2}`, text)
+	i.until("revision 2 in force", func() bool { return i.config.Load().Revision == 2 })
+	status, _, text = i.call("POST", i.admin, "/admin/v1/apply?dry_run=true", "reader-token", `{"objects":[{"meta":{"kind":"Tier","name":"t"},"tier":{"rank":99}}]}`)
+	require.Equal(t, 400, status)
+	require.Contains(t, text, "problems")
+
+	_, _, text = i.call("GET", i.admin, "/admin/v1/status", "op", "")
+	var report adminapi.Status
+	require.NoError(t, json.Unmarshal([]byte(text), &report))
+	require.True(t, report.Ready)
+	require.True(t, report.StoreAvailable)
+	require.Len(t, report.Instances, 1)
+	require.Equal(t, uint64(2), report.Instances[0].ConfigRevision)
+	require.Len(t, report.Upstreams, 2)
+
+	_, _, text = i.call("GET", i.admin, "/admin/v1/explain?kind=default&organisation=acme&model=m", "op", "")
+	var explanation adminapi.Explanation
+	require.NoError(t, json.Unmarshal([]byte(text), &explanation))
+	require.Equal(t, "models", explanation.Route)
+	require.Equal(t, "t", explanation.Tier)
+	require.Equal(t, i.identity.String(), explanation.Owner)
+	require.Contains(t, explanation.Upstreams, adminapi.ExplainedUpstream{Name: "e1", Eligible: true, Why: "all requirements hold"})
+
+	i.until("gauges", func() bool {
+		_, _, text := i.call("GET", i.admin, "/metrics", "", "")
+		return strings.Contains(text, `citrongate_upstream_limit{upstream="e1"}`) && strings.Contains(text, "citrongate_store_calls_total")
+	})
+}
+
+// TestUpstreamDown guards against a refused connection reported as anything but not run.
+func TestUpstreamDown(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	s.configure(i)
+	s.engine.Close()
+	_, _, text := i.call("POST", i.entry, "/v1/chat/completions", "acme-token", chat(5, true), "Citrongate-Deadline-Ms", "2000")
+	code, ran := errorOf(t, text)
+	require.Equal(t, "no", ran)
+	require.Contains(t, []string{"connect_failed", "expired_waiting", "shed_overload"}, code)
+}
