--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -1,6 +1,7 @@
 package measurement
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -158,7 +159,7 @@
 	}
 	if flood >= 0 && d.kinds[flood].tier == 0 {
 		list = append(list, c.collect("top_tier_of_bound", func(p, run int) float64 {
-			return ofBound(d, &result(p, run).servedTopMix, topArrived(d, result(p, run)))
+			return ofBound(c, &result(p, run).servedTopMix, topArrived(d, result(p, run)))
 		}).with(atLeast(0.95)))
 	}
 	if flood >= 0 {
@@ -166,7 +167,7 @@
 			part, _ := kept(d, flood, calmOf(p, run), result(p, run))
 			return part
 		}).with(atLeast(0.95)), c.collect("total_of_bound", func(p, run int) float64 {
-			return ofBound(d, &result(p, run).servedMix, math.Inf(1))
+			return ofBound(c, &result(p, run).servedMix, math.Inf(1))
 		}).with(atLeast(0.9)))
 	}
 	if c.scenario.largeCaller {
@@ -176,6 +177,15 @@
 			return result(p, run).smallGoodput(2) / calmOf(p, run).smallGoodput(2)
 		}))
 	}
+	if c.scenario.straggler {
+		f := figure{name: "straggler_detected_ms"}
+		for run := range c.results[0] {
+			// Never detected counts as the rest of the measured time.
+			detected := cmp.Or(c.results[0][run].detected, measureTo-faultAt)
+			f.values = append(f.values, milliseconds(detected))
+		}
+		list = append(list, f.with(atMost(2000)))
+	}
 	return append(list, c.commonFigures()...)
 }
 
--- a/internal/simtest/measurement/result.go
+++ b/internal/simtest/measurement/result.go
@@ -26,6 +26,7 @@
 	// Violations of P2 by the time of the decision and as seen at the entry.
 	Violations, ViolationsAtEntry, Sheds int
 	policyStats
+	detected time.Duration
 }
 
 // policies lists what is compared; the first is the design, the second the baseline.
@@ -42,7 +43,7 @@
 	result := Result{
 		Good: make([]int, len(d.kinds)), Arrived: make([]int, len(d.kinds)),
 		Violations: r.atDecision.violations, ViolationsAtEntry: r.atEntry.violations, Sheds: r.atDecision.sheds,
-		policyStats: r.stats, PrefillWasted: r.wastedPrefill,
+		policyStats: r.stats, detected: r.detected, PrefillWasted: r.wastedPrefill,
 	}
 	for tier := range result.GoodByOrg {
 		result.GoodByOrg[tier] = make([]int, len(d.orgShares))
@@ -126,8 +127,12 @@
 
 // ofBound returns the rate of good answers as a part of what the engines could
 // carry of the same mix, or of what arrived if that is less.
-func ofBound(d deployment, m *mix, arrivalRate float64) float64 {
-	bound := min(m.bound(d.engines, targetInterToken), arrivalRate)
+func ofBound(c *cell, m *mix, arrivalRate float64) float64 {
+	down := 0.0
+	if c.scenario.engineDeath {
+		down = engineDown.Seconds() / (measureTo - servedFrom).Seconds()
+	}
+	bound := min(m.bound(c.deployment.engines, targetInterToken, down), arrivalRate)
 	if bound == 0 {
 		return 1
 	}
@@ -157,7 +162,7 @@
 		if spec.tier != tier || spec.service {
 			continue
 		}
-		cost := 1 / kindMix(d, kind).bound(d.engines, targetInterToken)
+		cost := 1 / kindMix(d, kind).bound(d.engines, targetInterToken, 0)
 		demand := spec.calm * cost
 		if kind == flood {
 			demand = overload + demand
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -26,7 +26,6 @@
 	// runs is true if this call was told to run.
 	runs    bool
 	outcome *pb.BindingOutcome
-	gone    bool
 }
 
 // forward is a call that this instance forwarded to its home.
@@ -46,6 +45,7 @@
 	byOrigin map[originKey]dispatch.ID
 	// forwards are in order of submission.
 	forwards []*forward
+	refused  refusedForwards
 }
 
 func newCallSet() callSet {
@@ -117,6 +117,10 @@
 	if c.origin != 0 {
 		delete(n.calls.byOrigin, originKey{c.origin, c.sequence})
 	}
+	if c.runs && refusal.Code == "" && c.outcome == nil {
+		// The answer was whole, but the edge could not record it.
+		c.outcome = &pb.BindingOutcome{HttpStatus: 200, BodyOmitted: true}
+	}
 	n.answerCall(id, c, refusal, silent)
 	if !c.runs {
 		return
@@ -155,13 +159,16 @@
 	if c.origin != 0 {
 		reply := &pb.BindingReply{Sequence: c.sequence, Outcome: c.outcome}
 		if refusal.Code != "" {
+			if r := n.requests[id]; r != nil && refusal.Ran == dispatch.RanNo {
+				n.calls.refused.add(originKey{c.origin, c.sequence}, refusal, r.deadline)
+			}
 			reply.Outcome = nil
 			reply.Code, reply.Ran, reply.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
 		}
 		n.send(c.origin, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: reply}})
 		return
 	}
-	if refusal.Code != "" && !silent && !c.gone {
+	if refusal.Code != "" && !silent {
 		n.emitRefuse(id, refusal)
 	}
 }
@@ -169,7 +176,7 @@
 // replyRecorded answers a call with the recorded outcome of its key.
 func (n *Node) replyRecorded(id dispatch.ID, outcome *pb.BindingOutcome) {
 	c := n.calls.running[id]
-	if c.origin == 0 && !c.gone {
+	if c.origin == 0 {
 		n.emit(ReplyRecorded{ID: RequestID(id), Outcome: outcome})
 	}
 	c.outcome = outcome
@@ -243,6 +250,7 @@
 		}
 	}
 	n.expireJoined()
+	n.calls.refused.sweep(n.now)
 }
 
 // expireJoined ends calls that wait for another call of the same key, or for a
@@ -279,6 +287,15 @@
 	if n.calls.byOrigin[key] != 0 {
 		return
 	}
+	if refused, ok := n.calls.refused.byOrigin[key]; ok {
+		n.replyRefusal(from, m.Sequence, refused.refusal)
+		return
+	}
+	if n.calls.refused.full() {
+		n.replyRefusal(from, m.Sequence, dispatch.Refusal{Code: "limit_in_flight", Ran: dispatch.RanUnknown,
+			Reason: "the home of the key refused too many forwarded calls lately", Remedy: "send the call again under the same key later"})
+		return
+	}
 	if refusal := n.admission(); refusal.Code != "" && refusal.Code != "draining" {
 		// A drained home still answers for keys that it ran.
 		refusal.Ran = dispatch.RanUnknown
