proctest: whole processes with kills, pauses, cuts and outages

Cause: the promises must hold for real processes, not only for the state machine. Ruled out: sequential runs, 51 s in all; ports from the system's own range, since an outgoing connection can take one before its process listens. Change: six parallel tests (entry killed, paused for 4 s, drained; connections cut by a relay; store outage; lost store answer), each with an audit of the ledgers and engine run counts; the ports command draws from 20000 to 31999.

--- a/cmd/citrongate-standin/ports.go
+++ b/cmd/citrongate-standin/ports.go
@@ -3,11 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 
 	"github.com/urfave/cli/v3"
 )
 
+// Ports are taken below the range from which systems commonly assign ports to
+// outgoing connections, since one of these could take a port before its
+// intended process does.
+const (
+	lowestPort  = 20000
+	highestPort = 32000
+	maxTries    = 10000
+)
+
 func portsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "ports",
@@ -21,13 +31,17 @@
 
 // printPorts holds all ports until the last one is found, so that they differ.
 func printPorts(count int) error {
-	for printed := 0; printed < count; {
-		tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	printed := 0
+	for range maxTries {
+		if printed == count {
+			return nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
 		if err != nil {
-			return err
+			continue
 		}
 		defer tcp.Close()
-		port := tcp.Addr().(*net.TCPAddr).Port
 		udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
 		if err != nil {
 			continue
@@ -36,5 +50,5 @@
 		fmt.Println(port)
 		printed++
 	}
-	return nil
+	return fmt.Errorf("found only %d of %d free ports", printed, count)
 }
--- /dev/null
+++ b/internal/proctest/faults_test.go
@@ -0,0 +1,187 @@
+package proctest
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/internal/client"
+	"github.com/citrongate/citrongate/internal/standin/load"
+)
+
+// loadTime is the time for which a test sends calls.
+const loadTime = 4 * time.Second
+
+// sendLoad sends mixed calls while fault runs, and returns their outcomes.
+func sendLoad(t *testing.T, f *fleet, config load.Config, fault func()) []load.Outcome {
+	t.Helper()
+	if config.Duration == 0 {
+		config.Duration = loadTime
+	}
+	config.Entries, config.Seed, config.HTTP = f.callers(), 1, f.http
+	config.Flows = []load.Flow{
+		{Kind: "chat", Type: load.Model, Model: "small", Token: callerToken, Rate: 10, Deadline: patience, MinTokens: 20, MaxTokens: 100, PromptBytes: 300},
+		{Kind: "lookup", Type: load.Service, Tier: 1, Token: callerToken, Rate: 8, Deadline: patience},
+		{Kind: "book", Type: load.Booking, Token: callerToken, Rate: 8, Deadline: patience},
+	}
+	outcomes := make(chan []load.Outcome, 1)
+	go func() { outcomes <- load.Run(context.Background(), config) }()
+	time.Sleep(loadTime / 3)
+	fault()
+	return <-outcomes
+}
+
+// requireTruthful fails if an audit finds that callers were told something else
+// than what happened, or if an answer was not the right one.
+func requireTruthful(t *testing.T, f *fleet, outcomes []load.Outcome) {
+	t.Helper()
+	require.NotEmpty(t, outcomes)
+	for _, outcome := range outcomes {
+		require.NoError(t, outcome.Err, outcome.String())
+	}
+	violations, err := load.Audit(context.Background(), outcomes, f.services, f.engines)
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
+// requireWhole fails if a call that it concerns was not answered whole.
+func requireWhole(t *testing.T, outcomes []load.Outcome, concerns func(load.Outcome) bool) {
+	t.Helper()
+	for _, outcome := range outcomes {
+		if concerns(outcome) {
+			require.True(t, outcome.Whole, outcome.String())
+		}
+	}
+}
+
+func all(load.Outcome) bool          { return true }
+func repeatable(o load.Outcome) bool { return o.Flow.Type != load.Booking }
+func isKind(kind string) func(load.Outcome) bool {
+	return func(o load.Outcome) bool { return o.Flow.Kind == kind }
+}
+
+// TestEntryKilled guards against a second run of a booking, and against calls
+// that fail at the surviving entries, when an entry is killed.
+func TestEntryKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, direct)
+	victim := f.entries[2]
+	outcomes := sendLoad(t, f, load.Config{}, func() { victim.signal(t, syscall.SIGKILL) })
+	requireTruthful(t, f, outcomes)
+	requireWhole(t, outcomes, repeatable)
+}
+
+// TestEntryPaused guards against a second run of a booking, or a wrong answer,
+// when an entry stops for longer than the others wait before they take it for dead.
+func TestEntryPaused(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, direct)
+	victim := f.entries[0]
+	outcomes := sendLoad(t, f, load.Config{}, func() {
+		victim.signal(t, syscall.SIGSTOP)
+		time.Sleep(4 * time.Second)
+		victim.signal(t, syscall.SIGCONT)
+	})
+	requireTruthful(t, f, outcomes)
+	requireWhole(t, outcomes, repeatable)
+	waitFor(t, "the paused entry to be a member again", func() bool {
+		status, _, err := f.adminOf(victim).Status(context.Background())
+		return err == nil && status.Ready && len(status.Instances) >= entryCount
+	})
+}
+
+// TestConnectionsCut guards against answers that are lost or mixed up when
+// connections to engines break, and against a call that runs twice when one to
+// a service does.
+func TestConnectionsCut(t *testing.T) {
+	t.Parallel()
+	var engines, services []*relay
+	f := startFleet(t, func(kind string, _ int, address string) string {
+		r := startRelay(t, address)
+		if kind == "engine" {
+			engines = append(engines, r)
+		} else {
+			services = append(services, r)
+		}
+		return r.address()
+	})
+	outcomes := sendLoad(t, f, load.Config{}, func() {
+		for range 10 {
+			for _, r := range append(engines[:len(engines):len(engines)], services...) {
+				r.cutNext()
+			}
+			time.Sleep(loadTime / 30)
+		}
+	})
+	requireTruthful(t, f, outcomes)
+	requireWhole(t, outcomes, repeatable)
+}
+
+// TestEntryDrained guards against calls that a planned stop loses.
+func TestEntryDrained(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, direct)
+	victim := f.entries[1]
+	outcomes := sendLoad(t, f, load.Config{}, func() {
+		require.NoError(t, f.adminOf(victim).Drain(context.Background()))
+	})
+	requireTruthful(t, f, outcomes)
+	requireWhole(t, outcomes, all)
+	require.Zero(t, victim.waitExit(t))
+}
+
+// TestStoreOutage guards against serving that stops with the store, and against
+// a configuration change that is reported as accepted without it.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, direct)
+	setOutage := func(body string) { require.NoError(t, f.post("http://"+f.platform+"/control/state", body)) }
+	outcomes := sendLoad(t, f, load.Config{}, func() {
+		setOutage(`{"outage":true}`)
+		_, err := f.apply(f.objects(direct)[:1])
+		require.ErrorContains(t, err, "store_unavailable")
+	})
+	requireTruthful(t, f, outcomes)
+	requireWhole(t, outcomes, all)
+
+	keyed := &client.Request{Kind: "book", Key: "own-key-1", Body: []byte("{}"), Deadline: 5 * time.Second, MaxAttempts: 1}
+	result, err := client.NewCaller(f.callers(), callerToken, f.http).Do(context.Background(), keyed)
+	require.NoError(t, err)
+	require.Equal(t, "no", result.Ran, "a key without ticket needs the store")
+	require.Equal(t, "store_unavailable", result.Last().Refusal.Code)
+
+	setOutage(`{"outage":false}`)
+	waitFor(t, "a change after the outage", func() bool {
+		_, err := f.apply(f.objects(direct))
+		return err == nil
+	})
+	waitFor(t, "a call whose key has no ticket", func() bool {
+		keyed.Key += "x"
+		result, err := client.NewCaller(f.callers(), callerToken, f.http).Do(context.Background(), keyed)
+		return err == nil && result.Whole
+	})
+}
+
+// TestLostStoreAnswer guards against a configuration change that is reported as
+// failed, or applied twice, when the store's answer is lost.
+func TestLostStoreAnswer(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, direct)
+	before, err := f.adminOf(f.entries...).List(context.Background(), "")
+	require.NoError(t, err)
+	require.NoError(t, f.post("http://"+f.platform+"/control/state", `{"drop_answers":2}`))
+	objects := f.objects(direct)[:1]
+	objects[0].GetTier().DefaultDeadlineMs = 15000
+	revision, err := f.apply(objects)
+	require.NoError(t, err)
+	require.Equal(t, before.Revision+1, revision)
+	for _, e := range f.entries {
+		waitFor(t, e.name+" to have the change in force", func() bool {
+			status, _, err := f.adminOf(e).Status(context.Background())
+			return err == nil && status.ConfigRevision == revision
+		})
+	}
+}
