--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -116,7 +116,9 @@
 				r.Holder = holder
 			}
 			inFlight = append(inFlight, r)
-		case p.owner == owner && r.Holder == holder && now >= r.notBefore:
+		case p.owner == owner && r.Holder == holder:
+			// The owner asks, so this is no retry that needs a delay.
+			r.notBefore = 0
 			t.markOffered(now, r)
 			waiting = append(waiting, r)
 		}
@@ -131,6 +133,20 @@
 			t.tickRecord(now, r)
 		}
 	}
+	t.forgetIdle()
+}
+
+// forgetIdle drops pools without requests, since the pools of a configuration
+// come and go.
+func (t *Table) forgetIdle() {
+	t.poolIDs = slices.DeleteFunc(t.poolIDs, func(id uint64) bool {
+		p := t.pools[id]
+		if len(p.records) > 0 || p.local {
+			return false
+		}
+		delete(t.pools, id)
+		return true
+	})
 }
 
 func (t *Table) tickRecord(now time.Duration, r *Record) {
