measure: drive whole nodes; refuse lower tiers in transit at a shed

Cause: pools alone leave out routing, membership, messages, retries and the store; seen from the entries, lower-tier work waits in transit while a higher tier is shed. Change: the scenarios but for tight deadlines and bursts also run on whole nodes, with an outage of the store; P2 is counted from the trace. Lower-tier work that arrives within Config.Transit (10 ms) after a shed is refused. simtest.World counts frame bytes (additive change to the file of the node package's owner).

--- a/internal/simtest/cmd/measure/main.go
+++ b/internal/simtest/cmd/measure/main.go
@@ -13,13 +13,14 @@
 func main() {
 	seed := flag.Uint64("seed", 1, "first seed")
 	runs := flag.Int("runs", 5, "number of seeds")
+	nodeRuns := flag.Int("node-runs", 2, "number of seeds for runs of whole nodes, 0 for none")
 	workers := flag.Int("workers", max(1, runtime.NumCPU()/2), "runs at a time")
 	deployment := flag.String("deployment", "", "only this deployment (A or B)")
 	scenario := flag.String("scenario", "", "only calm and this scenario")
 	strict := flag.Bool("strict", false, "exit with status 1 if a target is not met")
 	flag.Parse()
 	met := measurement.Run(os.Stdout, measurement.Options{
-		Seed: *seed, Runs: *runs, Workers: *workers, Deployment: *deployment, Scenario: *scenario,
+		Seed: *seed, Runs: *runs, NodeRuns: min(*nodeRuns, *runs), Workers: *workers, Deployment: *deployment, Scenario: *scenario,
 	})
 	if *strict && !met {
 		os.Exit(1)
--- a/internal/simtest/measurement/arrivals.go
+++ b/internal/simtest/measurement/arrivals.go
@@ -34,6 +34,8 @@
 	straggler   bool
 	engineDeath bool
 	ownerDeath  bool
+	// storeOutage takes part only in runs of whole nodes.
+	storeOutage bool
 	// bursts limits the flood to one second in burstPeriod.
 	bursts bool
 	// tight uses the tight deadlines.
--- a/internal/simtest/measurement/report.go
+++ b/internal/simtest/measurement/report.go
@@ -14,12 +14,20 @@
 	Seed uint64
 	// Runs is the number of seeds, from Seed on.
 	Runs int
+	// NodeRuns is the number of seeds for runs of whole nodes, 0 for none.
+	NodeRuns int
 	// Workers is the number of runs at a time.
 	Workers int
 	// Deployment and Scenario restrict the run; empty means all.
 	Deployment, Scenario string
 }
 
+// selects reports whether a scenario is part of the run. Calm scenarios are,
+// since floods are compared with them.
+func (o Options) selects(d deployment, s Scenario) bool {
+	return (o.Deployment == "" || o.Deployment == d.name) && (o.Scenario == "" || o.Scenario == s.Name || s.isCalm())
+}
+
 // figure is one measured value over all seeds.
 type figure struct {
 	name string
@@ -56,6 +64,15 @@
 			}
 		}
 	}
+	nodes := runNodes(options)
+	for i := range nodes {
+		c := &nodes[i]
+		for _, f := range c.figures(cells, findNodes(nodes, c.deployment.name, "calm")) {
+			line, met := f.print(out, c.deployment.name+"-nodes/"+c.scenario.Name)
+			table = append(table, line)
+			allMet = allMet && met
+		}
+	}
 	for _, f := range decisionFigures() {
 		line, met := f.print(out, "decision")
 		table = append(table, line)
@@ -65,7 +82,6 @@
 	for _, line := range table {
 		fmt.Fprintln(out, line)
 	}
-	fmt.Fprintln(out, "\nstore outage: not run; the pools driven here make no store calls")
 	printWays(out, cells)
 	return allMet
 }
@@ -83,8 +99,7 @@
 	var cells []cell
 	for _, d := range []deployment{priceDesk(), batteryMaker()} {
 		for _, s := range Scenarios() {
-			if options.Deployment != "" && options.Deployment != d.name ||
-				options.Scenario != "" && options.Scenario != s.Name && !s.isCalm() {
+			if !options.selects(d, s) {
 				continue
 			}
 			results := make([][]Result, len(policies()))
--- a/internal/simtest/measurement/run.go
+++ b/internal/simtest/measurement/run.go
@@ -14,6 +14,8 @@
 	progressInterval = 500 * time.Millisecond
 	// progressDeadBand is the relative change below which nothing is reported.
 	progressDeadBand = 0.1
+	// progressAtLeast is the longest time between two reports on open streams.
+	progressAtLeast = 2 * time.Second
 	// stragglerFactor slows one engine down.
 	stragglerFactor = 5
 	// faultyEngine is the engine that slows down or dies.
@@ -76,7 +78,7 @@
 	dead     []bool
 	// open lists the dispatched engine calls of each entry and engine.
 	open     [][][]*call
-	reported map[[2]int]scheduler.Observation
+	reported map[[2]int]progressReport
 	// atDecision and atEntry count P2 violations by the time of the decision
 	// and by the time at which the entry knows of it.
 	atDecision, atEntry *observer
@@ -101,7 +103,7 @@
 func newRun(d deployment, s Scenario, load []arrival, seed uint64, maker policyMaker) *run {
 	r := &run{
 		d: d, scenario: s, loop: simtest.NewLoop(seed), load: load,
-		dead: make([]bool, d.entries), reported: map[[2]int]scheduler.Observation{},
+		dead: make([]bool, d.entries), reported: map[[2]int]progressReport{},
 		atDecision: newObserver(d), atEntry: newObserver(d),
 	}
 	for _, config := range d.engines {
@@ -335,16 +337,22 @@
 	}
 }
 
+// progressReport is the last report on an engine by an entry.
+type progressReport struct {
+	scheduler.Observation
+	at time.Duration
+}
+
 func (r *run) worthReporting(key [2]int, o scheduler.Observation) bool {
 	last := r.reported[key]
-	change := float64(o.InterToken) / max(1, float64(last.InterToken))
-	if o.Stalled == 0 && last.Stalled == 0 && (o.Streams == 0) == (last.Streams == 0) &&
-		change < 1+progressDeadBand && change > 1-progressDeadBand {
+	if o.Streams == 0 {
 		return false
 	}
-	if o.Streams == 0 && last.Streams == 0 {
+	change := float64(o.InterToken) / max(1, float64(last.InterToken))
+	if o.Stalled == 0 && last.Stalled == 0 && change < 1+progressDeadBand && change > 1-progressDeadBand &&
+		r.loop.Now()-last.at < progressAtLeast {
 		return false
 	}
-	r.reported[key] = o
+	r.reported[key] = progressReport{o, r.loop.Now()}
 	return true
 }
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -33,6 +33,8 @@
 	// frame is lost.
 	Delay time.Duration
 	Loss  float64
+	// FrameBytes counts the encoded bytes of frames between instances.
+	FrameBytes uint64
 	// UncheckedAnswers is a mutation: the edge does not compare answer ids.
 	UncheckedAnswers bool
 	// SwapAnswers makes engines answer with another request's id now and then.
@@ -302,6 +304,7 @@
 	if err != nil {
 		panic(err)
 	}
+	w.FrameBytes += uint64(len(encoded))
 	if w.cuts[[2]string{from.Address, a.Address}] || w.Loop.Rand.Float64() < w.Loss {
 		w.Trace.Disturbances = append(w.Trace.Disturbances,
 			Disturbance{w.Loop.Now(), from.Address, "lost"}, Disturbance{w.Loop.Now(), a.Address, "lost"})
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -44,8 +44,9 @@
 	smoothing = 0.2
 	// slowSmoothing is the weight of a new sample in the speed profile.
 	slowSmoothing = 0.05
-	// reportLife bounds how long an entry's report is used.
-	reportLife = 10 * time.Second
+	// reportLife bounds how long an entry's report is used. Entries with streams
+	// report at least every 2 s; one whose streams have ended does not report.
+	reportLife = 5 * time.Second
 
 	defaultInterToken      = 30 * time.Millisecond
 	defaultPrefillPerToken = 100 * time.Microsecond
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -10,6 +10,7 @@
 	defaultTargetTTFT       = 980 * time.Millisecond
 	defaultTargetInterToken = 54 * time.Millisecond
 	defaultMaxQueue         = 8192
+	defaultTransit          = 10 * time.Millisecond
 )
 
 // Never is returned by NextWake when nothing is due.
@@ -72,6 +73,9 @@
 	if config.MaxQueue <= 0 {
 		config.MaxQueue = defaultMaxQueue
 	}
+	if config.Transit <= 0 {
+		config.Transit = defaultTransit
+	}
 	config.Share = max(1, config.Share)
 	return &Pool{
 		config:     config,
@@ -141,7 +145,7 @@
 	}
 	p.lapsePermits(now)
 	p.expire(now)
-	p.shedOverloaded()
+	p.shedOverloaded(now)
 	if now >= p.nextCheck {
 		p.nextCheck = now + stragglerCheckInterval
 		p.checkStragglers(now)
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -51,6 +51,9 @@
 	kinds minHeap[*kindQueue]
 	// arrivals is the rate of admitted cost per second.
 	arrivals rate
+	// shedUntil is the time until which lower tiers that share an upstream are
+	// refused after a shed in this line.
+	shedUntil time.Duration
 	// overload is 0 in calm times and 1 in lasting overload, as of overloadAt.
 	overload   float64
 	overloadAt time.Duration
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -50,8 +50,8 @@
 	latest = min(latest, d.Deadline-idle)
 	wait := p.expectedWait(now, &d, c)
 	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, wait > 0)
-	if wait > allowed ||
-		p.waiting >= p.config.MaxQueue && !p.makeRoom(d) {
+	if wait > allowed || p.higherJustShed(now, &d, c) ||
+		p.waiting >= p.config.MaxQueue && !p.makeRoom(now, d) {
 		p.overloaded = append(p.overloaded, refusal{d, wait})
 		return
 	}
@@ -61,6 +61,19 @@
 	p.enqueue(r)
 }
 
+// higherJustShed reports whether work of a higher tier that shares an upstream
+// was shed so recently that this request may have waited at its entry then.
+func (p *Pool) higherJustShed(now time.Duration, d *Descriptor, c *class) bool {
+	for tier := range int(d.Tier) {
+		for _, o := range c.overlaps {
+			if now < p.tiers[tier].lines[o.class].shedUntil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // allowedWait returns the wait that a new request with the given slack may
 // expect. It follows how long work has been waiting.
 func (l *line) allowedWait(now, slack time.Duration, waits bool) time.Duration {
@@ -156,7 +169,7 @@
 // full. The victim is the newest of the lowest tier; in the new request's own
 // tier it is the newest of the largest organisation flow. It returns false if
 // the new request is the one to shed.
-func (p *Pool) makeRoom(d Descriptor) bool {
+func (p *Pool) makeRoom(now time.Duration, d Descriptor) bool {
 	lowest := MaxTiers - 1
 	for lowest > 0 && p.tiers[lowest].waiting == 0 {
 		lowest--
@@ -186,7 +199,7 @@
 		return false
 	}
 	victim := newestOf(largest)
-	p.cascade(victim.Tier, victim.Class)
+	p.cascade(now, victim.Tier, victim.Class)
 	p.decideShed(victim, Overload, maxRetryAfter)
 	return true
 }
@@ -204,7 +217,8 @@
 // cascade sheds every waiting request of a lower tier that shares an upstream
 // with the class (promise P2). Each of these may share another upstream with a
 // still lower tier, so what is below a line is shed before the line itself.
-func (p *Pool) cascade(tier uint8, class uint32) {
+func (p *Pool) cascade(now time.Duration, tier uint8, class uint32) {
+	p.tiers[tier].lines[class].shedUntil = now + p.config.Transit
 	for lower := tier + 1; lower < MaxTiers; lower++ {
 		if p.tiers[lower].waiting == 0 {
 			continue
@@ -214,7 +228,7 @@
 			if l.count == 0 {
 				continue
 			}
-			p.cascade(lower, o.class)
+			p.cascade(now, lower, o.class)
 			for l.head != nil {
 				p.decideShed(l.head, Overload, maxRetryAfter)
 			}
@@ -231,9 +245,9 @@
 // shedOverloaded sheds the requests that were not admitted since the last step.
 // The cascade runs here and not at submission, because requests of lower tiers
 // may have been submitted in between.
-func (p *Pool) shedOverloaded() {
+func (p *Pool) shedOverloaded(now time.Duration) {
 	for i := range p.overloaded {
-		p.cascade(p.overloaded[i].Tier, p.overloaded[i].Class)
+		p.cascade(now, p.overloaded[i].Tier, p.overloaded[i].Class)
 	}
 	for i := range p.overloaded {
 		p.refuse(p.overloaded[i].Descriptor, Overload, p.overloaded[i].wait)
@@ -249,7 +263,7 @@
 			p.decideShed(r, LimitInFlight, limitRetryAfter)
 			continue
 		}
-		p.cascade(r.Tier, r.Class)
+		p.cascade(now, r.Tier, r.Class)
 		p.decideShed(r, Expired, maxRetryAfter)
 	}
 }
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -36,7 +36,7 @@
 // class numbers are unchanged); those without a class are shed with NoUpstream. Requests in flight at an upstream that is
 // gone keep their permits until they are released.
 func (p *Pool) SetTopology(now time.Duration, t Topology) {
-	p.shedOverloaded() // the refusals refer to the old classes
+	p.shedOverloaded(now) // the refusals refer to the old classes
 	moved := p.takeWaiting()
 	old := p.upstreams
 	p.topology = t
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -54,6 +54,10 @@
 	MaxQueue int
 	// Seed makes all random choices repeatable.
 	Seed uint64
+	// Transit is the longest usual time of a message from an entry to the pool.
+	// Lower-tier work that arrives this soon after a higher tier was shed may
+	// have been waiting at its entry at that moment and is shed too. 0 takes 10 ms.
+	Transit time.Duration
 	// Share divides every upstream's limit; 1 for an owner, the number of live
 	// entries for the local pool that an entry uses when no owner is reachable.
 	Share int
