--- a/internal/simtest/measurement/arrivals.go
+++ b/internal/simtest/measurement/arrivals.go
@@ -58,6 +58,7 @@
 		{Name: "straggler", floodKind: none, straggler: true},
 		{Name: "engine-death", floodKind: none, engineDeath: true},
 		{Name: "owner-death", floodKind: none, ownerDeath: true},
+		{Name: "flood-straggler", floodKind: low, straggler: true},
 		{Name: "tight-calm", floodKind: none, tight: true},
 		{Name: "tight-flood-lowest", floodKind: low, tight: true},
 		{Name: "flood-engine-death", floodKind: low, engineDeath: true},
