scheduler: let lower tiers queue where deadlines are long; count expected cost

Cause: work with a deadline of 60 s was refused in lasting overload although it could be done when the overload ends; capacity was learned in true cost and queues were counted in expected cost, so that waits came out too short where callers state the exact length. Change: below the top tier, the wait may take half of what the slack leaves after one service time; capacity is learned in expected cost.

--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -377,7 +377,9 @@
 	*average += weight * (sample - *average)
 }
 
-// learnSlot updates the cost per second that one slot serves.
+// learnSlot updates the cost per second that one slot serves. The cost is the
+// expected one, since queued work is counted by its expected cost too: where
+// predictions are too low on average, both are.
 func (u *upstream) learnSlot(cost int64, held time.Duration) {
 	smooth(&u.slotCost, float64(cost), slowSmoothing)
 	smooth(&u.slotTime, float64(max(held, time.Millisecond)), slowSmoothing)
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -192,7 +192,7 @@
 	case Complete, Late:
 		u.lastSign = now
 		u.broken = 0
-		u.learnSlot(p.trueCost(r, c), now-r.granted)
+		u.learnSlot(r.cost, now-r.granted)
 		if !u.Service {
 			p.learnPace(r.Tier, c.Outcome == Late)
 		}
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -12,6 +12,11 @@
 	// its latest start time misses its deadline one time in ten.
 	burstFraction  = 0.5
 	steadyFraction = 0.05
+	// Below the top tier, the wait may take waitFraction of what remains of the
+	// slack after serviceMargin times the service time: work with a long
+	// deadline can still be done when the overload ends.
+	waitFraction  = 0.5
+	serviceMargin = 1.0
 	// overloadRise and overloadFall are the times in which a line counts as
 	// lastingly overloaded, and as calm again.
 	overloadRise = 4 * time.Second
@@ -49,7 +54,11 @@
 	latest := max(d.Deadline-loaded, now+time.Duration(float64(slack)*latestStartMeanFraction))
 	latest = min(latest, d.Deadline-idle)
 	wait := p.expectedWait(now, &d, c)
-	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, wait > 0)
+	margin := time.Duration(serviceMargin * float64(loaded))
+	if d.Tier == 0 {
+		margin = Never // urgent work does not queue in lasting overload
+	}
+	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, margin, wait > 0)
 	if wait > allowed || p.higherJustShed(now, &d, c) ||
 		p.waiting >= p.config.MaxQueue && !p.makeRoom(now, d) {
 		p.overloaded = append(p.overloaded, refusal{d, wait})
@@ -75,8 +84,9 @@
 }
 
 // allowedWait returns the wait that a new request with the given slack may
-// expect. It follows how long work has been waiting.
-func (l *line) allowedWait(now, slack time.Duration, waits bool) time.Duration {
+// expect. It follows how long work has been waiting. In lasting overload it
+// leaves the margin of the slack free.
+func (l *line) allowedWait(now, slack, margin time.Duration, waits bool) time.Duration {
 	elapsed := min(now-l.overloadAt, overloadStep)
 	if waits {
 		l.overload = min(1, l.overload+float64(elapsed)/float64(overloadRise))
@@ -84,8 +94,9 @@
 		l.overload = max(0, l.overload-float64(now-l.overloadAt)/float64(overloadFall))
 	}
 	l.overloadAt = now
-	fraction := burstFraction - l.overload*(burstFraction-steadyFraction)
-	return time.Duration(fraction * float64(slack))
+	steady := max(steadyFraction*float64(slack), waitFraction*float64(slack-margin))
+	burst := max(steady, burstFraction*float64(slack))
+	return time.Duration(burst - l.overload*(burst-steady))
 }
 
 // expectedWait estimates how long a new request would wait: the queued work
