--- a/pkg/scheduler/fairness.go
+++ b/pkg/scheduler/fairness.go
@@ -36,7 +36,7 @@
 func hashKind(k kindKey) uint64 { return mix(uint64(k.tier)<<32 | uint64(k.kind) + 1<<40) }
 
 func hashOrg(k orgKey) uint64 {
-	return mix(mix(uint64(k.tier)<<32|uint64(k.kind)) ^ uint64(k.org)<<8)
+	return mix((uint64(k.tier)<<32|uint64(k.kind))*goldenRatio + uint64(k.org))
 }
 
 // limitState counts the work of one kind or one organisation over all tiers.
--- a/pkg/scheduler/index.go
+++ b/pkg/scheduler/index.go
@@ -72,6 +72,9 @@
 	t.slots[i] = slot[K, V]{}
 }
 
+// goldenRatio is the increment of SplitMix64.
+const goldenRatio = 0x9e3779b97f4a7c15
+
 // mix is the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -81,7 +84,7 @@
 	return x ^ x>>31
 }
 
-func hashID(id GlobalID) uint64 { return mix(id.Entry ^ mix(id.Sequence)) }
+func hashID(id GlobalID) uint64 { return mix(id.Entry*goldenRatio + id.Sequence) }
 
 func hashUint32(v uint32) uint64 { return mix(uint64(v) + 1) }
 
