A refusal says "not run" only if it holds for the idempotency key

Cause: ran: no spoke of the present attempt. A caller whose first attempt ran and lost its answer could repeat the key at another entry during a store outage, be told "not run", and book again under another key. Ruled out: always "unknown" for keys without a ticket (an honest first attempt would then never be told that it did not run); a further store read at each refusal (the store is what is missing). Change: Citrongate-Attempt: 1 lets a caller vouch for a first attempt. Other refusals of a call with a key say "unknown" unless the home or the holder of the claim decided. The P4 check judges by key, with a mutant of its own. The client repeats a key whose repetition was refused for a passing reason.

--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -299,6 +299,10 @@
 	}
 	if c.key != "" {
 		header.Set("Idempotency-Key", c.key)
+		if !c.mayHaveRun && c.request.Key == "" {
+			// No earlier attempt under this key can have run.
+			header.Set("Citrongate-Attempt", "1")
+		}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		header.Set("Citrongate-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
--- a/internal/client/caller_test.go
+++ b/internal/client/caller_test.go
@@ -37,6 +37,7 @@
 		{"expired ticket", attempts{ending: Refused, refusal: notRun("ticket_expired"), keyed: true, ticketed: true}, rekey},
 		{"expired ticket of the caller's own key", attempts{ending: Refused, refusal: notRun("ticket_expired"), keyed: true}, stop},
 		{"expired ticket, unknown", attempts{ending: Refused, refusal: unknown("ticket_expired"), keyed: true, ticketed: true, mayHaveRun: true}, stop},
+		{"repetition refused for a passing reason", attempts{ending: Refused, refusal: unknown("shed_overload"), keyed: true, ticketed: true, mayHaveRun: true}, again},
 		{"home gone", attempts{ending: Refused, refusal: unknown("ticket_home_gone"), keyed: true, ticketed: true, mayHaveRun: true}, again},
 		{"upstream broke", attempts{ending: Refused, refusal: unknown("upstream_broke"), mayHaveRun: true}, stop},
 		{"upstream broke, repeatable", attempts{ending: Refused, refusal: unknown("upstream_broke"), mayHaveRun: true, repeatable: true}, again},
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -74,9 +74,7 @@
 		if a.refusal.Ran == "no" {
 			return a.afterNotRun()
 		}
-		// The recorded outcome may become readable again if the key's home was
-		// unreachable only for a moment.
-		if a.keyed && a.refusal.Code == "ticket_home_gone" || a.repeatable && brokenCodes[a.refusal.Code] {
+		if a.keyed && a.mayRepeatKey() || a.repeatable && brokenCodes[a.refusal.Code] {
 			return again
 		}
 		return stop
@@ -88,6 +86,15 @@
 	}
 }
 
+// mayRepeatKey reports whether a refusal in doubt can become an answer if the
+// same key is sent again: the recorded outcome may be readable again if its
+// home was unreachable only for a moment, and an entry that refuses a
+// repetition for a passing reason says nothing about the attempts before.
+func (a attempts) mayRepeatKey() bool {
+	code := a.refusal.Code
+	return code == "ticket_home_gone" || passing[code] && code != "ticket_expired"
+}
+
 func (a attempts) afterNotRun() next {
 	if !passing[a.refusal.Code] {
 		return stop
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -15,7 +15,7 @@
 	if d.held.Add(1) > d.maxRequests {
 		d.held.Add(-1)
 		d.metrics.Count("refusals", "limit_in_flight")
-		answer.Refuse(httpfront.Refusal{Code: "limit_in_flight", Ran: node.RanNo,
+		answer.Refuse(httpfront.Refusal{Code: "limit_in_flight", Ran: r.NotRun(),
 			Reason: fmt.Sprintf("this instance holds max_requests = %d requests", d.maxRequests),
 			Remedy: "retry at another instance of the discovery answer", RetryAfter: time.Second})
 		return
@@ -27,10 +27,10 @@
 	submitted := d.loop.post(node.SubmitRequest{
 		ID: id, Organisation: r.Organisation, Kind: r.Kind, Model: r.Model, Labels: r.Labels,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens, Remaining: r.Remaining,
-		Prefix: r.Prefix, IdempotencyKey: r.IdempotencyKey, Body: forwardable(r), ContentType: r.ContentType,
+		Prefix: r.Prefix, IdempotencyKey: r.IdempotencyKey, FirstAttempt: r.FirstAttempt, Body: forwardable(r), ContentType: r.ContentType,
 	})
 	if !submitted {
-		answer.Refuse(httpfront.Refusal{Code: "draining", Ran: node.RanNo, Reason: "this instance has stopped", Remedy: "retry at another instance"})
+		answer.Refuse(httpfront.Refusal{Code: "draining", Ran: r.NotRun(), Reason: "this instance has stopped", Remedy: "retry at another instance"})
 		return
 	}
 	c.run(ctx)
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -258,6 +258,29 @@
 	require.Equal(t, "not_ready", refusalOf(t, text).Code)
 }
 
+// TestRepetitionRefusedInDoubt guards against telling a caller that repeats a
+// key "not run" when only the present attempt is known not to have run.
+func TestRepetitionRefusedInDoubt(t *testing.T) {
+	f := start(t, func(_ context.Context, r *Request, answer Answer) {
+		answer.Refuse(Refusal{Code: "limit_in_flight", Ran: r.NotRun()})
+	})
+	cases := []struct {
+		path, token, attempt, ran string
+	}{
+		{"/v1/call/order", "acme-token", "1", "no"},
+		{"/v1/call/order", "acme-token", "2", "unknown"},
+		{"/v1/call/order", "acme-token", "", "unknown"},
+		{"/v1/call/order", "wrong", "1", "no"},
+		{"/v1/call/order", "wrong", "", "unknown"},
+		{"/v1/call/absent", "acme-token", "", "unknown"},
+	}
+	for _, c := range cases {
+		_, text := f.do(t, "POST", c.path, "x", "Authorization", "Bearer "+c.token,
+			"Idempotency-Key", "k", "Citrongate-Attempt", c.attempt)
+		require.Equal(t, c.ran, refusalOf(t, text).Ran, "%+v", c)
+	}
+}
+
 // TestEveryCodeHasAStatus guards against a code that falls back to status 500.
 func TestEveryCodeHasAStatus(t *testing.T) {
 	for _, code := range strings.Fields(`unauthenticated forbidden bad_request too_large unknown_kind unknown_model
--- a/internal/httpfront/handler.go
+++ b/internal/httpfront/handler.go
@@ -75,6 +75,10 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	if refusal := h.route(w, r, id); refusal != nil {
+		if r.Header.Get("Idempotency-Key") != "" && !firstAttempt(r.Header) {
+			// An earlier attempt under the same key may have run.
+			refusal.Ran = node.RanUnknown
+		}
 		h.log.Info().Str("request_id", id).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).Str("detail", refusal.Reason).Msg("request refused")
 		writeRefusal(w, id, *refusal)
 	}
--- a/internal/httpfront/request.go
+++ b/internal/httpfront/request.go
@@ -48,11 +48,22 @@
 	Stream         bool
 	NonIdempotent  bool
 	IdempotencyKey string
+	// FirstAttempt is true if the caller vouches that it sent no call with
+	// this key before.
+	FirstAttempt bool
 	// Body is what the upstream receives.
 	Body        []byte
 	ContentType string
 }
 
+// NotRun is what a refusal says that knows only that this attempt did not run.
+func (r *Request) NotRun() node.Ran {
+	if r.IdempotencyKey != "" && !r.FirstAttempt {
+		return node.RanUnknown
+	}
+	return node.RanNo
+}
+
 // chatBody is the part of a chat completion that citrongate reads.
 type chatBody struct {
 	Model     string        `json:"model"`
@@ -158,9 +169,17 @@
 	if len(r.IdempotencyKey) > maxIDBytes {
 		return badRequest("Idempotency-Key is longer than 200 bytes", "send a shorter key")
 	}
+	r.FirstAttempt = firstAttempt(header)
 	return nil
 }
 
+// attemptHeader counts the attempts of a call under one idempotency key.
+const attemptHeader = "Citrongate-Attempt"
+
+// firstAttempt reports whether the caller vouches that it sent no call with
+// its idempotency key before.
+func firstAttempt(header http.Header) bool { return header.Get(attemptHeader) == "1" }
+
 // builtinLabels are set by citrongate and can not be sent.
 var builtinLabels = map[string]bool{"kind": true, "organisation": true, "tier": true, "model": true}
 
--- a/internal/simtest/cmd/invariants/check.go
+++ b/internal/simtest/cmd/invariants/check.go
@@ -108,6 +108,29 @@
 		if upstream := received[request.ID]; upstream != "" {
 			v.fail("reported as not run, but %s received it: %s", upstream, show(request))
 		}
+		if request.Spec.Key != "" {
+			r.checkKeyNotRun(v, request)
+		}
+	}
+}
+
+// checkKeyNotRun: a caller that was told "not run" may conclude that no attempt
+// under its key ran, since it could otherwise book again under another key.
+func (r *run) checkKeyNotRun(v *verdict, refused *simtest.Request) {
+	alone := true
+	for _, other := range r.world.Trace.Requests {
+		overlaps := other.Submitted < refused.Ended && (other.Ended == 0 || other.Ended > refused.Submitted)
+		if other != refused && other.Spec.Key == refused.Spec.Key && overlaps {
+			alone = false
+		}
+	}
+	for _, receipt := range r.world.Trace.Received {
+		if receipt.Key != refused.Spec.Key {
+			continue
+		}
+		if receipt.At <= refused.Submitted || alone && receipt.At <= refused.Ended {
+			v.fail("reported as not run, but %s received the key at %v: %s", receipt.Upstream, receipt.At, r.showKey(refused.Spec.Key))
+		}
 	}
 }
 
--- a/internal/simtest/cmd/invariants/report.go
+++ b/internal/simtest/cmd/invariants/report.go
@@ -128,6 +128,7 @@
 	{"tier-check-removed", "P2", mutation{node: node.Mutations{IgnoreTiers: true}}, nil},
 	{"answer-id-unchecked", "P3", mutation{answers: true}, nil},
 	{"run-denied", "P4", mutation{node: node.Mutations{DenyRun: true}}, []string{"engine-death"}},
+	{"repetitions-trusted", "P4", mutation{node: node.Mutations{TrustRepetitions: true}}, []string{"store-outage"}},
 	{"missing-claim", "P5", mutation{node: node.Mutations{SkipClaim: true}}, nil},
 	{"leaving-ignored", "P6", mutation{node: node.Mutations{IgnoreLeaving: true}}, nil},
 	{"drain-cuts", "P7", mutation{node: node.Mutations{DrainCuts: true}}, nil},
--- a/internal/simtest/cmd/invariants/run.go
+++ b/internal/simtest/cmd/invariants/run.go
@@ -191,19 +191,20 @@
 	r.keys = append(r.keys, key)
 	copies := 1 + r.random.IntN(3)
 	for range copies {
-		r.sendOrder(key, 3)
+		r.sendOrder(key, 3, copies == 1)
 	}
 }
 
-func (r *run) sendOrder(key string, tries int) {
+func (r *run) sendOrder(key string, tries int, first bool) {
 	i := r.entry()
 	if i == nil {
 		return
 	}
-	request := i.Submit(simtest.Spec{Kind: "order", Tier: 1, Organisation: "large", Key: key, Remaining: 3 * time.Second})
+	request := i.Submit(simtest.Spec{Kind: "order", Tier: 1, Organisation: "large", Key: key, FirstAttempt: first,
+		Remaining: 3 * time.Second})
 	r.world.Loop.After(between(r.random, 200, 4000), func() {
 		if request.Outcome != simtest.OutcomeAnswered && tries > 0 {
-			r.sendOrder(key, tries-1)
+			r.sendOrder(key, tries-1, false)
 		}
 	})
 }
--- a/internal/simtest/trace.go
+++ b/internal/simtest/trace.go
@@ -59,6 +59,8 @@
 	ID       scheduler.GlobalID
 	Upstream string
 	Address  string
+	// Key is the idempotency key, if any.
+	Key string
 }
 
 // Disturbance is a fault that hit one process.
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -90,6 +90,8 @@
 	Prompt, Output uint32
 	Remaining      time.Duration
 	Key            string
+	// FirstAttempt is true if the caller vouches that it sent no call with Key before.
+	FirstAttempt bool
 }
 
 // NewWorld returns a world without instances.
@@ -335,7 +337,7 @@
 	i.flights[id] = &flight{spec: spec, caller: true}
 	i.step(node.SubmitRequest{
 		ID: id, Organisation: spec.Organisation, Kind: spec.Kind, Model: spec.Model, Labels: spec.Labels, PromptTokens: spec.Prompt,
-		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, Body: []byte(spec.Key),
+		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, FirstAttempt: spec.FirstAttempt, Body: []byte(spec.Key),
 	})
 	return r
 }
--- a/pkg/binding/binding.go
+++ b/pkg/binding/binding.go
@@ -66,6 +66,9 @@
 	Ran            Ran
 	Reason, Remedy string
 	RetryAfter     time.Duration
+	// KeyChecked is true if Ran holds for every call with the key so far, and
+	// not only for the refused one.
+	KeyChecked bool
 }
 
 // Decision is the verdict on one call.
@@ -103,8 +106,10 @@
 }
 
 func refuseReuse() Decision {
-	return refuse("bad_request", RanNo, "the idempotency key was used before for another request kind or body",
+	d := refuse("bad_request", RanNo, "the idempotency key was used before for another request kind or body",
 		"use a new key for each different call")
+	d.Refusal.KeyChecked = true
+	return d
 }
 
 // digest is the first half of a SHA-256.
--- a/pkg/binding/home.go
+++ b/pkg/binding/home.go
@@ -47,7 +47,16 @@
 
 // Submit decides on a call whose key carries a ticket. Pending means that the
 // waiter joined a running call and is answered by Finish or NotRun.
+//
+// Only this instance runs keys under its tickets, so a refusal holds for all
+// calls with the key.
 func (h *Home) Submit(now time.Duration, w Waiter, c Call) Decision {
+	d := h.submit(now, w, c)
+	d.Refusal.KeyChecked = d.Verdict == Refuse
+	return d
+}
+
+func (h *Home) submit(now time.Duration, w Waiter, c Call) Decision {
 	kind, t := classify(c.Key)
 	if kind != KeyTicket {
 		return refuse("bad_request", RanNo, "the idempotency key carries no valid ticket", "form the key as <ticket>.<suffix> with a ticket from discovery")
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -122,6 +122,8 @@
 	Ran            Ran
 	Reason, Remedy string
 	RetryAfter     time.Duration
+	// KeyChecked is true if Ran holds for all calls with the same idempotency key.
+	KeyChecked bool
 }
 
 // Retry reasons, as in section 3 of the design.
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -103,11 +103,12 @@
 }
 
 func refusalOf(r binding.Refusal) dispatch.Refusal {
-	return dispatch.Refusal{Code: r.Code, Ran: dispatch.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter}
+	return dispatch.Refusal{Code: r.Code, Ran: dispatch.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter, KeyChecked: r.KeyChecked}
 }
 
 func refusalFor(r dispatch.Refusal) binding.Refusal {
-	return binding.Refusal{Code: r.Code, Ran: binding.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter}
+	return binding.Refusal{Code: r.Code, Ran: binding.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter,
+		KeyChecked: r.KeyChecked}
 }
 
 // callEnded is called when a call of this instance ends, however it ended.
@@ -121,6 +122,8 @@
 		// The answer was whole, but the edge could not record it.
 		c.outcome = &pb.BindingOutcome{HttpStatus: 200, BodyOmitted: true}
 	}
+	// Whoever may run a key knows that no other call with it has run.
+	refusal.KeyChecked = refusal.KeyChecked || c.runs
 	n.answerCall(id, c, refusal, silent)
 	if !c.runs {
 		return
@@ -164,6 +167,7 @@
 			}
 			reply.Outcome = nil
 			reply.Code, reply.Ran, reply.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
+			reply.KeyChecked = refusal.KeyChecked
 		}
 		n.send(c.origin, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: reply}})
 		return
@@ -315,7 +319,7 @@
 
 func (n *Node) replyRefusal(to, sequence uint64, r dispatch.Refusal) {
 	n.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_BindingReply{BindingReply: &pb.BindingReply{
-		Sequence: sequence, Code: r.Code, Ran: string(r.Ran), Reason: r.Reason}}})
+		Sequence: sequence, Code: r.Code, Ran: string(r.Ran), Reason: r.Reason, KeyChecked: r.KeyChecked}}})
 }
 
 // onBindingReply ends a forwarded call with the home's answer.
@@ -332,6 +336,6 @@
 		n.replyRecorded(f.id, m.Outcome)
 		return
 	}
-	n.refuseRequest(f.id, dispatch.Refusal{Code: m.Code, Ran: dispatch.Ran(m.Ran), Reason: m.Reason,
+	n.refuseRequest(f.id, dispatch.Refusal{Code: m.Code, Ran: dispatch.Ran(m.Ran), Reason: m.Reason, KeyChecked: m.KeyChecked,
 		Remedy: "see the reason; send the call again under the same key if it did not run"})
 }
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -86,6 +86,8 @@
 	DrainCuts bool
 	// DenyRun reports requests as not run although they were dispatched.
 	DenyRun bool
+	// TrustRepetitions treats every call with a key as its first attempt.
+	TrustRepetitions bool
 }
 
 // withDefaults returns the configuration with defaults filled in.
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -37,6 +37,9 @@
 	Prefix uint64
 	// IdempotencyKey is set for non-idempotent calls.
 	IdempotencyKey string
+	// FirstAttempt is true if the caller vouches that it sent no call with
+	// this key before.
+	FirstAttempt bool
 	// Body and ContentType are set for non-idempotent calls only, since these
 	// may be forwarded to the home of their key.
 	Body        []byte
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -134,7 +134,7 @@
 			each = fmt.Sprint(name, n)
 		}
 		spec := simtest.Spec{Kind: s.text(d, "kind", "normal"), Organisation: s.text(d, "organisation", "small"), Prompt: 100,
-			Output: uint32(s.number(d, "output", 20)), Key: s.text(d, "key", ""),
+			Output: uint32(s.number(d, "output", 20)), Key: s.text(d, "key", ""), FirstAttempt: !d.HasArg("repeated"),
 			Remaining: time.Duration(s.number(d, "deadline-ms", 5000)) * time.Millisecond}
 		if spec.Kind != "order" && spec.Kind != "lookup" {
 			spec.Model = simtest.Model
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -33,11 +33,7 @@
 	}
 	r := &request{SubmitRequest: e, deadline: n.now + n.remaining(&e)}
 	if refusal := n.admission(); refusal.Code != "" {
-		if n.nonIdempotent(e.Kind) && e.IdempotencyKey != "" {
-			// An earlier attempt under the same key may have run.
-			refusal.Ran = dispatch.RanUnknown
-		}
-		n.refuse(id, refusal)
+		n.refuse(id, n.forKey(r, refusal))
 		return
 	}
 	n.requests[id] = r
@@ -130,7 +126,23 @@
 	n.emitRefuse(id, r)
 }
 
+// forKey makes a refusal of a call with an idempotency key hold for the key.
+// A caller that may have sent the key before must not conclude from the refusal
+// of a repetition that an earlier attempt did not run.
+func (n *Node) forKey(r *request, refusal dispatch.Refusal) dispatch.Refusal {
+	if r == nil || r.IdempotencyKey == "" || refusal.KeyChecked || refusal.Ran != dispatch.RanNo {
+		return refusal
+	}
+	if r.FirstAttempt || n.cfg.Mutations.TrustRepetitions {
+		return refusal
+	}
+	refusal.Ran = dispatch.RanUnknown
+	refusal.Reason += "; an earlier attempt under the same key may have run"
+	return refusal
+}
+
 func (n *Node) emitRefuse(id dispatch.ID, r dispatch.Refusal) {
+	r = n.forKey(n.requests[id], r)
 	n.emit(Refuse{ID: RequestID(id), Code: r.Code, Ran: Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter})
 }
 
