node, membership: a paused instance takes the silence for its own

Ruled out: ignoring suspicions by an instance that is suspect itself; that would keep a broken instance from reporting a dead owner. Change: owners are not checked while the view is not trusted, and silence counts from the return of trust; only answers to pings sent after the pause count.

--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -98,7 +98,6 @@
 // another cell may name members of this one, which are then joined directly.
 func (v *View) OnJoinReply(now time.Duration, from uint64, reply *pb.JoinReply) {
 	v.Apply(now, reply.Members)
-	v.trust()
 	if _, sameCell := v.members[from]; sameCell {
 		if !v.join.joined {
 			// All members must agree on the new owners at once; gossip would
--- a/pkg/membership/pause.go
+++ b/pkg/membership/pause.go
@@ -21,6 +21,7 @@
 		return
 	}
 	v.paused, v.pausedAt = true, now
+	v.trustFrom = v.probe.sequence + 1
 	v.changed()
 	for _, m := range v.pick(3, 0) {
 		v.ping(m, v.probe.nextSequence())
@@ -33,8 +34,11 @@
 	return count
 }
 
-func (v *View) trust() {
-	if v.paused {
+// trustAnswer ends the distrust if a ping sent after the pause was answered.
+// Answers to earlier pings waited at this instance during the pause and show
+// nothing about the present.
+func (v *View) trustAnswer(sequence uint32) {
+	if v.paused && sequence >= v.trustFrom {
 		v.paused = false
 		v.changed()
 	}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -196,8 +196,8 @@
 // OnAck handles the answer to a ping, and passes it on if it was relayed.
 func (v *View) OnAck(now time.Duration, from uint64, ack *pb.Ack) {
 	v.Apply(now, ack.Updates)
-	v.trust()
 	if ack.Target == from {
+		v.trustAnswer(ack.Sequence)
 		v.Answered(now, from)
 	} else if m, ok := v.members[ack.Target]; ok {
 		m.relayed = now
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -121,6 +121,8 @@
 	lastTick time.Duration
 	pausedAt time.Duration
 	paused   bool
+	// trustFrom is the sequence of the first ping after the pause.
+	trustFrom uint32
 }
 
 // New returns a View that knows only the instance itself.
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -212,6 +212,10 @@
 		return c.owners(number(c.t, d, "key"))
 	case "upstream":
 		return c.upstream(d)
+	case "revision":
+		c.nodes[number(c.t, d, "id")].view.SetConfigRevision(number(c.t, d, "value"))
+	case "suspect":
+		c.nodes[number(c.t, d, "id")].view.Suspect(c.now, number(c.t, d, "of"))
 	case "trusted":
 		return fmt.Sprintln(c.nodes[number(c.t, d, "id")].view.Trusted())
 	default:
@@ -309,3 +313,37 @@
 		t.Fatalf("messages per second and instance: %.1f in a cell of 6, %.1f in one of 48; want at most 5", small, large)
 	}
 }
+
+// TestAnswersFromBeforeAPause guards against an instance that trusts its view
+// because of answers that waited for it while it was paused.
+func TestAnswersFromBeforeAPause(t *testing.T) {
+	v := membership.New(membership.Config{Self: membership.Member{Incarnation: 1, PeerAddress: address(1), Cell: "a"},
+		PingInterval: 500 * time.Millisecond, DeadAfter: 2 * time.Second, ListInterval: time.Second, Seed: 1})
+	v.Tick(0)
+	v.Apply(0, []*pb.MemberUpdate{{Incarnation: 2, State: pb.MemberState_MEMBER_STATE_ALIVE, PeerAddress: address(2), Cell: "a"}})
+	before := pingSequence(t, v, func() { v.Tick(600 * time.Millisecond) })
+	if !v.Tick(6 * time.Second) {
+		t.Fatal("a gap of 5.4 s between ticks is a pause")
+	}
+	v.OnAck(6*time.Second, 2, &pb.Ack{Sequence: before, Target: 2})
+	if v.Trusted() {
+		t.Fatal("trusted because of an answer to a ping from before the pause")
+	}
+	after := pingSequence(t, v, func() {})
+	v.OnAck(6*time.Second, 2, &pb.Ack{Sequence: after, Target: 2})
+	if !v.Trusted() {
+		t.Fatal("not trusted although a ping from after the pause was answered")
+	}
+}
+
+// pingSequence returns the sequence of the first ping sent since the last call.
+func pingSequence(t *testing.T, v *membership.View, fn func()) uint32 {
+	fn()
+	for _, m := range v.Outbox() {
+		if ping := m.Body.GetPing(); ping != nil {
+			return ping.Sequence
+		}
+	}
+	t.Fatal("no ping was sent")
+	return 0
+}
--- a/pkg/node/fallback.go
+++ b/pkg/node/fallback.go
@@ -24,6 +24,10 @@
 // checkOwners finds out whether the owners of pools with waiting requests can
 // be reached.
 func (n *Node) checkOwners() {
+	if !n.view.Trusted() {
+		// After a pause the silence is this instance's own.
+		return
+	}
 	for _, id := range n.table.Pools() {
 		pool := routing.PoolID(id)
 		owner, known := n.ownership.owners[pool]
@@ -44,7 +48,7 @@
 	if !waiting {
 		return
 	}
-	since = max(since, n.view.LastAnswer(owner))
+	since = max(since, n.view.LastAnswer(owner), n.trustedAt)
 	switch silence := n.now - since; {
 	case silence >= n.cfg.OwnerTimeout:
 		n.ownerSilent(pool, owner, since)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -64,7 +64,10 @@
 	drain     drainState
 	decisions []scheduler.Decision
 	nextLocal dispatch.ID
+	// untrusted is true after a pause until the view is trusted again, which
+	// last happened at trustedAt.
 	untrusted bool
+	trustedAt time.Duration
 	lengths   lengths
 }
 
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -128,7 +128,7 @@
 	if !n.untrusted || !n.view.Trusted() {
 		return
 	}
-	n.untrusted = false
+	n.untrusted, n.trustedAt = false, n.now
 	for _, h := range n.pools.list {
 		h.dirty = true
 		if !h.local {
