simtest: judge forwarded calls by the request that they run for

Ruled out: nothing else was tried. Change: receipts name the request that a forwarded call was made for.

--- a/internal/simtest/cmd/invariants/check.go
+++ b/internal/simtest/cmd/invariants/check.go
@@ -90,12 +90,16 @@
 // faults, where everything can be known.
 var avoidable = []string{"upstream_broke", "ticket_home_gone", "store_unavailable", "internal", "not_ready", "draining"}
 
-// checkNotRun: what was reported as not run reached no upstream, at any time,
+// checkNotRun: what was reported as not run reached no upstream, at any time and
+// through any instance that it was forwarded to,
 // and without faults no request ends in doubt that need not.
 func checkNotRun(r *run, v *verdict) {
 	received := map[scheduler.GlobalID]string{}
 	for _, receipt := range r.world.Trace.Received {
 		received[receipt.ID] = receipt.Upstream
+		if receipt.Origin != (scheduler.GlobalID{}) {
+			received[receipt.Origin] = receipt.Upstream
+		}
 	}
 	for _, request := range r.world.Trace.Requests {
 		if len(r.faults) == 0 && request.Ran == "unknown" && slices.Contains(avoidable, request.Code) {
--- a/internal/simtest/edge.go
+++ b/internal/simtest/edge.go
@@ -32,7 +32,7 @@
 		}
 		if accepted {
 			f.sent = true
-			w.Trace.Received = append(w.Trace.Received, Receipt{w.Loop.Now(), i.globalID(a.ID), a.Upstream, i.Address})
+			w.Trace.Received = append(w.Trace.Received, Receipt{w.Loop.Now(), i.globalID(a.ID), a.Upstream, i.Address, f.origin})
 			return
 		}
 		w.Loop.After(upstreamDelay, func() { i.step(node.DispatchFailed{ID: a.ID}) })
--- a/internal/simtest/trace.go
+++ b/internal/simtest/trace.go
@@ -59,6 +59,8 @@
 	ID       scheduler.GlobalID
 	Upstream string
 	Address  string
+	// Origin is the request that this one was forwarded for; zero if none.
+	Origin scheduler.GlobalID
 }
 
 // Disturbance is a fault that hit one process.
@@ -115,6 +117,17 @@
 // Find returns the trace of a request, or nil.
 func (t *Trace) Find(id scheduler.GlobalID) *Request { return t.byID[id] }
 
+// forwarded finds the request that another instance forwarded. A key and the
+// number of the request there tell it, since callers use a key rarely twice.
+func (t *Trace) forwarded(key string, sequence, home uint64) scheduler.GlobalID {
+	for _, r := range t.Requests {
+		if r.Spec.Key == key && r.ID.Sequence == sequence && r.ID.Entry != home {
+			return r.ID
+		}
+	}
+	return scheduler.GlobalID{}
+}
+
 func (t *Trace) dispatched(id scheduler.GlobalID, upstream string, now time.Duration) {
 	if r := t.byID[id]; r != nil {
 		r.Dispatches = append(r.Dispatches, Receipt{At: now, ID: id, Upstream: upstream})
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -73,8 +73,10 @@
 	upstream string
 	// sent is true once a byte was handed to the upstream's connection.
 	sent bool
-	// caller is false for a call that another instance forwarded.
+	// caller is false for a call that another instance forwarded; origin is
+	// then the request there.
 	caller bool
+	origin scheduler.GlobalID
 	// ended is true once the caller was answered or left.
 	ended, gone bool
 }
@@ -278,7 +280,10 @@
 			i.replyRecorded(a, f)
 		}
 	case node.RunForwarded:
-		i.flights[a.ID] = &flight{spec: Spec{Kind: a.Call.Kind, Organisation: a.Call.Organisation, Key: a.Call.Key}}
+		i.flights[a.ID] = &flight{
+			spec:   Spec{Kind: a.Call.Kind, Organisation: a.Call.Organisation, Key: a.Call.Key},
+			origin: w.Trace.forwarded(a.Call.Key, a.Call.Sequence, i.Incarnation),
+		}
 	case node.StoreCall:
 		w.Platform.Call(a.Op, func(r storeResult) { i.step(node.StoreDone{Call: a.Call, Result: r}) })
 	case node.ListInstances:
