node: ledger with running digests; discovery spreads callers

Cause: comparing a digest cost time in proportion to the ledger, 240 times a second per pool in a flood at 60 entries; discovery answers had a fixed order, so all callers of one instance went to the same instance first. Ruled out: comparing less often, which would delay the repair of lost frames. Change: pkg/node/ledger.go; Discovery picks up to four near and four far addresses in an order that changes with time; the rule of the local pool is written down in fallback.go.

--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -36,23 +36,22 @@
 
 // decide passes a pool's decision on to the entry.
 func (n *Node) decide(h *hostedPool, d scheduler.Decision) {
-	it, known := h.ledger[d.ID]
-	if !known || it.granted {
+	it := h.ledger.get(d.ID)
+	if it == nil || it.granted {
 		if d.Reason == 0 {
 			h.sched.Release(n.now, scheduler.Completion{ID: d.ID, Outcome: scheduler.Unused})
 		}
 		return
 	}
 	if d.Reason == 0 {
-		it.granted, it.upstream = true, d.Upstream
-		it.since, it.auditAt = n.now, n.now+auditBase
+		h.ledger.grant(n.now, it, d.Upstream)
 		n.grant(h, d.ID, it)
 		return
 	}
 	if h.postpone(d, it) {
 		return
 	}
-	delete(h.ledger, d.ID)
+	h.ledger.remove(d.ID)
 	if it.postponed != 0 && d.Reason == scheduler.Infeasible {
 		// It became infeasible only because the decision was postponed.
 		d.Reason = it.postponed
@@ -85,7 +84,7 @@
 	postponed := h.postponed
 	h.postponed = nil
 	for _, id := range postponed {
-		if it := h.ledger[id]; it != nil && !it.granted {
+		if it := h.ledger.get(id); it != nil && !it.granted {
 			h.sched.Submit(n.now, it.descriptor)
 		}
 	}
@@ -95,7 +94,7 @@
 // far as the work in flight shows them.
 func (n *Node) inheritLimits(h *hostedPool) {
 	inFlight := make([]uint32, len(h.def.Upstreams))
-	for _, it := range h.ledger {
+	for _, it := range h.ledger.items {
 		if it.granted {
 			inFlight[it.upstream]++
 		}
--- a/pkg/node/digest.go
+++ b/pkg/node/digest.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/routing"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -81,13 +80,7 @@
 	if h == nil {
 		return
 	}
-	var hash uint64
-	items := h.itemsOf(from)
-	for _, id := range items {
-		it := h.ledger[id]
-		hash ^= dispatch.HashRequest(id.Sequence, it.descriptor.Attempt, it.granted)
-	}
-	if uint32(len(items)) == m.Count && hash == m.Hash {
+	if h.ledger.digests[from] == (entryDigest{m.Count, m.Hash}) {
 		return
 	}
 	if n.now-h.askedAt[from] >= digestAskInterval {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -113,7 +113,7 @@
 // withdraw ends a waiting attempt, or its permit if the grant crossed the
 // withdrawal: the entry returns that grant unused.
 func (h *hostedPool) withdraw(now time.Duration, id scheduler.GlobalID, attempt uint32) {
-	if it := h.ledger[id]; it != nil && it.descriptor.Attempt <= attempt {
+	if it := h.ledger.get(id); it != nil && it.descriptor.Attempt <= attempt {
 		h.drop(now, id, scheduler.Unused)
 	}
 }
@@ -136,7 +136,7 @@
 }
 
 func (h *hostedPool) releaseAttempt(now time.Duration, c scheduler.Completion, attempt uint32) {
-	if it := h.ledger[c.ID]; it != nil && it.descriptor.Attempt <= attempt {
+	if it := h.ledger.get(c.ID); it != nil && it.descriptor.Attempt <= attempt {
 		h.release(now, c)
 	}
 }
--- a/pkg/node/fallback.go
+++ b/pkg/node/fallback.go
@@ -8,14 +8,18 @@
 
 // The local pool.
 //
-// An entry whose owner does not answer uses a pool of its own with a fixed
-// share of every upstream. The owner does not see that work, so tier order over
-// all instances (P2) is kept as follows: the local pool sheds its own lower
-// tiers first, as any pool does; the entry asks the owner for an answer all the
-// time; and once the owner answers, all work that waits here is withdrawn and
-// handed over in the same step, before the local pool decides again. Work that
-// waits in a local pool is therefore never held by an instance that the owner
-// can reach. Each change is counted.
+// An entry whose owner does not answer for the owner timeout has two choices. If
+// others do not reach the owner either, it suspects it, and the next in rank
+// becomes the owner for the whole cell. If others do, only its own path is
+// broken, and it uses a pool of its own with a fixed share of every upstream.
+//
+// The owner does not see the work in a local pool, so tier order over all
+// instances (P2) is kept as follows. The local pool sheds its own lower tiers
+// first, as any pool does. The entry asks the owner for an answer all the time,
+// and once it answers, all work that waits here is withdrawn and handed over in
+// the same step, before the local pool decides again. So work waits in a local
+// pool only while the owner cannot be reached from here. Each change is counted
+// under "fallback".
 
 // ownerPingInterval is the time between pings to an owner that is silent while
 // requests wait for it. It gives three tries within the owner timeout.
@@ -132,7 +136,7 @@
 // dropIdleLocal ends the local mode of pools that have no requests left.
 func (n *Node) dropIdleLocal() {
 	for _, h := range append([]*hostedPool(nil), n.pools.list...) {
-		if h.local && len(h.ledger) == 0 && n.table.Idle(uint64(h.id)) {
+		if h.local && h.ledger.len() == 0 && n.table.Idle(uint64(h.id)) {
 			n.table.SetLocal(n.now, uint64(h.id), false)
 			n.endLocal(h.id)
 		}
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -24,21 +24,6 @@
 	auditInterval = time.Second
 )
 
-// item is what an owner knows of one descriptor.
-type item struct {
-	descriptor scheduler.Descriptor
-	granted    bool
-	upstream   uint32
-	// since is when the item was submitted, granted or adopted.
-	since time.Duration
-	// auditAt is when the entry is asked about the item.
-	auditAt time.Duration
-	audits  uint8
-	// postponed is the reason of a shed that waits for the end of the
-	// synchronisation; 0 if none.
-	postponed scheduler.ShedReason
-}
-
 // hostedPool is a pool that this instance schedules: one that it owns, or the
 // local fixed-share pool of an owner that cannot be reached.
 type hostedPool struct {
@@ -48,11 +33,8 @@
 	def   *routing.Pool
 	// upstreams maps names to indices of def.Upstreams.
 	upstreams map[string]uint32
-	ledger    map[scheduler.GlobalID]*item
-	// order lists the ledger's keys in order of arrival; ended ones are
-	// removed lazily.
-	order []scheduler.GlobalID
-	dirty bool
+	ledger    ledger
+	dirty     bool
 	// share divides the limits of a local pool; 0 if not set.
 	share int
 
@@ -69,7 +51,7 @@
 func (n *Node) newHostedPool(def *routing.Pool, local bool) *hostedPool {
 	h := &hostedPool{
 		id: def.ID, local: local,
-		ledger:  map[scheduler.GlobalID]*item{},
+		ledger:  newLedger(),
 		askedAt: map[uint64]time.Duration{},
 		sched: scheduler.New(scheduler.Config{
 			TargetTTFT: n.cfg.TargetTTFT, TargetInterToken: n.cfg.TargetInterToken,
@@ -112,7 +94,7 @@
 
 // renumber translates the upstream indices of permits to a new definition.
 func (h *hostedPool) renumber(def *routing.Pool) {
-	for _, it := range h.ledger {
+	for _, it := range h.ledger.items {
 		if !it.granted {
 			continue
 		}
@@ -146,7 +128,7 @@
 // that its grant was lost; repeated is then true.
 func (h *hostedPool) submit(now time.Duration, d scheduler.Descriptor) (repeated bool) {
 	h.dirty = true
-	if it, known := h.ledger[d.ID]; known {
+	if it := h.ledger.get(d.ID); it != nil {
 		switch {
 		case d.Attempt < it.descriptor.Attempt:
 			return false
@@ -155,31 +137,23 @@
 		}
 		h.drop(now, d.ID, scheduler.Unused)
 	}
-	h.add(d, &item{descriptor: d, since: now, auditAt: now + auditBase})
+	h.ledger.add(&item{descriptor: d, since: now, auditAt: now + auditBase})
 	h.sched.Submit(now, d)
 	return false
 }
 
-func (h *hostedPool) add(d scheduler.Descriptor, it *item) {
-	h.ledger[d.ID] = it
-	h.order = append(h.order, d.ID)
-	if len(h.order) > 2*len(h.ledger)+64 {
-		h.order = slices.DeleteFunc(h.order, func(id scheduler.GlobalID) bool { return h.ledger[id] == nil })
-	}
-}
-
 // drop ends an item: a waiting one is withdrawn, a permit is released.
 func (h *hostedPool) drop(now time.Duration, id scheduler.GlobalID, outcome scheduler.Outcome) {
 	h.release(now, scheduler.Completion{ID: id, Outcome: outcome})
 }
 
 func (h *hostedPool) release(now time.Duration, c scheduler.Completion) {
-	it, known := h.ledger[c.ID]
-	if !known {
+	it := h.ledger.get(c.ID)
+	if it == nil {
 		return
 	}
 	h.dirty = true
-	delete(h.ledger, c.ID)
+	h.ledger.remove(c.ID)
 	if it.granted {
 		h.sched.Release(now, c)
 		return
@@ -189,31 +163,18 @@
 
 // adopt takes over the permit of a request that an entry reports as in flight.
 func (h *hostedPool) adopt(now time.Duration, f scheduler.InFlight) {
-	if it, known := h.ledger[f.Descriptor.ID]; known {
+	if it := h.ledger.get(f.Descriptor.ID); it != nil {
 		if it.granted {
 			return
 		}
 		h.drop(now, f.Descriptor.ID, scheduler.Unused)
 	}
 	h.dirty = true
-	h.add(f.Descriptor, &item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream,
+	h.ledger.add(&item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream,
 		since: now, auditAt: now + auditBase})
 	h.sched.Adopt(now, f)
 }
 
-// itemsOf lists the items of an entry in order of arrival.
-func (h *hostedPool) itemsOf(entry uint64) []scheduler.GlobalID {
-	var ids []scheduler.GlobalID
-	seen := map[scheduler.GlobalID]bool{}
-	for _, id := range h.order {
-		if id.Entry == entry && h.ledger[id] != nil && !seen[id] {
-			seen[id] = true
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // poolKey identifies a hosted pool.
 type poolKey struct {
 	id    routing.PoolID
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -307,3 +307,27 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.command(d) })
 	})
 }
+
+// TestDiscoverySpreadsCallers guards against a discovery answer that names a
+// leaving instance, or that sends all callers to the same instance first.
+func TestDiscoverySpreadsCallers(t *testing.T) {
+	w := simtest.NewWorld(1)
+	f := simtest.Fixture{Engines: 1}
+	for n := 1; n <= 9; n++ {
+		config := f.Config(n)
+		config.Bootstrap = f.Set()
+		w.Start(config)
+	}
+	w.Loop.RunUntil(5 * time.Second)
+	w.Instances[3].Drain()
+	firsts := map[string]bool{}
+	for range 40 {
+		w.Loop.RunUntil(w.Loop.Now() + 100*time.Millisecond)
+		addresses := w.Instances[0].Node.Discovery()
+		require.NotContains(t, addresses, "10.0.0.4:80", "the leaving instance")
+		require.Len(t, addresses, 2+4, "two others of the failure domain and four of the rest")
+		require.Contains(t, []string{"10.0.0.1:80", "10.0.0.7:80"}, addresses[0], "the own failure domain comes first")
+		firsts[addresses[0]] = true
+	}
+	require.Len(t, firsts, 2)
+}
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -72,9 +72,9 @@
 			continue
 		}
 		n.pools.remove(h)
-		for _, id := range h.order {
-			if it := h.ledger[id]; it != nil && !it.granted && id.Entry != n.self {
-				delete(h.ledger, id)
+		for _, id := range h.ledger.order {
+			if it := h.ledger.get(id); it != nil && !it.granted && id.Entry != n.self {
+				h.ledger.remove(id)
 				n.sendNotOwner(id.Entry, uint64(h.id), id.Sequence, it.descriptor.Attempt)
 			}
 		}
@@ -218,11 +218,11 @@
 }
 
 func (n *Node) dropEntry(h *hostedPool, entry uint64) {
-	if items := h.itemsOf(entry); len(items) > 0 {
+	if items := h.ledger.of(entry); len(items) > 0 {
 		h.sched.DropEntry(n.now, entry)
 		h.dirty = true
 		for _, id := range items {
-			delete(h.ledger, id)
+			h.ledger.remove(id)
 		}
 	}
 	n.reported(h, entry)
@@ -253,8 +253,8 @@
 }
 
 func (n *Node) audit(h *hostedPool) {
-	for _, id := range h.order {
-		it := h.ledger[id]
+	for _, id := range h.ledger.order {
+		it := h.ledger.get(id)
 		if it == nil || id.Entry == n.self || n.now < it.auditAt {
 			continue
 		}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -114,7 +114,7 @@
 	}
 	if repeated := h.submit(n.now, d); repeated {
 		n.count("retries", dispatch.PermitLost)
-		n.grant(h, d.ID, h.ledger[d.ID])
+		n.grant(h, d.ID, h.ledger.get(d.ID))
 	}
 }
 
@@ -212,8 +212,8 @@
 	if !ok {
 		return
 	}
-	for _, id := range h.itemsOf(from) {
-		if it := h.ledger[id]; !mentioned[id.Sequence] && it.since < asked {
+	for _, id := range h.ledger.of(from) {
+		if it := h.ledger.get(id); !mentioned[id.Sequence] && it.since < asked {
 			n.count("permits", "audited")
 			h.drop(n.now, id, scheduler.Canceled)
 		}
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
@@ -95,27 +95,33 @@
 	return n.home.Issue(max(now, n.now))
 }
 
+// discoveryHalf is the number of addresses from this instance's failure domain,
+// and from the others, in a discovery answer.
+const discoveryHalf = 4
+
 // Discovery returns the addresses of instances that callers may use, without
-// leaving ones: this instance's failure domain first, others after it.
+// leaving ones: some of this instance's failure domain first, then some of the
+// others, in an order that changes from call to call to spread the callers.
 func (n *Node) Discovery() []string {
-	members := slices.DeleteFunc(n.view.Members(), func(m membership.Member) bool {
-		return m.State != membership.Alive || m.Leaving || m.Cell != n.cfg.Cell || m.CallerAddress == ""
-	})
-	slices.SortStableFunc(members, func(a, b membership.Member) int {
-		return distance(a, n.cfg.FailureDomain) - distance(b, n.cfg.FailureDomain)
-	})
-	addresses := make([]string, 0, len(members))
-	for _, m := range members {
-		addresses = append(addresses, m.CallerAddress)
+	var near, far []string
+	for _, m := range n.view.Members() {
+		switch {
+		case m.State != membership.Alive || m.Leaving || m.Cell != n.cfg.Cell || m.CallerAddress == "":
+		case m.FailureDomain == n.cfg.FailureDomain:
+			near = append(near, m.CallerAddress)
+		default:
+			far = append(far, m.CallerAddress)
+		}
 	}
-	return addresses
+	// Reading must not change what later events do, so the order is drawn from
+	// the time and not from the node's random source.
+	random := rand.New(rand.NewPCG(n.seed, uint64(n.now)))
+	return append(pickAddresses(random, near), pickAddresses(random, far)...)
 }
 
-func distance(m membership.Member, failureDomain string) int {
-	if m.FailureDomain == failureDomain {
-		return 0
-	}
-	return 1
+func pickAddresses(random *rand.Rand, addresses []string) []string {
+	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(discoveryHalf, len(addresses))]
 }
 
 func (n *Node) upstreamSpec(name string) *pb.UpstreamSpec {
