--- a/internal/simtest/measurement/run.go
+++ b/internal/simtest/measurement/run.go
@@ -46,13 +46,12 @@
 	deadline time.Duration
 	upstream uint32
 	// since are the times at which the two observers saw the call wait.
-	since                   [2]time.Duration
-	dispatchedAt, firstAt   time.Duration
-	tokens, reported        uint32
-	cached                  uint32
-	good                    bool
-	endedAt                 time.Duration
-	firstLatency, interGaps time.Duration
+	since                 [2]time.Duration
+	dispatchedAt, firstAt time.Duration
+	tokens, reported      uint32
+	cached                uint32
+	good                  bool
+	endedAt               time.Duration
 }
 
 // policy decides what happens to calls. Its methods run at the call's entry.
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -17,18 +17,6 @@
 	windowTime       = 500 * time.Millisecond
 	// decreaseFactor is applied when more than one sample in 20 missed a target.
 	decreaseFactor = 0.95
-	// The target between tokens is lowered while more than one top-tier answer
-	// in a hundred misses its deadline, down to minPace of it.
-	lateStep, onTimeStep = 0.02, 0.0002
-	minPace              = 0.5
-	minPaceGain          = 0.1
-	// needMargin covers outputs above the 0.9 quantile and the first token.
-	needMargin = 1.2
-	needFall   = 0.05
-	needRise   = 0.002
-	// minLowerShare is the part of lower tiers in flight from which the need of
-	// the top tier counts.
-	minLowerShare = 0.2
 	// nearTarget is the part of a target from which growth is additive. Below
 	// it the limit grows by growthFactor, so that an engine that had little to
 	// do reaches its limit within seconds of a flood.
@@ -43,11 +31,7 @@
 	// smoothing is the weight of a new sample in smoothed observations.
 	smoothing = 0.2
 	// slowSmoothing is the weight of a new sample in the speed profile.
-	slowSmoothing = 0.05
-	// reportLife bounds how long an entry's report is used. Entries with streams
-	// report at least every 2 s; one whose streams have ended does not report.
-	reportLife = 5 * time.Second
-
+	slowSmoothing          = 0.05
 	defaultInterToken      = 30 * time.Millisecond
 	defaultPrefillPerToken = 100 * time.Microsecond
 	profileBuckets         = 16
@@ -112,11 +96,6 @@
 // relaxed reports whether the 95th percentile is well within the target.
 func (c *targetCount) relaxed() bool { return c.near*20 <= c.samples }
 
-type entryReport struct {
-	Observation
-	at time.Duration
-}
-
 func newUpstream(config Upstream) *upstream {
 	u := &upstream{Upstream: config, prefillPerToken: float64(defaultPrefillPerToken)}
 	if config.PrefillTokensPerSecond > 0 {
@@ -242,111 +221,6 @@
 	p.refresh(u)
 }
 
-// gapTarget returns the target between tokens in nanoseconds.
-func (p *Pool) gapTarget() float64 {
-	pace := p.pace
-	if p.lowerShare() > minLowerShare {
-		pace = min(pace, p.need)
-	}
-	return pace * float64(p.config.TargetInterToken)
-}
-
-// lowerShare returns the part of the requests in flight that is not of the top tier.
-func (p *Pool) lowerShare() float64 {
-	top, all := p.tiers[0].flight, uint32(0)
-	for i := range p.tiers {
-		all += p.tiers[i].flight
-	}
-	return 1 - float64(top)/float64(max(1, all))
-}
-
-// learnNeed follows the time between tokens at which the deadlines of the top
-// tier can be met, before the first one is missed. It falls quickly and rises
-// slowly, so that the kind with the tightest deadlines decides.
-func (p *Pool) learnNeed(d *Descriptor, remaining time.Duration, perPrompt float64) {
-	if d.Tier != 0 || d.OutHigh == 0 {
-		return
-	}
-	left := float64(remaining) - float64(d.Prompt)*perPrompt
-	gap := left / (needMargin * float64(d.OutHigh))
-	need := min(1, max(minPace, gap/float64(p.config.TargetInterToken)))
-	weight := needRise
-	if need < p.need {
-		weight = needFall
-	}
-	smooth(&p.need, need, weight)
-}
-
-// learnPace moves the pace towards one late answer in a hundred in the top
-// tier. Deadlines of the top tier may need a faster engine than the target
-// between tokens promises, and no lower tier may take that from it. The steps
-// are as small as the part of the work that lower tiers have in flight: when
-// the top tier competes with itself, a lower pace costs more answers than it
-// saves.
-func (p *Pool) learnPace(tier uint8, late bool) {
-	if tier != 0 {
-		return
-	}
-	gain := max(minPaceGain, p.lowerShare())
-	if late {
-		p.pace = max(minPace, p.pace-gain*lateStep)
-	} else {
-		p.pace = min(1, p.pace+gain*onTimeStep)
-	}
-}
-
-// Progress takes in what an entry saw at one upstream. Entries report when the
-// rate changes and when streams stall, so a report holds until the next one.
-func (p *Pool) Progress(now time.Duration, o Observation) {
-	if int(o.Upstream) >= len(p.upstreams) {
-		return
-	}
-	u := p.upstreams[o.Upstream]
-	u.storeReport(now, o)
-	streams, stalled, mean := u.combineReports(now)
-	if mean > 0 {
-		smooth(&u.interToken, mean, smoothing)
-		if !u.quarantined && u.suspectSince == 0 {
-			u.learnProfile(mean)
-		}
-	}
-	p.suspect(now, u, mean, streams, stalled)
-}
-
-func (u *upstream) storeReport(now time.Duration, o Observation) {
-	for i := range u.reports {
-		if u.reports[i].Entry == o.Entry {
-			u.reports[i] = entryReport{o, now}
-			return
-		}
-	}
-	u.reports = append(u.reports, entryReport{o, now})
-}
-
-// combineReports returns the streams of all entries, how many of them stall,
-// and the mean time between tokens weighted by streams, 0 if unknown.
-func (u *upstream) combineReports(now time.Duration) (streams, stalled uint32, mean float64) {
-	var sum, weight float64
-	kept := u.reports[:0]
-	for _, report := range u.reports {
-		if report.Streams == 0 || now-report.at > reportLife {
-			continue
-		}
-		kept = append(kept, report)
-		streams += report.Streams
-		stalled += report.Stalled
-		if report.InterToken > 0 {
-			sum += float64(report.InterToken) * float64(report.Streams)
-			weight += float64(report.Streams)
-		}
-	}
-	u.reports = kept
-	if weight > 0 {
-		mean = sum / weight
-	}
-	return streams, stalled, mean
-}
-
 func bucketOf(inFlight uint32) int { return min(bits.Len32(inFlight), profileBuckets-1) }
 
 func (u *upstream) learnProfile(interToken float64) {
