scheduler: probe in calm times, let services recover

Cause: a quarantined service was never used again, because only a first token in time ended a quarantine; in calm times no quarantined upstream was probed, because the grants left no work for a probe; a service's configured limit fell for good after broken answers. Change: an answer ends a service's quarantine; probes of a tier precede its grants; the interval doubles with each slow probe, up to 8 s; limits of services stay. In the measurement, a refused connection stepped a pool again while its decisions were being carried out; they are copied first. Ruled out: all probes before all grants; the naive model found a lower tier granted before a higher one that had a free upstream elsewhere. Tested: TestServiceRecoversAfterRefusal and TestBrokenServiceKeepsItsLimit fail without the change; 3000 differential checks.

--- a/internal/simtest/measurement/poolhost.go
+++ b/internal/simtest/measurement/poolhost.go
@@ -1,6 +1,7 @@
 package measurement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/scheduler"
@@ -64,7 +65,8 @@
 	wake := h.pool.NextWake(now)
 	h.r.stats.decisionTime += time.Since(started)
 	h.r.stats.decisions += len(h.out)
-	for _, d := range h.out {
+	// A refused connection steps the pool again within this loop.
+	for _, d := range slices.Clone(h.out) {
 		h.decided(d)
 	}
 	if wake < h.wakeAt {
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -138,6 +138,7 @@
 	u.start(r)
 	u.lastSign = now
 	if u.Service {
+		p.observeService(now, u)
 		return
 	}
 	defer p.refresh(u)
@@ -192,6 +193,7 @@
 	case Complete, Late:
 		u.lastSign = now
 		u.broken = 0
+		p.observeService(now, u)
 		u.learnSlot(r.cost, now-r.granted)
 		if !u.Service {
 			p.learnPace(r.Tier, c.Outcome == Late)
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -153,11 +153,13 @@
 	out = append(out, p.pending...)
 	p.pending = p.pending[:0]
 	for tier := range p.tiers {
+		if p.quarantined > 0 && p.tiers[tier].waiting > 0 {
+			// Before the tier's grants, which would leave no work for a probe in
+			// calm times.
+			out = p.probe(now, uint8(tier), out)
+		}
 		out = p.grantTier(now, &p.tiers[tier], out)
 	}
-	if p.quarantined > 0 {
-		out = p.probe(now, out)
-	}
 	return out
 }
 
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -19,7 +19,10 @@
 	// probeInterval separates probes; overdueProbe is the time after which a
 	// probe may use the highest tier.
 	probeInterval = time.Second
-	overdueProbe  = 5 * time.Second
+	// maxProbeInterval bounds the interval, which doubles with each slow probe.
+	// A refused probe costs nothing and does not prolong it.
+	maxProbeInterval = 8 * time.Second
+	overdueProbe     = 5 * time.Second
 	// recoveredRatio is the ratio of observed to expected time between tokens
 	// at which a quarantined upstream is used again.
 	recoveredRatio = 1.4
@@ -39,6 +42,8 @@
 	// broken counts broken streams since the last complete one.
 	broken    int
 	nextProbe time.Duration
+	// probeWait is the present interval between probes.
+	probeWait time.Duration
 	probing   *request
 }
 
@@ -96,7 +101,9 @@
 		p.quarantine(now, u)
 		return
 	}
-	u.limit = max(1, u.limit/2)
+	if !u.Service { // the limit of a service is configured
+		u.limit = max(1, u.limit/2)
+	}
 	u.resetWindow(now)
 	u.lastSign = now
 	p.refresh(u)
@@ -106,8 +113,9 @@
 // one succeeds. An upstream that refuses connections is always quarantined,
 // since a request sent there again at once would be refused again at once.
 func (p *Pool) quarantine(now time.Duration, u *upstream) {
-	u.nextProbe = now + probeInterval
 	u.probing = nil
+	u.probeWait = probeInterval
+	u.nextProbe = now + u.probeWait
 	if u.quarantined || !u.present {
 		return
 	}
@@ -146,23 +154,25 @@
 	return false
 }
 
-// probe sends one request to each quarantined upstream whose probe is due. The
+// probe sends one request of a tier to each quarantined upstream whose probe is
+// due. The
 // top tier is used only if its class has no other healthy upstream, or if no other
 // work could be used for long. A lower tier
 // is never used while a higher one waits for the upstream (promise P2).
-func (p *Pool) probe(now time.Duration, out []Decision) []Decision {
+func (p *Pool) probe(now time.Duration, tier uint8, out []Decision) []Decision {
 	for _, u := range p.upstreams {
 		if !u.quarantined || u.Leaving || u.probing != nil || now < u.nextProbe {
 			continue
 		}
 		r := p.highestFor(now, u)
-		if r == nil || r.Tier == 0 && now < u.nextProbe+overdueProbe && p.hasHealthy(r.Class, u) {
+		if r == nil || r.Tier != tier || r.Tier == 0 && now < u.nextProbe+overdueProbe && p.hasHealthy(r.Class, u) {
 			continue
 		}
 		out = append(out, p.grant(now, r, u))
 		r.probe = true
 		u.probing = r
-		u.nextProbe = now + probeInterval
+		u.probeWait = min(2*u.probeWait, maxProbeInterval)
+		u.nextProbe = now + u.probeWait
 	}
 	return out
 }
@@ -195,12 +205,27 @@
 		u.probing = nil
 		return
 	}
+	p.recover(now, u)
+}
+
+// recover ends a quarantine.
+func (p *Pool) recover(now time.Duration, u *upstream) {
 	u.quarantined = false
 	u.broken, u.probing = 0, nil
 	u.lastSign = now
-	u.limit = max(1, u.limit*recoveredLimit)
-	u.interToken = 0
+	if !u.Service {
+		u.limit = max(1, u.limit*recoveredLimit)
+		u.interToken = 0
+	}
 	p.quarantined--
 	p.refresh(u)
 	p.nextCapacities = now
 }
+
+// observeService ends the quarantine of a service that answers: its time to
+// answer is not compared with a target.
+func (p *Pool) observeService(now time.Duration, u *upstream) {
+	if u.Service && u.quarantined {
+		p.recover(now, u)
+	}
+}
--- a/pkg/scheduler/stragglers_test.go
+++ b/pkg/scheduler/stragglers_test.go
@@ -40,3 +40,47 @@
 		require.GreaterOrEqual(t, grants, 8*upstreams, "recovery must be probed")
 	}
 }
+
+// TestServiceRecoversAfterRefusal guards against a plain service that is never
+// used again after one refused connection, because it reports no tokens, and
+// against a change of its configured limit.
+func TestServiceRecoversAfterRefusal(t *testing.T) {
+	for upstreams := 1; upstreams <= 2; upstreams++ {
+		var list []Upstream
+		for i := range upstreams {
+			list = append(list, Upstream{Name: string(rune('a' + i)), Service: true, Concurrency: 4})
+		}
+		p := poolWith(Config{}, list...)
+		granted := 0
+		for sequence := uint64(1); sequence <= 1000; sequence++ {
+			now := time.Duration(sequence) * 10 * time.Millisecond
+			p.Submit(now, Descriptor{ID: GlobalID{1, sequence}, Attempt: 1, Tier: 1, Deadline: now + time.Minute})
+			for _, d := range p.Step(now, nil) {
+				outcome := Complete
+				if granted == 0 {
+					outcome = ConnectRefused
+				}
+				granted++
+				p.Release(now, Completion{ID: d.ID, Outcome: outcome})
+			}
+		}
+		require.Zero(t, p.quarantined)
+		require.Greater(t, granted, 900)
+		for _, u := range p.upstreams {
+			require.Equal(t, uint32(4), p.limitOf(u))
+		}
+	}
+}
+
+// TestBrokenServiceKeepsItsLimit guards against a configured limit that falls
+// for good when the last service of a class breaks off answers.
+func TestBrokenServiceKeepsItsLimit(t *testing.T) {
+	p := poolWith(Config{}, Upstream{Name: "a", Service: true, Concurrency: 4})
+	for sequence := uint64(1); sequence <= 10; sequence++ {
+		p.Submit(time.Second, Descriptor{ID: GlobalID{1, sequence}, Deadline: time.Minute})
+		for _, d := range p.Step(time.Second, nil) {
+			p.Release(time.Second, Completion{ID: d.ID, Outcome: Broken})
+		}
+	}
+	require.Equal(t, uint32(4), p.limitOf(p.upstreams[0]))
+}
