daemon: report an address in use instead of hanging

Cause: with the caller or administration address taken by another process, citrongate serve hung without a message or panicked. nbio 1.6.8 does not return from Start if it cannot listen, panics when it is stopped again after that, and its Stop can hang soon after Start. Change: both addresses are probed before any server starts; Stop does nothing for an engine that did not start. Conclusion: an address in use exits 1 and names the setting.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -169,6 +169,10 @@
 		d.Close()
 		return err
 	}
+	if err := d.probe(); err != nil {
+		d.Close()
+		return err
+	}
 	d.goRun(func() { d.loop.run(d.ctx) })
 	d.goRun(d.compileConfigs)
 	d.goRun(d.keepRegistered)
@@ -187,6 +191,17 @@
 	return nil
 }
 
+// probe reports an address that cannot be listened on before anything starts.
+func (d *Daemon) probe() error {
+	if err := d.callers.Probe(); err != nil {
+		return fmt.Errorf("cannot listen on [listen] caller %s: %w", d.settings.GetListen().GetCaller(), err)
+	}
+	if err := d.operators.Probe(); err != nil {
+		return fmt.Errorf("cannot listen on [listen] admin %s: %w", d.settings.GetListen().GetAdmin(), err)
+	}
+	return nil
+}
+
 // listen builds the servers and opens the peer socket.
 func (d *Daemon) listen() error {
 	s, limits := d.settings, d.settings.GetLimits()
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
@@ -68,6 +69,8 @@
 	// poller's reads. nbio relies on epoll for this order, which the race
 	// detector does not see.
 	opened sync.Mutex
+	// started is true once the engine listens.
+	started atomic.Bool
 }
 
 // NewServer returns a server that is not started yet.
@@ -104,7 +107,22 @@
 }
 
 // Start listens and serves until Stop.
-func (s *Server) Start() error { return s.engine.Start() }
+func (s *Server) Start() error {
+	err := s.engine.Start()
+	s.started.Store(err == nil)
+	return err
+}
+
+// Probe returns an error if the address cannot be listened on. It is for use
+// before Start of any server: nbio 1.6.8 can hang in Start if it cannot listen,
+// and in Stop soon after Start.
+func (s *Server) Probe() error {
+	probe, err := net.Listen("tcp", s.config.Address)
+	if err != nil {
+		return err
+	}
+	return probe.Close()
+}
 
 // Address is the listening address, with the port that was chosen if it was 0.
 func (s *Server) Address() string {
@@ -127,8 +145,13 @@
 	return unsent
 }
 
-// Stop closes the listener and all connections at once.
-func (s *Server) Stop() { s.engine.Stop() }
+// Stop closes the listener and all connections at once. An engine that did not
+// start has stopped itself, and nbio panics if it is stopped again.
+func (s *Server) Stop() {
+	if s.started.Load() {
+		s.engine.Stop()
+	}
+}
 
 // onData parses input of one connection; nbhttp's own handler would close the
 // connection without an answer when the input is not valid.
