--- a/cmd/citrongate-standin/ports.go
+++ b/cmd/citrongate-standin/ports.go
@@ -13,8 +13,8 @@
 // outgoing connections, since one of these could take a port before its
 // intended process does.
 const (
-	lowestPort  = 20000
-	highestPort = 32000
+	lowestPort  = 16000
+	highestPort = 20000
 	maxTries    = 10000
 )
 
--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -59,9 +59,6 @@
 
 func all(load.Outcome) bool          { return true }
 func repeatable(o load.Outcome) bool { return o.Flow.Type != load.Booking }
-func isKind(kind string) func(load.Outcome) bool {
-	return func(o load.Outcome) bool { return o.Flow.Kind == kind }
-}
 
 // TestEntryKilled guards against a second run of a booking, and against calls
 // that fail at the surviving entries, when an entry is killed.
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -5,13 +5,16 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,12 +42,16 @@
 	if err == nil {
 		err = build(dir)
 	}
+	if err == nil {
+		err = takeSlot()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	binaries = dir
 	code := m.Run()
+	slotLock.Close()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
@@ -103,19 +110,62 @@
 	}
 }
 
+// Ports are taken from a range below the one from which systems assign ports to
+// outgoing connections. A test process takes one slot of the range by listening
+// on its first port, so that no two processes or fleets get the same port.
+const (
+	lowestPort = 20000
+	slotPorts  = 500
+	slotCount  = 24
+)
+
+var (
+	nextPort atomic.Int32
+	lastPort int32
+	slotLock net.Listener
+)
+
+func takeSlot() error {
+	for _, slot := range rand.Perm(slotCount) {
+		first := lowestPort + slot*slotPorts
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			slotLock, lastPort = lock, int32(first+slotPorts-1)
+			nextPort.Store(int32(first))
+			return nil
+		}
+	}
+	return errors.New("no free slot of ports")
+}
+
 // freePorts returns loopback addresses that are free for TCP and UDP.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
-	out, err := exec.Command(filepath.Join(binaries, "citrongate-standin"), "ports", "-n", fmt.Sprint(count)).Output()
-	require.NoError(t, err)
-	addresses := strings.Fields(string(out))
-	require.Len(t, addresses, count)
-	for i := range addresses {
-		addresses[i] = "127.0.0.1:" + addresses[i]
+	var addresses []string
+	for len(addresses) < count {
+		port := nextPort.Add(1)
+		require.LessOrEqual(t, port, lastPort, "the slot of ports is used up")
+		if address := fmt.Sprintf("127.0.0.1:%d", port); isFree(address) {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
 
+func isFree(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	udp.Close()
+	return true
+}
+
 // entry is one citrongate instance.
 type entry struct {
 	*process
@@ -194,13 +244,26 @@
 		return err == nil
 	})
 	for _, e := range f.entries {
-		waitFor(t, e.name+" to be ready", func() bool {
-			status, _, err := f.adminOf(e).Status(context.Background())
-			return err == nil && status.Ready && len(status.Instances) >= len(f.entries)
-		})
+		f.waitReady(t, e)
 	}
 }
 
+// waitReady waits until an entry is ready and knows all entries of the fleet.
+func (f *fleet) waitReady(t *testing.T, e *entry) {
+	t.Helper()
+	last := "no status"
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last status of %s while it was not ready: %s", e.name, last)
+		}
+	})
+	waitFor(t, e.name+" to be ready", func() bool {
+		status, raw, err := f.adminOf(e).Status(context.Background())
+		last = fmt.Sprintf("%s %v", raw, err)
+		return err == nil && status.Ready && len(status.Instances) >= len(f.entries)
+	})
+}
+
 func (f *fleet) adminOf(entries ...*entry) *client.Admin {
 	admin := &client.Admin{Token: operatorToken, HTTP: f.http}
 	for _, e := range entries {
