client, call: a refused token is not an entry that is out of reach

Cause: citrongate call with a wrong token exited 3 (not reached) and told the caller to name a running entry; refused calls printed an empty line. Conclusion: done.

--- a/cmd/citrongate/call.go
+++ b/cmd/citrongate/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -130,12 +131,13 @@
 	}
 	out := writer(command)
 	switch {
+	case !result.Whole:
 	case request.OnText != nil:
 		fmt.Fprintln(out)
 	case request.Model != "":
 		fmt.Fprintln(out, result.Text)
 	default:
-		fmt.Fprintln(out, string(result.Body))
+		fmt.Fprintln(out, strings.TrimSuffix(string(result.Body), "\n"))
 	}
 	for i, attempt := range result.Attempts {
 		fmt.Fprintf(errWriter(command), "attempt %d: %s\n", i+1, attempt)
--- a/cmd/citrongate/get.go
+++ b/cmd/citrongate/get.go
@@ -82,5 +82,9 @@
 		}
 		raws = append(raws, raw)
 	}
-	return printJSON(command, map[string]any{"revision": list.Revision, "objects": raws})
+	value := map[string]any{"objects": raws}
+	if list.Revision != 0 {
+		value["revision"] = list.Revision
+	}
+	return printJSON(command, value)
 }
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -373,7 +373,7 @@
 	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Code != "" && answer.Error.Ran != "" {
 		return answer.Error
 	}
-	if response.Header.Get("X-Request-Id") == id {
+	if id != "" && response.Header.Get("X-Request-Id") == id {
 		return nil
 	}
 	return &Refusal{Code: fmt.Sprintf("http_%d", response.StatusCode), Ran: "unknown", Reason: describe(response, body)}
--- a/internal/client/caller_test.go
+++ b/internal/client/caller_test.go
@@ -228,6 +228,16 @@
 	require.True(t, errorx.IsOfType(err, NotReached))
 }
 
+// TestRefusedDiscovery guards against a refused token that is reported as an
+// entry that cannot be reached.
+func TestRefusedDiscovery(t *testing.T) {
+	server := httptest.NewServer(refused("unauthenticated", "no"))
+	defer server.Close()
+	_, err := NewCaller([]string{server.URL}, "", NewHTTP(nil)).Do(context.Background(), &Request{Kind: "k"})
+	require.True(t, errorx.IsOfType(err, Failed))
+	require.ErrorContains(t, err, "unauthenticated")
+}
+
 // TestStreamMustBeWhole guards against an answer that is accepted without its
 // end marker or with another request's id.
 func TestStreamMustBeWhole(t *testing.T) {
--- a/internal/client/discovery.go
+++ b/internal/client/discovery.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // discoveryTimeout bounds one discovery call.
@@ -107,6 +109,9 @@
 		}
 		last = err
 	}
+	if errorx.IsOfType(last, Failed) {
+		return last
+	}
 	return NotReached.New("no entry answered discovery: %v; remedy: name the caller address of a running entry with --entry", last)
 }
 
@@ -162,7 +167,7 @@
 		return answer, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return answer, Failed.New("%s answered %s", address, describe(response, body))
+		return answer, Failed.New("discovery was refused by %s: %s", address, parseRefusal(response, body, ""))
 	}
 	return answer, json.Unmarshal(body, &answer)
 }
