--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -72,4 +72,5 @@
 	"file":      "the path of a readable file",
 	"name":      "1 to 63 letters, digits, '-', '_' or '.', starting and ending with a letter or digit",
 	"duration":  "a duration such as 500ms or 2s",
+	"sha256":    "64 lower-case hexadecimal digits",
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -103,6 +103,7 @@
 		{"short detection", "[peer]\nping_interval = 1s\ndead_after = 1s\n", "less than two ping intervals"},
 		{"bad seed", "[peer]\nseeds = 127.0.0.1:1, nowhere\n", "not an IP address and port"},
 		{"not a number", "[platform]\ncalls_per_second = NaN\n", "not a number"},
+		{"token instead of its digest", "[bootstrap]\noperator_token_sha256 = secret\n", "not a SHA-256 digest"},
 		{"malformed line", "[log]\nlevel\n", "not valid INI"},
 		{"child section", "[log.more]\nlevel = info\n", "unknown section"},
 	}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -15,6 +15,8 @@
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([-A-Za-z0-9_.]{0,61}[A-Za-z0-9])?$`)
 
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // parseValue converts and checks the text of one setting.
 func parseValue(k key, text string) (protoreflect.Value, *Problem) {
 	var value protoreflect.Value
@@ -103,6 +105,11 @@
 		return ""
 	case "duration":
 		return checkDuration(k, text)
+	case "sha256":
+		if !digestPattern.MatchString(text) {
+			return "not a SHA-256 digest"
+		}
+		return ""
 	default:
 		if !slices.Contains(strings.Split(format, "|"), text) {
 			return "not one of the choices"
