proctest: certificates of the keys command between instances and callers

Cause: no test ran instances with mutual TLS and callers with TLS. Change: a fleet with certificates, a call through https, and an instance without a certificate that must not become a member. Measured: go test -race -count=8 -run Certificates ./internal/proctest ok.

--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -179,6 +179,9 @@
 	services []string
 	entries  []*entry
 	http     *http.Client
+	// certificates is the directory of "citrongate keys certificates"; entries
+	// use plain HTTP and loopback peers without it.
+	certificates string
 }
 
 // upstreamVia returns the address by which entries reach an upstream; tests
@@ -195,9 +198,14 @@
 
 // startFleet starts all processes and applies a configuration.
 func startFleet(t *testing.T, via upstreamVia) *fleet {
+	t.Helper()
+	return startFleetWith(t, via, "")
+}
+
+func startFleetWith(t *testing.T, via upstreamVia, certificates string) *fleet {
 	t.Helper()
 	ports := freePorts(t, 1+engineCount+serviceCount+3*entryCount)
-	f := &fleet{platform: ports[0], engines: ports[1 : 1+engineCount], http: client.NewHTTP(nil)}
+	f := &fleet{platform: ports[0], engines: ports[1 : 1+engineCount], http: client.NewHTTP(nil), certificates: certificates}
 	f.services = ports[1+engineCount : 1+engineCount+serviceCount]
 	start(t, "platform", "citrongate-standin", "platform", "--listen", f.platform, "--list-lag", "200ms")
 	for i, address := range f.engines {
@@ -231,6 +239,16 @@
 [bootstrap]
 operator_token_sha256 = %s
 `, name, name, caller, admin, peer, f.platform, hex.EncodeToString(digest[:]))
+	if f.certificates != "" {
+		settings += fmt.Sprintf(`[listen]
+tls_certificate = %[1]s.pem
+tls_key = %[1]s.key
+[peer]
+certificate = %[1]s.pem
+key = %[1]s.key
+authority = %[2]s
+`, filepath.Join(f.certificates, name), filepath.Join(f.certificates, "authority.pem"))
+	}
 	path := filepath.Join(t.TempDir(), name+".ini")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	return &entry{process: start(t, name, "citrongate", "serve", "-c", path), caller: caller, admin: admin}
--- a/internal/proctest/operator_test.go
+++ b/internal/proctest/operator_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -159,3 +160,38 @@
 		require.NotContains(t, e.output.String(), "panic")
 	}
 }
+
+// TestCertificates guards against instances that don't talk to each other, or
+// to callers, with the certificates that the keys command makes, and against
+// one that is accepted without a certificate.
+func TestCertificates(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	args := []string{"keys", "certificates", "--dir", dir}
+	for i := range entryCount {
+		args = append(args, "--instance", fmt.Sprintf("entry-%d=127.0.0.1", i+1))
+	}
+	require.Zero(t, start(t, "keys", "citrongate", args...).waitExit(t))
+	f := startFleetWith(t, direct, dir)
+	seeds := f.callers()
+	for i := range seeds {
+		seeds[i] = "https://" + seeds[i]
+	}
+	call := start(t, "call", "citrongate", "call", "--entry", seeds[0], "--entry", seeds[1], "--ca-file", filepath.Join(dir, "authority.pem"),
+		"--token", callerToken, "--kind", "chat", "--model", "small", "--message", "hello tokens=3")
+	require.Zero(t, call.waitExit(t))
+	require.Contains(t, call.output.String(), engine.TokenText("hello tokens=3", 2))
+
+	f.certificates = ""
+	ports := freePorts(t, 3)
+	stranger := f.startEntry(t, "stranger", ports[0], ports[1], ports[2])
+	waitFor(t, "the stranger to take the configuration from the store", func() bool {
+		status, _, err := f.adminOf(stranger).Status(context.Background())
+		return err == nil && status.ConfigRevision > 0
+	})
+	status, _, err := f.adminOf(f.entries[0]).Status(context.Background())
+	require.NoError(t, err)
+	for _, instance := range status.Instances {
+		require.False(t, instance.AdminAddress == stranger.admin && instance.State == "alive", "an instance without certificate is a member")
+	}
+}
