--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -22,11 +22,21 @@
 	lateStep, onTimeStep = 0.02, 0.0002
 	minPace              = 0.5
 	minPaceGain          = 0.1
+	// needMargin covers outputs above the 0.9 quantile and the first token.
+	needMargin = 1.2
+	needFall   = 0.05
+	needRise   = 0.002
+	// minLowerShare is the part of lower tiers in flight from which the need of
+	// the top tier counts.
+	minLowerShare = 0.2
 	// nearTarget is the part of a target from which growth is additive. Below
 	// it the limit grows by growthFactor, so that an engine that had little to
 	// do reaches its limit within seconds of a flood.
 	nearTarget   = 0.75
 	growthFactor = 1.1
+	// relaxedCapacity is the assumed ratio of true capacity to that at the
+	// present limit while the limit still grows fast.
+	relaxedCapacity = 2
 	// prefillBudget is the part of the target for the first token that prompts
 	// waiting at one engine may take.
 	prefillBudget = 0.5
@@ -34,8 +44,9 @@
 	smoothing = 0.2
 	// slowSmoothing is the weight of a new sample in the speed profile.
 	slowSmoothing = 0.05
-	// reportLife bounds how long an entry's report is used.
-	reportLife = 10 * time.Second
+	// reportLife bounds how long an entry's report is used. Entries with streams
+	// report at least every 2 s; one whose streams have ended does not report.
+	reportLife = 5 * time.Second
 
 	defaultInterToken      = 30 * time.Millisecond
 	defaultPrefillPerToken = 100 * time.Microsecond
@@ -58,6 +69,8 @@
 	first, gap  targetCount
 	windowStart time.Duration
 	pressed     bool
+	// relaxed is true if the last window was well within both targets.
+	relaxed bool
 
 	// ttft and interToken are smoothed observations in nanoseconds, 0 if none.
 	ttft, interToken float64
@@ -215,11 +228,12 @@
 
 func (p *Pool) endWindow(now time.Duration, u *upstream) {
 	slow := u.interToken > p.gapTarget()
+	u.relaxed = u.first.relaxed() && u.gap.relaxed()
 	switch {
 	case u.first.exceeded() || u.gap.exceeded() || slow:
 		u.limit = max(1, min(u.limit, float64(u.inFlight)+1)*decreaseFactor)
 	case !u.pressed:
-	case u.first.relaxed() && u.gap.relaxed():
+	case u.relaxed:
 		u.limit = min(max(u.limit*growthFactor, u.limit+1), u.maximum())
 	default:
 		u.limit = min(u.limit+1, u.maximum())
@@ -230,7 +244,37 @@
 
 // gapTarget returns the target between tokens in nanoseconds.
 func (p *Pool) gapTarget() float64 {
-	return p.pace * float64(p.config.TargetInterToken)
+	pace := p.pace
+	if p.lowerShare() > minLowerShare {
+		pace = min(pace, p.need)
+	}
+	return pace * float64(p.config.TargetInterToken)
+}
+
+// lowerShare returns the part of the requests in flight that is not of the top tier.
+func (p *Pool) lowerShare() float64 {
+	top, all := p.tiers[0].flight, uint32(0)
+	for i := range p.tiers {
+		all += p.tiers[i].flight
+	}
+	return 1 - float64(top)/float64(max(1, all))
+}
+
+// learnNeed follows the time between tokens at which the deadlines of the top
+// tier can be met, before the first one is missed. It falls quickly and rises
+// slowly, so that the kind with the tightest deadlines decides.
+func (p *Pool) learnNeed(d *Descriptor, remaining time.Duration, perPrompt float64) {
+	if d.Tier != 0 || d.OutHigh == 0 {
+		return
+	}
+	left := float64(remaining) - float64(d.Prompt)*perPrompt
+	gap := left / (needMargin * float64(d.OutHigh))
+	need := min(1, max(minPace, gap/float64(p.config.TargetInterToken)))
+	weight := needRise
+	if need < p.need {
+		weight = needFall
+	}
+	smooth(&p.need, need, weight)
 }
 
 // learnPace moves the pace towards one late answer in a hundred in the top
@@ -243,11 +287,7 @@
 	if tier != 0 {
 		return
 	}
-	top, all := p.tiers[0].flight, uint32(0)
-	for i := range p.tiers {
-		all += p.tiers[i].flight
-	}
-	gain := max(minPaceGain, 1-float64(top)/float64(max(1, all)))
+	gain := max(minPaceGain, p.lowerShare())
 	if late {
 		p.pace = max(minPace, p.pace-gain*lateStep)
 	} else {
@@ -354,6 +394,9 @@
 		u.capacity = 0
 		if !u.Leaving && !u.quarantined {
 			u.capacity = float64(p.limitOf(u)) * u.slotCost / u.slotTime * float64(time.Second)
+			if u.relaxed {
+				u.capacity *= relaxedCapacity
+			}
 		}
 	}
 	for c := range p.classes {
