--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -299,6 +299,10 @@
 	}
 	if c.key != "" {
 		header.Set("Idempotency-Key", c.key)
+		if !c.mayHaveRun && c.request.Key == "" {
+			// No earlier attempt under this key can have run.
+			header.Set("Citrongate-Attempt", "1")
+		}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		header.Set("Citrongate-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
@@ -373,7 +377,7 @@
 	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Code != "" && answer.Error.Ran != "" {
 		return answer.Error
 	}
-	if response.Header.Get("X-Request-Id") == id {
+	if id != "" && response.Header.Get("X-Request-Id") == id {
 		return nil
 	}
 	return &Refusal{Code: fmt.Sprintf("http_%d", response.StatusCode), Ran: "unknown", Reason: describe(response, body)}
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -119,9 +119,8 @@
 }
 
 // Write blocks while the caller is slow, and gives up if the caller takes
-// nothing for stallTimeout. It never returns an error: nbhttp (1.6.8) frees the
-// buffer of an answer twice after a failed write, so that two later answers
-// share one buffer. takes tells the handler instead.
+// nothing for stallTimeout. It never returns an error, since nbhttp (1.6.8) then
+// frees the buffer of the answer twice; takes tells the handler instead.
 func (c *connection) Write(p []byte) (int, error) {
 	if c.failed.Load() {
 		return len(p), nil
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rs/zerolog"
 )
@@ -32,6 +33,11 @@
 	stopTimeout = 100 * time.Millisecond
 )
 
+// nbhttp (1.6.8) frees the buffer of an answer twice when its caller has left,
+// so that two later answers share one buffer and callers get parts of each
+// other's. Buffers are left to the garbage collector instead of nbio's pool.
+func init() { mempool.DefaultMemPool = mempool.NewSTD() }
+
 // ServerConfig bounds an HTTP server. All fields are required but the TLS ones.
 type ServerConfig struct {
 	Address string
@@ -73,6 +79,8 @@
 	// conns holds the open connections, as keys of type *connection.
 	conns  sync.Map
 	online atomic.Int64
+	// started is true once the engine listens.
+	started atomic.Bool
 }
 
 // NewServer returns a server that is not started yet.
@@ -107,7 +115,22 @@
 }
 
 // Start listens and serves until Stop.
-func (s *Server) Start() error { return s.engine.Start() }
+func (s *Server) Start() error {
+	err := s.engine.Start()
+	s.started.Store(err == nil)
+	return err
+}
+
+// Probe returns an error if the address cannot be listened on. It is for use
+// before Start of any server: nbio 1.6.8 can hang in Start if it cannot listen,
+// and in Stop soon after Start.
+func (s *Server) Probe() error {
+	probe, err := net.Listen("tcp", s.config.Address)
+	if err != nil {
+		return err
+	}
+	return probe.Close()
+}
 
 // Address is the listening address, with the port that was chosen if it was 0.
 func (s *Server) Address() string {
@@ -126,7 +149,12 @@
 // Stop closes the listener and all connections at once. nbio (1.6.8) sometimes
 // waits for ever for a poller that its wake-up did not reach, in both of its
 // modes and most often without any call; Stop then leaves the idle poller behind.
+// An engine that did not start has stopped itself, and nbio panics if it is
+// stopped again.
 func (s *Server) Stop() {
+	if !s.started.Load() {
+		return
+	}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -16,9 +16,10 @@
 	// epoch, revision and leaving are what owners was computed from.
 	epoch, revision, leaving uint64
 	owners                   map[routing.PoolID]uint64
-	// pingedAt is when the owner of a pool was last pinged for an answer, and
-	// localSince when the local pool took over.
-	pingedAt, localSince map[routing.PoolID]time.Duration
+	// pingedAt is when an owner was last pinged for an answer.
+	pingedAt map[uint64]time.Duration
+	// localSince is when the local pool took over.
+	localSince map[routing.PoolID]time.Duration
 	// dead holds the members whose requests were dropped.
 	dead map[uint64]bool
 }
@@ -38,9 +39,10 @@
 	refresh := o.leaving != leaving || o.revision != n.set.Revision
 	o.epoch, o.leaving, o.revision = epoch, leaving, n.set.Revision
 	if o.pingedAt == nil {
-		o.pingedAt = map[routing.PoolID]time.Duration{}
+		o.pingedAt = map[uint64]time.Duration{}
 		o.localSince = map[routing.PoolID]time.Duration{}
 	}
+	clear(o.pingedAt)
 	o.owners = map[routing.PoolID]uint64{}
 	for _, def := range n.routes.Pools() {
 		o.owners[def.ID] = n.view.Owner(uint64(def.ID))
@@ -70,9 +72,9 @@
 			continue
 		}
 		n.pools.remove(h)
-		for _, id := range h.order {
-			if it := h.ledger[id]; it != nil && !it.granted && id.Entry != n.self {
-				delete(h.ledger, id)
+		for _, id := range h.ledger.order {
+			if it := h.ledger.get(id); it != nil && !it.granted && id.Entry != n.self {
+				h.ledger.remove(id)
 				n.sendNotOwner(id.Entry, uint64(h.id), id.Sequence, it.descriptor.Attempt)
 			}
 		}
@@ -100,18 +102,22 @@
 	}
 }
 
-// beginSync asks all live entries for their requests in a pool.
+// beginSync asks all live entries for their requests in a pool. The answers of
+// suspect members are welcome but not waited for: a takeover mostly happens
+// because such a member does not answer.
 func (n *Node) beginSync(h *hostedPool) {
 	h.awaited = h.awaited[:0]
-	n.view.Live(func(m membership.Member) { h.awaited = append(h.awaited, m.Incarnation) })
+	n.view.Live(func(m membership.Member) {
+		n.askEntry(h, m.Incarnation)
+		if m.State == membership.Alive {
+			h.awaited = append(h.awaited, m.Incarnation)
+		}
+	})
 	if len(h.awaited) == 0 {
 		return
 	}
-	h.syncing, h.syncUntil = true, n.now+syncTime
+	h.syncing, h.syncUntil, h.holdUntil = true, n.now+syncTime, n.now+holdTime
 	h.sched.SetCautious(n.now, h.syncUntil)
-	for _, entry := range h.awaited {
-		n.askEntry(h, entry)
-	}
 }
 
 func (n *Node) askEntry(h *hostedPool, entry uint64) {
@@ -124,7 +130,7 @@
 	if !n.untrusted || !n.view.Trusted() {
 		return
 	}
-	n.untrusted = false
+	n.untrusted, n.trustedAt = false, n.now
 	for _, h := range n.pools.list {
 		h.dirty = true
 		if !h.local {
@@ -212,11 +218,11 @@
 }
 
 func (n *Node) dropEntry(h *hostedPool, entry uint64) {
-	if items := h.itemsOf(entry); len(items) > 0 {
+	if items := h.ledger.of(entry); len(items) > 0 {
 		h.sched.DropEntry(n.now, entry)
 		h.dirty = true
 		for _, id := range items {
-			delete(h.ledger, id)
+			h.ledger.remove(id)
 		}
 	}
 	n.reported(h, entry)
@@ -247,8 +253,8 @@
 }
 
 func (n *Node) audit(h *hostedPool) {
-	for _, id := range h.order {
-		it := h.ledger[id]
+	for _, id := range h.ledger.order {
+		it := h.ledger.get(id)
 		if it == nil || id.Entry == n.self || n.now < it.auditAt {
 			continue
 		}
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -10,6 +10,7 @@
 	defaultTargetTTFT       = 980 * time.Millisecond
 	defaultTargetInterToken = 54 * time.Millisecond
 	defaultMaxQueue         = 8192
+	defaultTransit          = 10 * time.Millisecond
 )
 
 // Never is returned by NextWake when nothing is due.
@@ -43,7 +44,9 @@
 	overloaded []refusal
 
 	// pace is the part of the target between tokens that is aimed at.
-	pace           float64
+	pace float64
+	// need is the part that the deadlines of the top tier ask for.
+	need           float64
 	cautiousUntil  time.Duration
 	nextCheck      time.Duration
 	nextCapacities time.Duration
@@ -70,10 +73,14 @@
 	if config.MaxQueue <= 0 {
 		config.MaxQueue = defaultMaxQueue
 	}
+	if config.Transit <= 0 {
+		config.Transit = defaultTransit
+	}
 	config.Share = max(1, config.Share)
 	return &Pool{
 		config:     config,
 		pace:       1,
+		need:       1,
 		hints:      newHintTable(config.Seed),
 		requests:   newTable[GlobalID, request](hashID),
 		kindStates: newTable[uint32, limitState[*kindQueue]](hashUint32),
@@ -138,7 +145,7 @@
 	}
 	p.lapsePermits(now)
 	p.expire(now)
-	p.shedOverloaded()
+	p.shedOverloaded(now)
 	if now >= p.nextCheck {
 		p.nextCheck = now + stragglerCheckInterval
 		p.checkStragglers(now)
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -12,6 +12,8 @@
 	usable bool
 	// free is the number of upstreams that can take a request now.
 	free int
+	// waiting counts the waiting requests of all tiers.
+	waiting int
 	// overlaps lists the classes that share a usable upstream with this one,
 	// itself included.
 	overlaps []overlap
@@ -34,7 +36,7 @@
 // class numbers are unchanged); those without a class are shed with NoUpstream. Requests in flight at an upstream that is
 // gone keep their permits until they are released.
 func (p *Pool) SetTopology(now time.Duration, t Topology) {
-	p.shedOverloaded() // the refusals refer to the old classes
+	p.shedOverloaded(now) // the refusals refer to the old classes
 	moved := p.takeWaiting()
 	old := p.upstreams
 	p.topology = t
