daemon, adminapi: refusals counted at the edge, second dispatch not carried out, team rights tested

Cause: refusals before submission were missing in the counters; nothing but the node kept a request from a second dispatch; the rights of teams had no test. Change: Backend.Refused, call.sent, internal/adminapi/operator_test.go; the daemon's tests take other addresses if one was taken meanwhile. Tested: go test -race ./internal/daemon ./internal/adminapi ./internal/httpfront, green.

--- /dev/null
+++ b/internal/adminapi/operator_test.go
@@ -0,0 +1,124 @@
+package adminapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/routing"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// backend records changes.
+type backend struct {
+	set     *configstate.Set
+	changes []Change
+	result  ChangeResult
+}
+
+func (b *backend) Apply(_ context.Context, c Change) (ChangeResult, bool) {
+	b.changes = append(b.changes, c)
+	return b.result, true
+}
+func (b *backend) Set() *configstate.Set                 { return b.set }
+func (b *backend) Status(context.Context) (Status, bool) { return Status{}, false }
+func (b *backend) Drain()                                {}
+func (b *backend) NotReady() string                      { return "starting" }
+func (b *backend) Explain(context.Context, routing.Request) (Explanation, bool) {
+	return Explanation{}, false
+}
+
+func tier(name, team string, version uint64) *pb.Object {
+	return &pb.Object{Meta: &pb.ObjectMeta{Kind: "Tier", Name: name, Version: version, Labels: map[string]string{"team": team}}, Spec: &pb.Object_Tier{Tier: &pb.TierSpec{}}}
+}
+
+func operatorObject(name, token, team string) *pb.Object {
+	return &pb.Object{Meta: &pb.ObjectMeta{Kind: "Operator", Name: name, Labels: map[string]string{"team": team}},
+		Spec: &pb.Object_Operator{Operator: &pb.OperatorSpec{TokenSha256: []string{digest(token)}, Team: team}}}
+}
+
+func newAPI() (*API, *backend) {
+	b := &backend{set: configstate.NewSet(5, []*pb.Object{
+		tier("ours", "red", 3), tier("theirs", "blue", 4),
+		operatorObject("red", "red-token", "red"), operatorObject("all", "all-token", ""),
+	}), result: ChangeResult{Accepted: true, Revision: 6}}
+	a := New(b, http.NotFoundHandler(), zerolog.Nop())
+	a.SetOperators(NewOperators(b.set, digest("first-token")))
+	return a, b
+}
+
+func call(a *API, method, path, token, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	a.ServeHTTP(w, r)
+	return w
+}
+
+// TestTeamBound guards against an operator of one team that changes objects of
+// another, moves them between teams or gives itself more rights.
+func TestTeamBound(t *testing.T) {
+	const objects = "/admin/v1/objects/"
+	for _, c := range []struct {
+		method, path, token, body string
+		status                    int
+	}{
+		{"PUT", objects + "Tier/ours", "red-token", `{"meta":{"labels":{"team":"red"}},"tier":{}}`, 200},
+		{"PUT", objects + "Tier/new", "red-token", `{"meta":{"labels":{"team":"red"}},"tier":{}}`, 200},
+		{"PUT", objects + "Tier/ours", "red-token", `{"meta":{"labels":{"team":"blue"}},"tier":{}}`, 403},
+		{"PUT", objects + "Tier/ours", "red-token", `{"tier":{}}`, 403},
+		{"PUT", objects + "Tier/theirs", "red-token", `{"meta":{"labels":{"team":"red"}},"tier":{}}`, 403},
+		{"PUT", objects + "Operator/red", "red-token", `{"meta":{"labels":{"team":"red"}},"operator":{}}`, 403},
+		{"DELETE", objects + "Tier/theirs", "red-token", "", 403},
+		{"DELETE", objects + "Tier/ours", "red-token", "", 200},
+		{"POST", "/admin/v1/apply", "red-token", `{"objects":[{"meta":{"kind":"Tier","name":"ours","labels":{"team":"red"}},"tier":{}},{"meta":{"kind":"Tier","name":"theirs"},"tier":{}}]}`, 403},
+		{"POST", "/admin/v1/drain", "red-token", "", 403},
+		{"PUT", objects + "Tier/theirs", "all-token", `{"tier":{}}`, 200},
+		{"PUT", objects + "Tier/theirs", "first-token", `{"tier":{}}`, 200},
+		{"PUT", objects + "Tier/theirs", "wrong", `{"tier":{}}`, 401},
+	} {
+		a, b := newAPI()
+		w := call(a, c.method, c.path, c.token, c.body)
+		require.Equal(t, c.status, w.Code, "%s %s %s: %s", c.method, c.path, c.token, w.Body)
+		require.Equal(t, c.status == 200, len(b.changes) == 1, "a refused change is not handed over")
+	}
+}
+
+// TestTeamChangeIsBoundToWhatWasChecked guards against overwriting an object
+// that was moved to another team after the check.
+func TestTeamChangeIsBoundToWhatWasChecked(t *testing.T) {
+	a, b := newAPI()
+	call(a, "PUT", "/admin/v1/objects/Tier/ours", "red-token", `{"meta":{"labels":{"team":"red"}},"tier":{}}`)
+	require.True(t, b.changes[0].Conditional)
+	require.Equal(t, uint64(3), b.changes[0].Puts[0].GetMeta().GetVersion())
+	call(a, "PUT", "/admin/v1/objects/Tier/ours", "all-token", `{"tier":{}}`)
+	require.False(t, b.changes[1].Conditional)
+}
+
+// TestChangeErrors guards against a lost answer of the store reported as a failure.
+func TestChangeErrors(t *testing.T) {
+	for code, status := range map[string]int{"conflict": 412, "invalid": 400, "store_unavailable": 503, "outcome_unknown": 503, "other": 500} {
+		a, b := newAPI()
+		b.result = ChangeResult{Code: code, Problems: []string{"p1"}}
+		w := call(a, "PUT", "/admin/v1/objects/Tier/ours", "all-token", `{"tier":{}}`)
+		require.Equal(t, status, w.Code)
+		require.Contains(t, w.Body.String(), `"code":"`+code+`"`)
+		require.Contains(t, w.Body.String(), "p1")
+	}
+	a, _ := newAPI()
+	require.Equal(t, 503, call(a, "GET", "/admin/v1/status", "all-token", "").Code)
+	require.Equal(t, 503, call(a, "GET", "/readyz", "", "").Code)
+}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -27,6 +27,8 @@
 	submitted time.Time
 	// wireID identifies the request at its upstream.
 	wireID string
+	// sent is true once a byte of the request may have reached an upstream.
+	sent bool
 }
 
 // run handles the node's actions until the request ends. ctx ends when the
@@ -41,6 +43,11 @@
 	for {
 		switch a := c.mailbox.next(wait).(type) {
 		case node.Dispatch:
+			if c.sent {
+				// The edge keeps its promise also against a fault in the decisions.
+				c.log("second dispatch not carried out", "internal", string(node.RanUnknown))
+				continue
+			}
 			if c.exchange(ctx, a) {
 				return
 			}
@@ -131,6 +138,7 @@
 		c.daemon.loop.post(node.DispatchFailed{ID: c.id})
 		return false
 	}
+	c.sent = true
 	if ctx.Err() != nil && result.Status == upstream.Canceled {
 		c.daemon.loop.post(node.CallerGone{ID: c.id})
 		return true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,7 +218,7 @@
 		Address: s.GetListen().GetCaller(), TLSCertificate: s.GetListen().GetTlsCertificate(), TLSKey: s.GetListen().GetTlsKey(),
 		MaxBodyBytes: int(limits.GetMaxBodyBytes()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
 		MaxConnections: int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
-		Handler: d.front, BadInput: httpfront.BadInputBody, Log: d.log,
+		Handler: d.front, BadInput: d.badInput, Log: d.log,
 	}
 	if d.callers, err = httpfront.NewServer(config); err != nil {
 		return err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -6,12 +6,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -83,10 +85,22 @@
 	entry string
 }
 
-// start runs an instance with the real node.
+// start runs an instance with the real node. It takes other addresses if
+// another process took one of them meanwhile.
 func (s *site) start(extra string) *instance {
 	s.t.Helper()
 	s.next++
+	for attempt := 0; ; attempt++ {
+		i, err := s.tryStart(extra)
+		if err == nil {
+			return i
+		}
+		require.True(s.t, errors.Is(err, syscall.EADDRINUSE) && attempt < 5, err)
+	}
+}
+
+func (s *site) tryStart(extra string) (*instance, error) {
+	s.t.Helper()
 	entry, admin := freeAddress(s.t), freeAddress(s.t)
 	text := fmt.Sprintf("[instance]\nname = entry-%d\nfailure_domain = z\nregion = r\n[listen]\ncaller = %s\nadmin = %s\npeer = %s\n[platform]\naddress = %s\n[bootstrap]\noperator_token_sha256 = %s\n%s",
 		s.next, entry, admin, freeAddress(s.t), s.platform, digest("op"), extra)
@@ -94,13 +108,15 @@
 	require.NoError(s.t, err)
 	d, err := New(loaded, zerolog.Nop(), func(cfg node.Config, seed uint64) Machine { return node.New(cfg, seed) })
 	require.NoError(s.t, err)
-	require.NoError(s.t, d.Start())
+	if err := d.Start(); err != nil {
+		return nil, err
+	}
 	s.t.Cleanup(func() {
 		if d.ctx.Err() == nil {
 			d.Close()
 		}
 	})
-	return &instance{Daemon: d, t: s.t, admin: admin, entry: entry}
+	return &instance{Daemon: d, t: s.t, admin: admin, entry: entry}, nil
 }
 
 // configure applies the test configuration and waits until it is in force.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -85,6 +85,15 @@
 // Refuse is sent back by the node.
 func (noAnswer) Refuse(httpfront.Refusal) {}
 
+// Refused counts a request that the caller edge refused.
+func (d *Daemon) Refused(code string) { d.metrics.Count("refusals", code) }
+
+// badInput counts input that never became a request and builds its answer.
+func (d *Daemon) badInput(problem httpfront.InputError) []byte {
+	d.Refused(problem.Code)
+	return httpfront.BadInputBody(problem)
+}
+
 // NewRequestID returns an id for a caller that named none.
 func (d *Daemon) NewRequestID() string {
 	return fmt.Sprintf("%s-%x", d.identity, d.nextID.Add(1))
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -37,6 +37,8 @@
 type backend struct {
 	serve  func(ctx context.Context, r *Request, answer Answer)
 	served atomic.Int64
+	// refused counts refusals by the edge.
+	refused atomic.Int64
 }
 
 func (b *backend) Serve(ctx context.Context, r *Request, answer Answer) {
@@ -48,6 +50,8 @@
 	return Discovery{TTLMs: 5000, Addresses: []string{"127.0.0.1:1"}, Ticket: "t", TicketTTLMs: 600000}, nil
 }
 
+func (b *backend) Refused(string) { b.refused.Add(1) }
+
 func (b *backend) NewRequestID() string { return "generated-1" }
 
 func digest(token string) string {
@@ -259,6 +263,7 @@
 		}
 	}
 	require.Equal(t, int64(1), f.served.Load(), "only the shed request reaches the backend")
+	require.Equal(t, int64(21), f.refused.Load(), "each other refusal but that of a bad id is counted once")
 	f.handler.access.Store(nil)
 	_, text := f.do(t, "POST", "/v1/chat/completions", chat)
 	require.Equal(t, "not_ready", refusalOf(t, text).Code)
--- a/internal/httpfront/handler.go
+++ b/internal/httpfront/handler.go
@@ -25,6 +25,8 @@
 	Serve(ctx context.Context, r *Request, answer Answer)
 	// Discover returns the addresses and the ticket of a discovery answer.
 	Discover(ctx context.Context) (Discovery, *Refusal)
+	// Refused counts a request that the edge refused before it was submitted.
+	Refused(code string)
 	// NewRequestID returns an id for a caller that named none.
 	NewRequestID() string
 }
@@ -81,6 +83,7 @@
 			// key is too long to be accepted anywhere.
 			refusal.Ran = node.RanUnknown
 		}
+		h.backend.Refused(refusal.Code)
 		h.log.Info().Str("request_id", id).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).Str("detail", refusal.Reason).Msg("request refused")
 		writeRefusal(w, id, *refusal)
 	}
