dispatch: NotOwner does not start a new attempt

Ruled out: ordering frames; large ones travel on streams of their own. Change: the attempt stays; a test for the case.

--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -67,14 +67,15 @@
 	t.end(r, refusal)
 }
 
-// NotOwner handles an answer that the holder does not own the pool.
+// NotOwner handles an answer that the holder does not own the pool. The attempt
+// stays the same: the holder may become the owner and learn of the request by a
+// Sync before this answer arrives, and its decision must then count.
 func (t *Table) NotOwner(now time.Duration, d Decision) {
 	r := t.current(d)
 	if r == nil || r.State != Waiting {
 		return
 	}
-	r.offered = false
-	t.retry(now, r, NotOwner)
+	t.delay(now, r, NotOwner)
 }
 
 // Failed handles a dispatch of which no byte reached the upstream's connection.
@@ -97,13 +98,18 @@
 	}
 }
 
-// retry starts a new attempt at the pool's present holder after a random
-// delay. Without budget it returns false; the record then waits as before and
-// is offered again by the slow repair timer, unless the caller ends it.
+// retry starts a new attempt at the pool's present holder after a random delay.
+// It returns false if there is no budget.
 func (t *Table) retry(now time.Duration, r *Record, reason string) bool {
 	r.Attempt++
-	r.offered = false
 	r.Holder = t.route(r.Pool).holder(t.cfg.Self)
+	return t.delay(now, r, reason)
+}
+
+// delay offers a waiting request again after a random time, or without budget
+// after a longer one; it then returns false.
+func (t *Table) delay(now time.Duration, r *Record, reason string) bool {
+	r.offered = false
 	if !t.budget.take() {
 		t.count("retries_denied", reason)
 		r.notBefore = now + deniedDelay + t.jitter()
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -358,3 +358,19 @@
 	}
 	require.Greater(t, len(moments), 3, "retries are not spread")
 }
+
+// TestDecisionAfterNotOwner guards against an instance that ignores its owner:
+// the owner learned of the request by a Sync after it had answered NotOwner, and
+// the answer arrives last.
+func TestDecisionAfterNotOwner(t *testing.T) {
+	table := dispatch.NewTable(dispatch.Config{Self: self, MaxRequests: 100, RetryBudgetPercent: -1})
+	table.SetOwner(0, pool, other)
+	submitOne(table, 1, dispatch.Limits{}, dispatch.Limits{})
+	d := dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: other}}
+	waiting, _ := table.Sync(0, pool, other)
+	require.Len(t, waiting, 1)
+	table.NotOwner(0, d)
+	table.Take()
+	table.Shed(0, d, dispatch.Refusal{Code: "shed_overload"})
+	require.Equal(t, []string{"shed_overload"}, endCodes(table.Take()))
+}
