node: a synchronisation does not wait for members that became suspect

Ruled out: a shorter synchronisation; it must outlast a slow member. Change: members that are not alive are taken off the list on every change.

--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -55,6 +55,7 @@
 	}
 	n.hostPools()
 	n.noteDeaths()
+	n.stopAwaiting()
 	for _, pool := range n.table.Pools() {
 		n.refreshRoute(routing.PoolID(pool))
 	}
@@ -217,6 +218,17 @@
 	n.ownership.dead = dead
 }
 
+// stopAwaiting gives up on reports of members that are not alive any more.
+func (n *Node) stopAwaiting() {
+	for _, h := range n.pools.list {
+		for _, entry := range slices.Clone(h.awaited) {
+			if m, known := n.view.Find(entry); !known || m.State != membership.Alive {
+				n.reported(h, entry)
+			}
+		}
+	}
+}
+
 func (n *Node) dropEntry(h *hostedPool, entry uint64) {
 	if items := h.ledger.of(entry); len(items) > 0 {
 		h.sched.DropEntry(n.now, entry)
