node: classes of requests follow the configuration; stalled pools keep theirs

The scheduler shed at once what it had refused, and lower tiers queued again afterwards were missed when the decisions went out. A request queued again also kept the class number of the old configuration. Ruled out: stepping a stalled pool; it may grant to a lower tier.

--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -15,13 +15,7 @@
 		if !h.dirty && n.now < h.sched.NextWake(n.now) {
 			continue
 		}
-		if !h.local && !n.view.Trusted() {
-			// After a pause nothing is granted until a member has answered.
-			continue
-		}
-		if h.syncing && (n.now < h.holdUntil || len(h.postponed) > 0) {
-			// Entries have not reported yet, or a postponed request still
-			// waits; granting now could serve a lower tier first.
+		if n.stalled(h) {
 			continue
 		}
 		h.dirty = false
@@ -34,6 +28,17 @@
 	return decided
 }
 
+// stalled reports whether a pool must decide nothing now. After a pause nothing
+// is granted until a member has answered. During a synchronisation, entries have
+// not reported yet, or a postponed request still waits; granting then could
+// serve a lower tier first.
+func (n *Node) stalled(h *hostedPool) bool {
+	if h.local {
+		return false
+	}
+	return !n.view.Trusted() || h.syncing && (n.now < h.holdUntil || len(h.postponed) > 0)
+}
+
 // decide passes a pool's decision on to the entry.
 func (n *Node) decide(h *hostedPool, d scheduler.Decision) {
 	it := h.ledger.get(d.ID)
@@ -88,6 +93,15 @@
 			h.sched.Submit(n.now, it.descriptor)
 		}
 	}
+	n.catchUp(h)
+}
+
+// catchUp applies a definition that changed while the pool was stalled.
+func (n *Node) catchUp(h *hostedPool) {
+	if def := n.routes.Pool(h.id); h.outdated && def != nil {
+		h.outdated = false
+		n.setTopology(h, def)
+	}
 }
 
 // inheritLimits starts from the limits that the former owner had learned, as
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -44,6 +44,8 @@
 	holdUntil time.Duration
 	awaited   []uint64
 	postponed []scheduler.GlobalID
+	// outdated is true if the definition changed while nothing was decided.
+	outdated bool
 	// askedAt is when an entry was last asked for its requests.
 	askedAt map[uint64]time.Duration
 }
@@ -92,21 +94,28 @@
 	h.sched.SetTopology(n.now, topology)
 }
 
-// renumber translates the upstream indices of permits to a new definition.
+// renumber translates the classes of descriptors and the upstreams of permits
+// to a new definition. A class that is gone gets a number that does not exist.
 func (h *hostedPool) renumber(def *routing.Pool) {
 	for _, it := range h.ledger.items {
-		if !it.granted {
-			continue
+		class, ok := def.ClassIndex(h.classOf(it))
+		if !ok {
+			class = uint32(len(def.Classes))
 		}
-		name := h.def.Upstreams[it.upstream].Name
-		if index, ok := h.upstreams[name]; ok {
-			it.upstream = index
-			continue
+		it.descriptor.Class = class
+		if it.granted {
+			it.upstream = h.upstreams[h.def.Upstreams[it.upstream].Name]
 		}
-		it.upstream = 0
 	}
 }
 
+func (h *hostedPool) classOf(it *item) routing.ClassID {
+	if int(it.descriptor.Class) >= len(h.def.Classes) {
+		return 0
+	}
+	return h.def.Classes[it.descriptor.Class].ID
+}
+
 func (n *Node) upstreamOf(u routing.Upstream) scheduler.Upstream {
 	return scheduler.Upstream{
 		Name: u.Name, Service: u.Spec.GetType() == "service",
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -50,7 +50,12 @@
 	n.dropPools()
 	if refresh {
 		for _, h := range n.pools.list {
-			n.setTopology(h, n.routes.Pool(h.id))
+			// A stalled pool keeps its definition until it decides again: a new
+			// one makes it shed what it has refused so far, and lower tiers
+			// that are reported before these decisions go out would be missed.
+			if h.outdated = n.stalled(h); !h.outdated {
+				n.setTopology(h, n.routes.Pool(h.id))
+			}
 		}
 	}
 	n.hostPools()
@@ -115,6 +120,7 @@
 		}
 	})
 	if len(h.awaited) == 0 {
+		n.catchUp(h)
 		return
 	}
 	h.syncing, h.syncUntil, h.holdUntil = true, n.now+syncTime, n.now+holdTime
