--- a/internal/simtest/trace.go
+++ b/internal/simtest/trace.go
@@ -61,6 +61,8 @@
 	Address  string
 	// Origin is the request that this one was forwarded for; zero if none.
 	Origin scheduler.GlobalID
+	// Key is the idempotency key, if any.
+	Key string
 }
 
 // Disturbance is a fault that hit one process.
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -33,6 +33,8 @@
 	// frame is lost.
 	Delay time.Duration
 	Loss  float64
+	// FrameBytes counts the encoded bytes of frames between instances.
+	FrameBytes uint64
 	// Jitter is added to Delay by chance for each frame, so that frames
 	// overtake each other, as small frames overtake large ones.
 	Jitter time.Duration
@@ -95,6 +97,8 @@
 	Prompt, Output uint32
 	Remaining      time.Duration
 	Key            string
+	// FirstAttempt is true if the caller vouches that it sent no call with Key before.
+	FirstAttempt bool
 }
 
 // NewWorld returns a world without instances.
@@ -320,6 +324,7 @@
 	if err != nil {
 		panic(err)
 	}
+	w.FrameBytes += uint64(len(encoded))
 	if w.cuts[[2]string{from.Address, a.Address}] || w.Loop.Rand.Float64() < w.Loss {
 		w.Trace.Disturbances = append(w.Trace.Disturbances,
 			Disturbance{w.Loop.Now(), from.Address, "lost"}, Disturbance{w.Loop.Now(), a.Address, "lost"})
@@ -357,7 +362,7 @@
 	i.flights[id] = &flight{spec: spec, caller: true}
 	i.step(node.SubmitRequest{
 		ID: id, Organisation: spec.Organisation, Kind: spec.Kind, Model: spec.Model, Labels: spec.Labels, PromptTokens: spec.Prompt,
-		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, Body: []byte(spec.Key),
+		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, FirstAttempt: spec.FirstAttempt, Body: []byte(spec.Key),
 	})
 	return r
 }
