--- a/cmd/citrongate/call.go
+++ b/cmd/citrongate/call.go
@@ -28,7 +28,7 @@
   citrongate call --kind chat --model small --message "hello"
   citrongate call --kind price --data '{"article":7}' --repeatable
   citrongate call --kind book --data '{"seat":7}' --keyed
-  citrongate call --kind book --data '{"seat":7}' --key order-4711`,
+  citrongate call --kind book --data '{"seat":7}' --key order-4711 --first`,
 		Flags: append([]cli.Flag{
 			&cli.StringSliceFlag{
 				Name: "entry", Value: []string{"127.0.0.1:8080"}, Sources: cli.EnvVars("CITRONGATE_ENTRY"),
@@ -44,6 +44,7 @@
 			&cli.StringFlag{Name: "content-type", Value: "application/json", Usage: "type of the body"},
 			&cli.BoolFlag{Name: "keyed", Usage: "form an idempotency key from a ticket"},
 			&cli.StringFlag{Name: "key", Usage: "idempotency `KEY` of the caller's own"},
+			&cli.BoolFlag{Name: "first", Usage: "no call with this --key was sent before"},
 			&cli.BoolFlag{Name: "repeatable", Usage: "running the call twice does no harm"},
 			&cli.DurationFlag{Name: "deadline", Value: 30 * time.Second, Usage: "time for the whole call, retries included"},
 			&cli.StringSliceFlag{Name: "label", Usage: "`KEY=VALUE`; may be repeated"},
@@ -93,12 +94,15 @@
 	request := &client.Request{
 		Kind: command.String("kind"), Model: command.String("model"), MaxTokens: command.Int("max-tokens"),
 		Stream: !command.Bool("no-stream"), ContentType: command.String("content-type"),
-		Key: command.String("key"), Keyed: command.Bool("keyed"), Repeatable: command.Bool("repeatable"),
+		Key: command.String("key"), Keyed: command.Bool("keyed"), First: command.Bool("first"), Repeatable: command.Bool("repeatable"),
 		Deadline: command.Duration("deadline"), Labels: labels, MaxAttempts: command.Int("attempts"),
 	}
 	if request.Key != "" && request.Keyed {
 		return nil, usage("--key and --keyed exclude each other")
 	}
+	if request.First && request.Key == "" {
+		return nil, usage("--first needs --key")
+	}
 	if request.Model == "" {
 		request.Stream = false
 		request.Body, err = callBody(command.String("data"))
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -48,6 +48,9 @@
 	// forms a key from a ticket.
 	Key   string
 	Keyed bool
+	// First says that no call with Key was sent before, so that a refusal can say
+	// whether the call ran.
+	First bool
 	// Repeatable says that running the call twice does no harm, so that it may be
 	// sent again after a broken answer.
 	Repeatable bool
@@ -299,7 +302,7 @@
 	}
 	if c.key != "" {
 		header.Set("Idempotency-Key", c.key)
-		if !c.mayHaveRun && c.request.Key == "" {
+		if !c.mayHaveRun && (c.request.Key == "" || c.request.First) {
 			// No earlier attempt under this key can have run.
 			header.Set("Citrongate-Attempt", "1")
 		}
--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -144,11 +144,10 @@
 	requireTruthful(t, f, outcomes)
 	requireWhole(t, outcomes, all)
 
-	keyed := &client.Request{Kind: "book", Key: "own-key-1", Body: []byte("{}"), Deadline: 5 * time.Second, MaxAttempts: 1}
-	result, err := client.NewCaller(f.callers(), callerToken, f.http).Do(context.Background(), keyed)
-	require.NoError(t, err)
-	require.Equal(t, "no", result.Ran, "a key without ticket needs the store")
-	require.Equal(t, "store_unavailable", result.Last().Refusal.Code)
+	keyed := &client.Request{Kind: "book", Key: "own-key-1", Body: []byte("{}"), Deadline: patience, MaxAttempts: 1, First: true}
+	require.Equal(t, "no", f.refusedWithoutStore(t, keyed), "a key without ticket needs the store")
+	keyed.First = false
+	require.Equal(t, "unknown", f.refusedWithoutStore(t, keyed), "an earlier call with the key may have run")
 
 	setOutage(`{"outage":false}`)
 	waitFor(t, "a change after the outage", func() bool {
@@ -162,6 +161,16 @@
 	})
 }
 
+// refusedWithoutStore sends a call that needs the store during an outage and
+// returns what the refusal says of whether it ran.
+func (f *fleet) refusedWithoutStore(t *testing.T, request *client.Request) string {
+	t.Helper()
+	result, err := client.NewCaller(f.callers(), callerToken, f.http).Do(context.Background(), request)
+	require.NoError(t, err)
+	require.Equal(t, "store_unavailable", result.Last().Refusal.Code)
+	return result.Ran
+}
+
 // TestLostStoreAnswer guards against a configuration change that is reported as
 // failed, or applied twice, when the store's answer is lost.
 func TestLostStoreAnswer(t *testing.T) {
