--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -35,6 +35,9 @@
 	Loss  float64
 	// FrameBytes counts the encoded bytes of frames between instances.
 	FrameBytes uint64
+	// Jitter is added to Delay by chance for each frame, so that frames
+	// overtake each other, as small frames overtake large ones.
+	Jitter time.Duration
 	// UncheckedAnswers is a mutation: the edge does not compare answer ids.
 	UncheckedAnswers bool
 	// SwapAnswers makes engines answer with another request's id now and then.
@@ -327,7 +330,11 @@
 			Disturbance{w.Loop.Now(), from.Address, "lost"}, Disturbance{w.Loop.Now(), a.Address, "lost"})
 		return
 	}
-	w.Loop.After(w.Delay, func() {
+	delay := w.Delay
+	if w.Jitter > 0 {
+		delay += time.Duration(w.Loop.Rand.Float64() * float64(w.Jitter))
+	}
+	w.Loop.After(delay, func() {
 		for _, to := range w.Instances {
 			if !to.Alive || to.Address != a.Address {
 				continue
