--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -82,6 +82,11 @@
 // post waits until the loop's queue takes the event; it returns false if the
 // loop has stopped. It must not be called by the loop's goroutine.
 func (l *loop) post(ev node.Event) bool {
+	select {
+	case <-l.stopped:
+		return false
+	default:
+	}
 	select {
 	case l.events <- ev:
 		return true
