--- a/pkg/binding/binding_test.go
+++ b/pkg/binding/binding_test.go
@@ -10,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
+
 	"github.com/citrongate/citrongate/pkg/store"
 	"github.com/citrongate/citrongate/pkg/store/storetest"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
+
 	"github.com/citrongate/citrongate/pkg/store"
 	"github.com/citrongate/citrongate/pkg/store/storetest"
 )
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -11,6 +11,8 @@
 	"k8s.io/apimachinery/pkg/labels"
 	"pgregory.net/rapid"
 
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
+
 	"github.com/citrongate/citrongate/pkg/configstate"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
--- a/pkg/store/budget_test.go
+++ b/pkg/store/budget_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
 )
 
 // TestBudgetNeverExceedsRate guards against a budget that starts more calls
