--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -48,6 +48,9 @@
 	// forms a key from a ticket.
 	Key   string
 	Keyed bool
+	// First says that no call with Key was sent before, so that a refusal can say
+	// whether the call ran.
+	First bool
 	// Repeatable says that running the call twice does no harm, so that it may be
 	// sent again after a broken answer.
 	Repeatable bool
@@ -299,7 +302,7 @@
 	}
 	if c.key != "" {
 		header.Set("Idempotency-Key", c.key)
-		if !c.mayHaveRun && c.request.Key == "" {
+		if !c.mayHaveRun && (c.request.Key == "" || c.request.First) {
 			// No earlier attempt under this key can have run.
 			header.Set("Citrongate-Attempt", "1")
 		}
@@ -377,7 +380,7 @@
 	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Code != "" && answer.Error.Ran != "" {
 		return answer.Error
 	}
-	if response.Header.Get("X-Request-Id") == id {
+	if id != "" && response.Header.Get("X-Request-Id") == id {
 		return nil
 	}
 	return &Refusal{Code: fmt.Sprintf("http_%d", response.StatusCode), Ran: "unknown", Reason: describe(response, body)}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -169,6 +169,10 @@
 		d.Close()
 		return err
 	}
+	if err := d.probe(); err != nil {
+		d.Close()
+		return err
+	}
 	d.goRun(func() { d.loop.run(d.ctx) })
 	d.goRun(d.compileConfigs)
 	d.goRun(d.keepRegistered)
@@ -187,6 +191,17 @@
 	return nil
 }
 
+// probe reports an address that cannot be listened on before anything starts.
+func (d *Daemon) probe() error {
+	if err := d.callers.Probe(); err != nil {
+		return fmt.Errorf("cannot listen on [listen] caller %s: %w", d.settings.GetListen().GetCaller(), err)
+	}
+	if err := d.operators.Probe(); err != nil {
+		return fmt.Errorf("cannot listen on [listen] admin %s: %w", d.settings.GetListen().GetAdmin(), err)
+	}
+	return nil
+}
+
 // listen builds the servers and opens the peer socket.
 func (d *Daemon) listen() error {
 	s, limits := d.settings, d.settings.GetLimits()
@@ -203,7 +218,7 @@
 		Address: s.GetListen().GetCaller(), TLSCertificate: s.GetListen().GetTlsCertificate(), TLSKey: s.GetListen().GetTlsKey(),
 		MaxBodyBytes: int(limits.GetMaxBodyBytes()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
 		MaxConnections: int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
-		Handler: d.front, BadInput: httpfront.BadInputBody,
+		Handler: d.front, BadInput: d.badInput, Log: d.log,
 	}
 	if d.callers, err = httpfront.NewServer(config); err != nil {
 		return err
@@ -240,8 +255,8 @@
 // Draining is closed when a planned stop has started, by Drain or by an operator.
 func (d *Daemon) Draining() <-chan struct{} { return d.draining }
 
-// Finish waits for the end of a planned stop: until no work is left and callers
-// have taken their answers. It returns early if ctx ends.
+// Finish waits for the end of a planned stop: until no work is left and the
+// kernel has all answers. It returns early if ctx ends.
 func (d *Daemon) Finish(ctx context.Context) {
 	select {
 	case <-d.drained:
@@ -253,7 +268,7 @@
 	defer stop()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for d.held.Load() > 0 || d.callers.Unsent() {
+	for d.held.Load() > 0 || d.callers.Busy() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
