scheduler: advise a retry time that follows the queue

Cause: every cascaded or expired request was told to come back in 30 s. Change: Retry-After is the expected wait of the same request, at least 1 s. Tested: TestRetryAfterFollowsTheQueue.

--- a/pkg/scheduler/learning_test.go
+++ b/pkg/scheduler/learning_test.go
@@ -209,3 +209,23 @@
 	p.tiers[2].flight = 10
 	require.InDelta(t, float64(8*time.Second)/200/needMargin, p.gapTarget(), 0.1*full)
 }
+
+// TestRetryAfterFollowsTheQueue guards against advice that does not depend on
+// the work that waits, which brings all shed callers back at once.
+func TestRetryAfterFollowsTheQueue(t *testing.T) {
+	adviceFor := func(queued int) time.Duration {
+		p := poolWith(Config{}, Upstream{Name: "a", Concurrency: 1, MaxConcurrency: 1})
+		for i := range uint64(queued) {
+			p.Submit(0, Descriptor{ID: GlobalID{1, i}, OutMean: 100, OutHigh: 100, Deadline: time.Hour})
+		}
+		p.Step(0, nil)
+		p.Submit(0, Descriptor{ID: GlobalID{2, 1}, OutMean: 10, OutHigh: 10, Deadline: 2 * time.Second})
+		out := p.Step(0, nil)
+		require.Len(t, out, 1)
+		require.Equal(t, Overload, out[0].Reason)
+		return out[0].RetryAfter
+	}
+	require.InDelta(t, float64(3*time.Second), float64(adviceFor(2)), float64(time.Second))
+	require.Greater(t, adviceFor(6), 2*adviceFor(2))
+	require.Equal(t, maxRetryAfter, adviceFor(100))
+}
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -22,7 +22,9 @@
 	overloadRise = 4 * time.Second
 	overloadFall = 10 * time.Second
 	// overloadStep bounds the time that one submission accounts for.
-	overloadStep            = 500 * time.Millisecond
+	overloadStep = 500 * time.Millisecond
+	// shedRetryAfter is the least delay advised after a shed.
+	shedRetryAfter          = time.Second
 	minRetryAfter           = 100 * time.Millisecond
 	maxRetryAfter           = 30 * time.Second
 	minCapacityFraction     = 0.02
@@ -190,7 +192,8 @@
 	}
 	if lowest > int(d.Tier) {
 		t := &p.tiers[lowest]
-		p.decideShed(t.lines[t.active[0]].tail, Overload, maxRetryAfter)
+		victim := t.lines[t.active[0]].tail
+		p.decideShed(victim, Overload, p.retryAfter(now, &victim.Descriptor))
 		return true
 	}
 	var largest *orgFlow
@@ -211,7 +214,7 @@
 	}
 	victim := newestOf(largest)
 	p.cascade(now, victim.Tier, victim.Class)
-	p.decideShed(victim, Overload, maxRetryAfter)
+	p.decideShed(victim, Overload, p.retryAfter(now, &victim.Descriptor))
 	return true
 }
 
@@ -241,7 +244,7 @@
 			}
 			p.cascade(now, lower, o.class)
 			for l.head != nil {
-				p.decideShed(l.head, Overload, maxRetryAfter)
+				p.decideShed(l.head, Overload, p.retryAfter(now, &l.head.Descriptor))
 			}
 		}
 	}
@@ -275,7 +278,7 @@
 			continue
 		}
 		p.cascade(now, r.Tier, r.Class)
-		p.decideShed(r, Expired, maxRetryAfter)
+		p.decideShed(r, Expired, p.retryAfter(now, &r.Descriptor))
 	}
 }
 
@@ -285,6 +288,12 @@
 	return r.orgFlow.state.heldBackSince(r.submitted) || r.orgFlow.kind.state.heldBackSince(r.submitted)
 }
 
+// retryAfter estimates when a request like the shed one could be admitted: when
+// the work that is served before it now is done.
+func (p *Pool) retryAfter(now time.Duration, d *Descriptor) time.Duration {
+	return max(shedRetryAfter, p.expectedWait(now, d, &p.classes[d.Class]))
+}
+
 // decideShed removes a waiting request and reports it.
 func (p *Pool) decideShed(r *request, reason ShedReason, retryAfter time.Duration) {
 	d := r.Descriptor
