dispatch: a full instance sheds a lower tier for a higher one

Cause: at max_requests an instance refused every request as limit_queue or limit_in_flight, also one of the top tier while it kept waiting requests of lower tiers. That is shedding under the name of a limit. Ruled out: asking the owner to shed lower tiers at other instances first; an owner's admission keeps queues far below the bound, so the case is rare. Change: the table sheds the newest waiting request of the lowest tier; the daemon's own bound is twice max_requests and only protects memory. Measured: TestFullTable fails without the change (request 5 is refused).

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,11 +12,13 @@
 
 // Serve answers one request of a caller.
 func (d *Daemon) Serve(ctx context.Context, r *httpfront.Request, answer httpfront.Answer) {
-	if d.held.Add(1) > d.maxRequests {
+	// The node decides at max_requests, since it can shed a lower tier for a
+	// higher one. This bound only keeps memory bounded while the node is slow.
+	if d.held.Add(1) > 2*d.maxRequests {
 		d.held.Add(-1)
-		d.metrics.Count("refusals", "limit_in_flight")
-		answer.Refuse(httpfront.Refusal{Code: "limit_in_flight", Ran: r.NotRun(),
-			Reason: fmt.Sprintf("this instance holds max_requests = %d requests", d.maxRequests),
+		d.metrics.Count("refusals", "shed_overload")
+		answer.Refuse(httpfront.Refusal{Code: "shed_overload", Ran: r.NotRun(),
+			Reason: fmt.Sprintf("this instance holds twice max_requests = %d requests", d.maxRequests),
 			Remedy: "retry at another instance of the discovery answer", RetryAfter: time.Second})
 		return
 	}
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -63,6 +63,7 @@
 	// poolIDs lists the keys of pools in order of first use.
 	poolIDs []uint64
 	limits  limiter
+	waiting waitingSet
 	budget  retryBudget
 	effects []Effect
 	// Entries is the number of live entries that share the limits.
@@ -127,18 +128,18 @@
 			Remedy: "send a deadline in the future"})
 		return
 	}
-	if len(t.records) >= t.cfg.MaxRequests {
-		t.refuseNew(r, Refusal{Code: "limit_queue", Reason: "this instance holds as many requests as it may",
-			Remedy: "retry at another instance of the discovery answer", RetryAfter: time.Second})
-		return
-	}
 	if code, flow, after := t.limits.admit(now, &r.Request, kind, org, t.Entries); code != "" {
 		t.refuseNew(r, Refusal{Code: code, Reason: "limit of " + flow + " reached",
 			Remedy: "send fewer requests or ask an operator to raise the limit", RetryAfter: after})
 		return
 	}
+	if !t.makeRoom(r.Tier) {
+		t.refuseNew(r, instanceFull("none of a lower tier waits"))
+		return
+	}
 	t.budget.firstAttempt()
 	t.records[r.ID] = r
+	t.waiting.add(r, t.cfg.MaxRequests)
 	p := t.route(r.Pool)
 	p.records = append(p.records, r)
 	t.limits.move(r, 0, Waiting)
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -296,6 +296,37 @@
 	}
 }
 
+// TestFullTable guards against a full table that refuses a higher tier while a
+// lower one waits, that sheds an equal or higher tier, or that grows.
+func TestFullTable(t *testing.T) {
+	table := dispatch.NewTable(dispatch.Config{Self: self, MaxRequests: 4})
+	submit := func(id dispatch.ID, tier uint8) []dispatch.Effect {
+		table.Submit(0, dispatch.Request{ID: id, Pool: pool, Class: 1, Tier: tier, Deadline: time.Minute}, dispatch.Limits{}, dispatch.Limits{})
+		return table.Take()
+	}
+	ended := func(effects []dispatch.Effect) (ids []dispatch.ID) {
+		for _, e := range effects {
+			if end, ok := e.(dispatch.Ended); ok {
+				require.Equal(t, "shed_overload", end.Refusal.Code)
+				require.Equal(t, dispatch.RanNo, end.Refusal.Ran)
+				ids = append(ids, end.ID)
+			}
+		}
+		return ids
+	}
+	for id, tier := range []uint8{2, 1, 2, 0} {
+		require.Empty(t, ended(submit(dispatch.ID(id+1), tier)))
+	}
+	table.Grant(0, dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: self}}, "u", true)
+	table.Take()
+	require.Equal(t, []dispatch.ID{3}, ended(submit(5, 1)), "the waiting request of the lowest tier goes, not the dispatched one")
+	require.Equal(t, []dispatch.ID{6}, ended(submit(6, 1)), "equal tiers do not shed each other")
+	require.Equal(t, []dispatch.ID{5}, ended(submit(7, 0)), "the newest of a lower tier goes first")
+	require.Equal(t, []dispatch.ID{2}, ended(submit(8, 0)))
+	require.Equal(t, []dispatch.ID{9}, ended(submit(9, 0)))
+	require.Equal(t, 4, table.Len())
+}
+
 // TestInFlightLimit guards against a limit that also counts waiting requests,
 // or that is not freed when a request ends.
 func TestInFlightLimit(t *testing.T) {
