httpfront: TLS for callers below nbhttp

Cause: with the edge's own reads below nbhttp's blocking mode, TLS connections got no answer; TestTLS hung. Ruled out: nbhttp's TLS (its loop reads the raw connection). Change: crypto/tls wraps the accepted connection; handshake within the read timeout and within the bound of connections. Measured: go test -race -count=2 ./internal/httpfront, green. Conclusion: none.

--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -1,6 +1,8 @@
 package httpfront
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -65,6 +67,9 @@
 func newConnection(s *Server, wrapped *nbhttp.Conn) *connection {
 	c := &connection{Conn: wrapped.Conn, server: s, wrapped: wrapped, awaiting: true}
 	c.idleAgain.L = &c.mu
+	if s.tls != nil {
+		c.Conn = tls.Server(wrapped.Conn, s.tls)
+	}
 	return c
 }
 
@@ -76,13 +81,20 @@
 		return 0, net.ErrClosed
 	}
 	defer c.server.online.Add(-1)
+	c.server.conns.Store(c, nil)
+	defer c.server.conns.Delete(c)
+	defer func() { _ = c.Conn.Close() }()
 	if c.server.online.Add(1) > int64(c.server.config.MaxConnections) {
-		c.answerError(tooManyConnections(c.server.config.MaxConnections))
+		if c.server.tls == nil {
+			// An answer over TLS would cost a handshake for each refusal.
+			c.answerError(tooManyConnections(c.server.config.MaxConnections))
+		}
 		return 0, net.ErrClosed
 	}
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
 	c.attach(parser)
-	c.server.conns.Store(c, nil)
-	defer c.server.conns.Delete(c)
 	for {
 		n, err := c.Conn.Read(buffer)
 		if n > 0 && !c.discarding() {
@@ -108,6 +120,17 @@
 	}
 }
 
+// handshake completes TLS, if it is used, within the time for a request.
+func (c *connection) handshake() error {
+	secure, ok := c.Conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(context.Background(), c.server.config.ReadTimeout)
+	defer stop()
+	return secure.HandshakeContext(ctx)
+}
+
 func (c *connection) attach(parser *nbhttp.Parser) {
 	c.proc = &processor{Processor: parser.Processor, connection: c, input: inputState{inHeader: true}}
 	parser.Processor = c.proc
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -4,6 +4,7 @@
 package httpfront
 
 import (
+	"crypto/tls"
 	"math"
 	"net"
 	"net/http"
@@ -11,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rs/zerolog"
@@ -74,6 +74,9 @@
 type Server struct {
 	config ServerConfig
 	engine *nbhttp.Engine
+	// tls is nil for plain HTTP. TLS is below nbhttp, which answers nothing on
+	// TLS connections in its blocking mode if their input is read elsewhere.
+	tls *tls.Config
 	// busy counts the requests whose answer is not handed to the kernel yet.
 	busy atomic.Int64
 	// conns holds the open connections, as keys of type *connection.
@@ -98,16 +101,14 @@
 		BlockingReadBufferSize: readBufferBytes,
 		KeepaliveTime:          idleTimeout,
 		Handler:                config.Handler,
+		Addrs:                  []string{config.Address},
 	}
-	if config.TLSCertificate == "" {
-		conf.Addrs = []string{config.Address}
-	} else {
+	if config.TLSCertificate != "" {
 		certificate, err := tls.LoadX509KeyPair(config.TLSCertificate, config.TLSKey)
 		if err != nil {
 			return nil, err
 		}
-		conf.AddrsTLS = []string{config.Address}
-		conf.TLSConfig = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+		s.tls = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
 	}
 	s.engine = nbhttp.NewEngine(conf)
 	s.engine.OnOpen(s.onOpen)
@@ -133,12 +134,7 @@
 }
 
 // Address is the listening address, with the port that was chosen if it was 0.
-func (s *Server) Address() string {
-	if len(s.engine.AddrsTLS) > 0 {
-		return s.engine.AddrsTLS[0]
-	}
-	return s.engine.Addrs[0]
-}
+func (s *Server) Address() string { return s.engine.Addrs[0] }
 
 // Online is the number of open connections.
 func (s *Server) Online() int { return int(s.online.Load()) }
