membership, node: no suspicion right after a pause; tickets only when ready

Change: a late ping round gives its target a whole interval; IssueTicket gives none while the instance is not ready; a test for the suspicion.

--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -87,7 +87,11 @@
 	if now < v.probe.next {
 		return
 	}
-	v.probe.next = max(v.probe.next+v.cfg.PingInterval, now)
+	v.probe.next += v.cfg.PingInterval
+	if v.probe.next < now {
+		// Ticks were late. The next target must have its whole interval too.
+		v.probe.next = now + v.cfg.PingInterval
+	}
 	v.failProbe(now)
 	v.dropRelays(now)
 	v.pingDead()
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -347,3 +347,19 @@
 	t.Fatal("no ping was sent")
 	return 0
 }
+
+// TestNoSuspicionRightAfterAPause guards against a member that is suspected
+// because the ping sent at the end of a pause had no time to be answered.
+func TestNoSuspicionRightAfterAPause(t *testing.T) {
+	v := membership.New(membership.Config{Self: membership.Member{Incarnation: 1, PeerAddress: address(1), Cell: "a"},
+		PingInterval: 500 * time.Millisecond, DeadAfter: 2 * time.Second, ListInterval: time.Second, Seed: 1})
+	v.Tick(0)
+	v.Apply(0, []*pb.MemberUpdate{{Incarnation: 2, State: pb.MemberState_MEMBER_STATE_ALIVE, PeerAddress: address(2), Cell: "a"}})
+	v.Tick(6 * time.Second)
+	for now := 6*time.Second + time.Millisecond; now < 6450*time.Millisecond; now += 20 * time.Millisecond {
+		v.Tick(now)
+		if m, _ := v.Find(2); m.State != membership.Alive {
+			t.Fatalf("%s %v after the pause", m.State, now-6*time.Second)
+		}
+	}
+}
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -97,9 +97,14 @@
 func (n *Node) UpstreamLeaving(name string) bool { return n.view.UpstreamLeaving(name) }
 
 // IssueTicket returns a ticket for idempotency keys whose home is this
-// instance, and the time for which it may be used.
+// instance, and the time for which it may be used. The ticket is empty while
+// the instance is not ready, since it could not run the keys, or not for long.
 func (n *Node) IssueTicket(now time.Duration) (ticket string, ttl time.Duration) {
-	return n.home.Issue(max(now, n.now))
+	n.now = max(now, n.now)
+	if !n.Ready() {
+		return "", 0
+	}
+	return n.home.Issue(n.now)
 }
 
 // discoveryHalf is the number of addresses from this instance's failure domain,
