--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,11 +12,13 @@
 
 // Serve answers one request of a caller.
 func (d *Daemon) Serve(ctx context.Context, r *httpfront.Request, answer httpfront.Answer) {
-	if d.held.Add(1) > d.maxRequests {
+	// The node decides at max_requests, since it can shed a lower tier for a
+	// higher one. This bound only keeps memory bounded while the node is slow.
+	if d.held.Add(1) > 2*d.maxRequests {
 		d.held.Add(-1)
-		d.metrics.Count("refusals", "limit_in_flight")
-		answer.Refuse(httpfront.Refusal{Code: "limit_in_flight", Ran: r.NotRun(),
-			Reason: fmt.Sprintf("this instance holds max_requests = %d requests", d.maxRequests),
+		d.metrics.Count("refusals", "shed_overload")
+		answer.Refuse(httpfront.Refusal{Code: "shed_overload", Ran: r.NotRun(),
+			Reason: fmt.Sprintf("this instance holds twice max_requests = %d requests", d.maxRequests),
 			Remedy: "retry at another instance of the discovery answer", RetryAfter: time.Second})
 		return
 	}
@@ -85,6 +87,15 @@
 // Refuse is sent back by the node.
 func (noAnswer) Refuse(httpfront.Refusal) {}
 
+// Refused counts a request that the caller edge refused.
+func (d *Daemon) Refused(code string) { d.metrics.Count("refusals", code) }
+
+// badInput counts input that never became a request and builds its answer.
+func (d *Daemon) badInput(problem httpfront.InputError) []byte {
+	d.Refused(problem.Code)
+	return httpfront.BadInputBody(problem)
+}
+
 // NewRequestID returns an id for a caller that named none.
 func (d *Daemon) NewRequestID() string {
 	return fmt.Sprintf("%s-%x", d.identity, d.nextID.Add(1))
