--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -50,11 +50,17 @@
 	n.dropPools()
 	if refresh {
 		for _, h := range n.pools.list {
-			n.setTopology(h, n.routes.Pool(h.id))
+			// A stalled pool keeps its definition until it decides again: a new
+			// one makes it shed what it has refused so far, and lower tiers
+			// that are reported before these decisions go out would be missed.
+			if h.outdated = n.stalled(h); !h.outdated {
+				n.setTopology(h, n.routes.Pool(h.id))
+			}
 		}
 	}
 	n.hostPools()
 	n.noteDeaths()
+	n.stopAwaiting()
 	for _, pool := range n.table.Pools() {
 		n.refreshRoute(routing.PoolID(pool))
 	}
@@ -114,6 +120,7 @@
 		}
 	})
 	if len(h.awaited) == 0 {
+		n.catchUp(h)
 		return
 	}
 	h.syncing, h.syncUntil, h.holdUntil = true, n.now+syncTime, n.now+holdTime
@@ -217,6 +224,17 @@
 	n.ownership.dead = dead
 }
 
+// stopAwaiting gives up on reports of members that are not alive any more.
+func (n *Node) stopAwaiting() {
+	for _, h := range n.pools.list {
+		for _, entry := range slices.Clone(h.awaited) {
+			if m, known := n.view.Find(entry); !known || m.State != membership.Alive {
+				n.reported(h, entry)
+			}
+		}
+	}
+}
+
 func (n *Node) dropEntry(h *hostedPool, entry uint64) {
 	if items := h.ledger.of(entry); len(items) > 0 {
 		h.sched.DropEntry(n.now, entry)
