node: a shed of an earlier attempt leaves the present one queued

An owner that resumed after a pause read an old report with attempt 2 of a request, which the scheduler shed at once, and then the present one with attempt 4. The shed of attempt 2 removed attempt 4 from the ledger; the entry ignored it as outdated, and the request waited for 300 ms while higher tiers were shed. Ruled out: a report that crossed the question (the present attempt had arrived); the retry delay of the entry (a report lists delayed requests too). Change: a decision on another attempt than the ledger's is not carried out.

--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -42,7 +42,10 @@
 // decide passes a pool's decision on to the entry.
 func (n *Node) decide(h *hostedPool, d scheduler.Decision) {
 	it := h.ledger.get(d.ID)
-	if it == nil || it.granted {
+	// A shed that the scheduler had already decided when a later attempt
+	// arrived must not remove that attempt: its entry would ignore the shed, and
+	// the request would wait unknown to the owner.
+	if it == nil || it.granted || it.descriptor.Attempt != d.Attempt {
 		if d.Reason == 0 {
 			h.sched.Release(n.now, scheduler.Completion{ID: d.ID, Outcome: scheduler.Unused})
 		}
--- a/pkg/node/hosted_test.go
+++ b/pkg/node/hosted_test.go
@@ -59,3 +59,28 @@
 	require.Len(t, h.def.Classes, 4)
 	require.Equal(t, before, classes())
 }
+
+// TestOutdatedShedKeepsLaterAttempt guards against a shed of an earlier attempt
+// that removes the present one from the ledger. The entry then ignores the
+// shed, and its request waits while higher tiers are shed.
+func TestOutdatedShedKeepsLaterAttempt(t *testing.T) {
+	n := New(Config{Name: "n", Incarnation: 1, Bootstrap: routedSet(1), TicketSecret: make([]byte, 32)}, 1)
+	now := time.Duration(0)
+	for ; now < 3*time.Second; now += 20 * time.Millisecond {
+		n.Step(now, Tick{}, nil)
+	}
+	h := n.pools.list[0]
+	id := scheduler.GlobalID{Entry: 2, Sequence: 1}
+	n.now = now
+	// The deadline has passed, so the scheduler sheds attempt 1 in its next step.
+	h.submit(now, scheduler.Descriptor{ID: id, Attempt: 1, Deadline: now - time.Second})
+	h.submit(now, scheduler.Descriptor{ID: id, Attempt: 2, Deadline: now + time.Minute})
+	decisions := h.sched.Step(now, nil)
+	require.Len(t, decisions, 2)
+	require.Equal(t, uint32(1), decisions[0].Attempt)
+	require.NotZero(t, decisions[0].Reason)
+	n.decide(h, decisions[0])
+	it := h.ledger.get(id)
+	require.NotNil(t, it)
+	require.Equal(t, uint32(2), it.descriptor.Attempt)
+}
