simtest: count frames, object calls and list reads

Cause: make scale needs the bytes per message kind and the calls at the platform. Ruled out: counting inside pkg/node, which must not know of measurements. Conclusion: no change for other users of simtest.

--- a/internal/simtest/platform.go
+++ b/internal/simtest/platform.go
@@ -38,6 +38,11 @@
 	// IgnoreVersions is a mutation: conditional updates always succeed.
 	IgnoreVersions bool
 
+	// Calls counts the operations on objects by kind, and Lists the reads of the
+	// instance list; refused ones are included.
+	Calls map[store.OpKind]int
+	Lists int
+
 	loop     *Loop
 	versions []listVersion
 	tokens   float64
@@ -47,7 +52,7 @@
 
 // NewPlatform returns an empty platform on the loop.
 func NewPlatform(loop *Loop) *Platform {
-	return &Platform{Objects: storetest.New(), loop: loop}
+	return &Platform{Objects: storetest.New(), Calls: map[store.OpKind]int{}, loop: loop}
 }
 
 // SetOutage starts or ends an outage.
@@ -79,6 +84,7 @@
 
 // List returns the list as a read at this moment sees it.
 func (p *Platform) List() ([]node.ListedInstance, bool) {
+	p.Lists++
 	if p.Outage || !p.admit() {
 		return nil, false
 	}
@@ -113,6 +119,7 @@
 // Call performs an operation and hands its result to done, in virtual time. A
 // slow write takes effect also if its caller has given up by then.
 func (p *Platform) Call(op store.Op, done func(store.Result)) {
+	p.Calls[op.Kind]++
 	latency := 3 * time.Millisecond
 	if p.Slow > 0 {
 		latency += time.Duration(p.loop.Rand.Float64() * float64(p.Slow))
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -40,6 +40,9 @@
 	// OnOrder, if set, is called when a process is about to send an order, so
 	// that a fault can hit it at that moment.
 	OnOrder func(*Instance)
+	// OnFrame, if set, is called for every frame that an instance sends, with
+	// the address of the receiver and the size of the encoded frame in bytes.
+	OnFrame func(from *Instance, to string, frame *pb.Frame, size int)
 	// IgnoreFencing is a mutation: upstreams accept orders with an old number.
 	IgnoreFencing bool
 
@@ -302,6 +305,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if w.OnFrame != nil {
+		w.OnFrame(from, a.Address, a.Frame, len(encoded))
+	}
 	if w.cuts[[2]string{from.Address, a.Address}] || w.Loop.Rand.Float64() < w.Loss {
 		w.Trace.Disturbances = append(w.Trace.Disturbances,
 			Disturbance{w.Loop.Now(), from.Address, "lost"}, Disturbance{w.Loop.Now(), a.Address, "lost"})
