configstate: push changed objects instead of whole segments

Cause: a change of one object moved its whole segment to every node. Ruled out: more segments. 256 would move 8 KB per change, but a cold start from the store would need 256 reads, 13 s of an instance's call budget; 16 need 17 reads. Change: ConfigPull says that the asker accepts deltas; ConfigPush carries the objects newer than the asker's revision of a segment and a hash of the new segment. If the hash does not agree, objects were deleted and the asker pulls the whole segment. Askers of an earlier release get segments as before. Tested: TestDeltasAgainstWholeSegments (random changes and deletes, pulled segments equal the source's), TestChangeOfOneObjectMovesLittle (bound: a tenth of the 2 KB/s budget), TestAskerWithoutDeltasGetsSegments, TestMachineAgainstModel.

--- a/pkg/configstate/catchup.go
+++ b/pkg/configstate/catchup.go
@@ -82,6 +82,8 @@
 	sentAt time.Duration
 	// got holds the segments in force and those received so far.
 	got segments
+	// whole marks segments that a delta did not bring up to date.
+	whole [SegmentCount]bool
 }
 
 // OnPeerRevision tells the machine which revision a peer has in force, and
@@ -99,7 +101,12 @@
 
 func (m *Machine) sendPull(now time.Duration) {
 	m.pull.sentAt = now
-	message := &pb.ConfigPull{SegmentRevisions: m.pull.got.revisions()}
+	message := &pb.ConfigPull{SegmentRevisions: m.pull.got.revisions(), AcceptsDeltas: true}
+	for i, whole := range m.pull.whole {
+		if whole {
+			message.SegmentRevisions[i] = 0
+		}
+	}
 	m.out.Pulls = append(m.out.Pulls, Pull{Peer: m.pull.peer, Message: message})
 }
 
@@ -120,13 +127,25 @@
 			continue
 		}
 		size := proto.Size(segment)
-		if len(push.Segments) > 0 && bytes+size > m.cfg.MaxPushBytes {
+		var delta *pb.ConfigDelta
+		if p.GetAcceptsDeltas() && theirs[i] > 0 {
+			if delta = deltaSince(segment, theirs[i]); 2*proto.Size(delta) < size {
+				size = proto.Size(delta)
+			} else {
+				delta = nil
+			}
+		}
+		if bytes > 0 && bytes+size > m.cfg.MaxPushBytes {
 			break
 		}
 		bytes += size
-		push.Segments = append(push.Segments, segment)
+		if delta != nil {
+			push.Deltas = append(push.Deltas, delta)
+		} else {
+			push.Segments = append(push.Segments, segment)
+		}
 	}
-	if len(push.Segments) == 0 {
+	if bytes == 0 {
 		return nil
 	}
 	return push
@@ -158,9 +177,21 @@
 	for _, segment := range p.GetSegments() {
 		i := segment.GetIndex()
 		if i < SegmentCount && segment.GetRevision() > s.got[i].GetRevision() {
-			s.got[i] = segment
+			s.got[i], s.whole[i] = segment, false
 			progress = true
 		}
 	}
+	for _, delta := range p.GetDeltas() {
+		i := delta.GetIndex()
+		if i >= SegmentCount || s.whole[i] || delta.GetBaseRevision() != s.got[i].GetRevision() || delta.GetRevision() <= delta.GetBaseRevision() {
+			continue
+		}
+		progress = true
+		if segment := applyDelta(s.got[i], delta); segment != nil {
+			s.got[i] = segment
+		} else {
+			s.whole[i] = true
+		}
+	}
 	return progress
 }
