node: bound load reports per upstream in large cells

Cause: every entry reported every upstream it had streams at, whenever the time between tokens moved by a quarter: 90 messages/s and 5,859 B/s per node in a cell of the target, against 2 KB/s for all control. A new stream without a token in its first window also counted as stalled. Ruled out: a wider dead band, which would delay straggler detection in small cells too. Change: in a cell of more than 8 live entries, reports of one upstream by one entry are (entries - 8) s apart, unless they show a slowdown beyond the target by half, its end, or a change of the stalled streams. Cells of today's sizes report as before. Streams count as stalled from their second window on. simtest: World.TokenReport, so that a run can report tokens as often as the daemon's edge. Conclusion: about one report per upstream and second for the whole cell.

--- a/internal/simtest/edge.go
+++ b/internal/simtest/edge.go
@@ -47,7 +47,7 @@
 		ID: i.globalID(id), Prompt: f.spec.Prompt, Output: output,
 		OnFirstToken: func() { w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamFirstToken{ID: id}) }) },
 		OnToken: func(total uint32) {
-			if total%8 == 0 {
+			if total%w.TokenReport == 0 {
 				w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamTokens{ID: id, Total: total}) })
 			}
 		},
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -40,6 +40,9 @@
 	// OnOrder, if set, is called when a process is about to send an order, so
 	// that a fault can hit it at that moment.
 	OnOrder func(*Instance)
+	// TokenReport is after how many tokens of a stream the edge tells the node;
+	// NewWorld sets 8.
+	TokenReport uint32
 	// OnFrame, if set, is called for every frame that an instance sends, with
 	// the address of the receiver and the size of the encoded frame in bytes.
 	OnFrame func(from *Instance, to string, frame *pb.Frame, size int)
@@ -99,7 +102,7 @@
 func NewWorld(seed uint64) *World {
 	loop := NewLoop(seed)
 	return &World{
-		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, seed: seed,
+		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, TokenReport: 8, seed: seed,
 		Engines: map[string]*Engine{}, Services: map[string]*Service{}, cuts: map[[2]string]bool{},
 		listed: map[string]node.ListedInstance{}, fencing: map[string]uint64{},
 	}
--- a/pkg/node/reports.go
+++ b/pkg/node/reports.go
@@ -21,6 +21,15 @@
 	// reportChange is the relative change of the time between tokens that is
 	// reported at once.
 	reportChange = 0.25
+	// reportSlower is the ratio at which a slowdown beyond the target, or its
+	// end, is reported at once in a cell of any size. It is below the ratio of
+	// 1.8 at which an owner takes an upstream for a straggler.
+	reportSlower = 1.5
+	// reportCell is the number of live entries up to which every change is
+	// reported at once. Beyond it, reports on one upstream by all entries
+	// together stay at about one per second: otherwise reports by each entry on
+	// each server of a cell of 61 exceed the budget of 2 KB/s several times.
+	reportCell = 8
 )
 
 // reportKey identifies what is observed: one upstream for one holder.
@@ -69,7 +78,8 @@
 		n.sendReport(key, n.reports[key])
 	}
 	for key, rep := range n.reports {
-		if rep.streams == 0 {
+		// An idle one is kept while it holds back the next report.
+		if rep.streams == 0 && n.now-rep.sentAt >= n.reportPause() {
 			delete(n.reports, key)
 			continue
 		}
@@ -80,10 +90,15 @@
 // observe adds one stream to the window.
 func (rep *report) observe(r *dispatch.Record) {
 	rep.streams++
-	before := rep.before[r.ID]
+	if r.State != dispatch.Streaming {
+		return
+	}
 	rep.tokens[r.ID] = r.Tokens
+	before, observed := rep.before[r.ID]
 	switch {
-	case r.State != dispatch.Streaming:
+	case !observed:
+		// The edge may coalesce tokens, so a stream in its first window may
+		// show none although it progresses.
 	case r.Tokens == before:
 		rep.stalled++
 	case before > 0:
@@ -120,10 +135,33 @@
 	if !changed && n.now-rep.sentAt < reportAtLeast {
 		return
 	}
+	if n.now-rep.sentAt < n.reportPause() && !n.urgent(rep, now) {
+		return
+	}
 	rep.sentStalled, rep.sentInterTokenUs, rep.sentAt = now.Stalled, now.InterTokenUs, n.now
 	n.send(key.holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Progress{Progress: now}})
 }
 
+// reportPause is the least time between two reports on one upstream, urgent
+// ones apart.
+func (n *Node) reportPause() time.Duration {
+	return time.Second * time.Duration(max(0, n.view.LiveCount()-reportCell))
+}
+
+// urgent tells whether a report may show a straggler, or the end of one.
+func (n *Node) urgent(rep *report, now *pb.Progress) bool {
+	if rep.sentAt == 0 || now.Stalled != rep.sentStalled {
+		return true
+	}
+	target := float64(n.cfg.TargetInterToken / time.Microsecond)
+	before, after := float64(rep.sentInterTokenUs), float64(now.InterTokenUs)
+	if before == 0 || after == 0 {
+		// There was no streaming answer yet, or there is none any more.
+		return after > target
+	}
+	return max(before, after) > target && max(before, after) >= reportSlower*min(before, after)
+}
+
 func relativeChange(a, b uint32) float64 {
 	if a == b {
 		return 0
