--- /dev/null
+++ b/internal/simtest/cmd/scale/memory.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/store"
+	"github.com/citrongate/citrongate/pkg/store/storetest"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+func applySmall(s shape) node.ApplyChange { return node.ApplyChange{Change: 1, Puts: s.objects()} }
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return float64(memory.HeapAlloc)
+}
+
+// targetShape is the configuration at the target; the node that is measured is
+// in the first of its cells.
+func targetShape() shape {
+	return shape{nodes: targetNodes, cellSize: 61, upstreams: targetUpstreams, organisations: targetOrganisations, models: targetModels}
+}
+
+// loadedNode returns a node that decoded the configuration, as one does that
+// received it from a peer, and has it in force.
+func loadedNode(s shape) *node.Node {
+	objects := decoded(s.objects())
+	config := s.config(0)
+	config.Incarnation = 1
+	config.Bootstrap = configstate.NewSet(1, objects)
+	n := node.New(config, 1)
+	n.Step(time.Second, node.Tick{}, nil)
+	return n
+}
+
+func decoded(objects []*pb.Object) []*pb.Object {
+	out := make([]*pb.Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, clone(o))
+	}
+	return out
+}
+
+// nodeHeap returns the bytes that a node with its configuration holds.
+func nodeHeap(s shape) float64 {
+	before := heap()
+	n := loadedNode(s)
+	used := heap() - before
+	runtime.KeepAlive(n)
+	return used
+}
+
+// measureMemory measures the memory of a node by what it depends on.
+func measureMemory(r *report) {
+	whole := targetShape()
+	full := nodeHeap(whole)
+	r.add("memory_configuration", targetNodes, full, "B/node")
+	fewer := whole
+	fewer.organisations /= 2
+	r.add("memory_organisation", targetNodes, (full-nodeHeap(fewer))/float64(whole.organisations-fewer.organisations), "B/organisation")
+	fewer = whole
+	fewer.upstreams /= 2
+	r.add("memory_upstream", targetNodes, (full-nodeHeap(fewer))/float64(whole.upstreams-fewer.upstreams), "B/upstream")
+	r.add("memory_waiting_request", targetNodes, waitingMemory(), "B/request")
+	r.add("memory_peer", targetNodes, peerMemory(), "B/member")
+}
+
+// waitingMemory measures a request that waits at its entry and in its pool, for
+// an upstream that has no capacity left.
+func waitingMemory() float64 {
+	const requests = 4000
+	s := shape{nodes: 1, cellSize: 1, upstreams: 1, organisations: 10, models: 1}
+	n := loadedNode(s)
+	submit := func(first, count int) {
+		for i := range count {
+			n.Step(2*time.Second, node.SubmitRequest{ID: node.RequestID(first + i), Organisation: organisationName(i % 10), Kind: kindName(0),
+				Model: modelName(0), PromptTokens: 100, MaxOutputTokens: 16, Remaining: 10 * time.Minute}, nil)
+		}
+	}
+	submit(1, 200)
+	before, waiting := heap(), totalWaiting(n)
+	submit(1000, requests)
+	used, added := heap()-before, totalWaiting(n)-waiting
+	runtime.KeepAlive(n)
+	return used / float64(max(added, 1))
+}
+
+func totalWaiting(n *node.Node) int {
+	count := 0
+	for _, p := range n.PoolSummaries() {
+		count += p.Waiting
+	}
+	return count
+}
+
+// peerMemory measures a member of the cell.
+func peerMemory() float64 {
+	const members = 2000
+	s := shape{nodes: 1, cellSize: 1, upstreams: 1, organisations: 1, models: 1}
+	n := loadedNode(s)
+	before := heap()
+	for i := range members {
+		host := fmt.Sprintf("10.1.%d.%d", i/250, i%250)
+		update := &pb.MemberUpdate{Incarnation: uint64(1000 + i), State: pb.MemberState_MEMBER_STATE_ALIVE, Cell: cellName(0),
+			FailureDomain: cellName(0), PeerAddress: host + ":1", CallerAddress: host + ":2", AdminAddress: host + ":3"}
+		frame := &pb.Frame{From: 7, Messages: []*pb.PeerMessage{{Body: &pb.PeerMessage_MemberUpdates{MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{update}}}}}}
+		n.Step(time.Second, node.FrameReceived{Frame: frame}, nil)
+	}
+	used := heap() - before
+	runtime.KeepAlive(n)
+	return used / members
+}
+
+// machines are a configuration machine with a set in force, and its fake store.
+type machines struct {
+	store *storetest.Fake
+	now   time.Duration
+}
+
+// run carries out all calls of a machine and returns the number of calls.
+func (s *machines) run(m *configstate.Machine) (calls int, done []configstate.Done) {
+	for {
+		out := m.Take()
+		done = append(done, out.Done...)
+		if len(out.Calls) == 0 {
+			return calls, done
+		}
+		for _, call := range out.Calls {
+			calls++
+			s.now += time.Millisecond
+			m.OnStoreResult(s.now, call.ID, s.store.Do(call.Op, storetest.None))
+		}
+	}
+}
+
+// measureChangePayload measures the bytes that one change of one object moves
+// to each node at the target, and those of the head that readers poll.
+func measureChangePayload(r *report) {
+	s := &machines{store: storetest.New()}
+	first := configstate.New(configstate.Config{Incarnation: 1, IDs: &store.IDSource{}})
+	second := configstate.New(configstate.Config{Incarnation: 2, IDs: &store.IDSource{}})
+	first.Apply(s.now, configstate.Change{ID: 1, Puts: targetShape().objects()})
+	s.run(first)
+	second.ReadHead(s.now)
+	loadCalls, _ := s.run(second)
+	r.add("configuration_load", targetNodes, float64(loadCalls), "store calls/cold start without peers")
+	first.Apply(s.now, configstate.Change{ID: 2, Puts: []*pb.Object{changedOrganisation(5, 2)}})
+	changeCalls, _ := s.run(first)
+	r.add("change_store_calls", targetNodes, float64(changeCalls), "calls/change")
+	bytes := pullBytes(s, first, second)
+	r.add("change_payload", targetNodes, bytes, "B/change/node")
+	head := s.store.Current("config/head")
+	r.add("head_bytes", targetNodes, float64(len(head.Value)), "B/read")
+}
+
+// pullBytes lets one machine pull what another has newer, and counts bytes.
+func pullBytes(s *machines, from, to *configstate.Machine) float64 {
+	bytes := 0
+	to.OnPeerRevision(s.now, 1, from.Current().Revision)
+	for range 100 {
+		out := to.Take()
+		if len(out.Pulls) == 0 {
+			break
+		}
+		for _, pull := range out.Pulls {
+			push := from.OnPull(pull.Message)
+			bytes += size(pull.Message) + size(push) + 2*frameOverhead
+			if push != nil {
+				to.OnPush(s.now, pull.Peer, push)
+			}
+		}
+	}
+	if to.Current().Revision != from.Current().Revision {
+		panic("the pulled configuration did not come into force")
+	}
+	return float64(bytes)
+}
