--- /dev/null
+++ b/internal/proctest/datapath/entry/main.go
@@ -0,0 +1,59 @@
+// Command entry runs one entry instance as the daemon does, and writes a
+// processor profile when it is told to stop. It is used by the data path
+// measurement only.
+package main
+
+import (
+	"flag"
+	"os"
+	"os/signal"
+	"runtime/pprof"
+	"syscall"
+
+	"github.com/citrongate/citrongate/internal/daemon"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+func main() {
+	config := flag.String("c", "", "settings file")
+	profile := flag.String("profile", "", "write a processor profile to this file")
+	flag.Parse()
+	if err := run(*config, *profile); err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+func run(config, profile string) error {
+	loaded, err := settings.Load(config)
+	if err != nil {
+		return err
+	}
+	log := telemetry.NewLogger(os.Stderr, loaded.GetLog().GetLevel())
+	telemetry.RouteNBIO(log)
+	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) daemon.Machine { return node.New(cfg, seed) })
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	defer d.Close()
+	if profile != "" {
+		file, err := os.Create(profile)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	return nil
+}
