simtest: part two regions, in make scale for an hour

Change: World.NoPlatform names processes that cannot reach the platform; scale parts two regions with changes every 20 s and requests on both sides, and joins them.

--- a/internal/simtest/cmd/scale/main.go
+++ b/internal/simtest/cmd/scale/main.go
@@ -47,6 +47,9 @@
 	slowest := reportChanges(r, small, measureSeeds(small, seed, seeds, workers))
 	large := shape{nodes: 512, cellSize: 64, upstreams: 64, organisations: 50, models: 4}
 	slowest = max(slowest, reportChanges(r, large, measureSeeds(large, seed, 3, workers)))
+	measureDense(r, seed)
+	measureFlood(r, 32, seed)
+	reportRegionLoss(r, seed)
 	r.fits()
 	judge(r, slowest)
 }
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -9,6 +9,7 @@
 
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/scheduler"
+	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -40,6 +41,8 @@
 	// OnOrder, if set, is called when a process is about to send an order, so
 	// that a fault can hit it at that moment.
 	OnOrder func(*Instance)
+	// NoPlatform holds the addresses of processes that cannot reach the platform.
+	NoPlatform map[string]bool
 	// TokenReport is after how many tokens of a stream the edge tells the node;
 	// NewWorld sets 8.
 	TokenReport uint32
@@ -276,9 +279,17 @@
 	case node.RunForwarded:
 		i.flights[a.ID] = &flight{spec: Spec{Kind: a.Call.Kind, Organisation: a.Call.Organisation, Key: a.Call.Key}}
 	case node.StoreCall:
+		if w.NoPlatform[i.Address] {
+			w.Loop.After(callTimeout, func() { i.step(node.StoreDone{Call: a.Call, Result: storeResult{Status: store.Unavailable}}) })
+			return
+		}
 		w.Platform.Call(a.Op, func(r storeResult) { i.step(node.StoreDone{Call: a.Call, Result: r}) })
 	case node.ListInstances:
 		w.Loop.After(2*time.Millisecond, func() {
+			if w.NoPlatform[i.Address] {
+				i.step(node.InstanceList{})
+				return
+			}
 			lines, ok := w.Platform.List()
 			i.step(node.InstanceList{OK: ok, Instances: lines})
 		})
