scale: run measurements without processor time in parallel; fix the memory of a waiting request

Change: jobs with reports of their own, merged in order; the measurement now fails unless requests wait.

--- a/internal/proctest/datapath/entry/main.go
+++ b/internal/proctest/datapath/entry/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/pprof"
 	"syscall"
 
@@ -19,14 +20,15 @@
 func main() {
 	config := flag.String("c", "", "settings file")
 	profile := flag.String("profile", "", "write a processor profile to this file")
+	heap := flag.String("heap", "", "write a profile of the memory in use to this file at the end")
 	flag.Parse()
-	if err := run(*config, *profile); err != nil {
+	if err := run(*config, *profile, *heap); err != nil {
 		_, _ = os.Stderr.WriteString(err.Error() + "\n")
 		os.Exit(1)
 	}
 }
 
-func run(config, profile string) error {
+func run(config, profile, heap string) error {
 	loaded, err := settings.Load(config)
 	if err != nil {
 		return err
@@ -55,5 +57,18 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
+	if heap != "" {
+		return writeHeap(heap)
+	}
 	return nil
 }
+
+func writeHeap(name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	runtime.GC()
+	return pprof.WriteHeapProfile(file)
+}
--- a/internal/proctest/datapath/main.go
+++ b/internal/proctest/datapath/main.go
@@ -41,9 +41,10 @@
 	seconds := flag.Int("seconds", 5, "duration of each measurement")
 	profile := flag.String("profile", "", "write the entry's processor profile of the first measurement to this file")
 	organisations := flag.Int("organisations", 0, "further organisations in the configuration")
+	rest := flag.Bool("rest", false, "measure memory at rest only")
 	upstreams := flag.Int("upstreams", 0, "further upstreams, of another failure domain, in the configuration")
 	flag.Parse()
-	b := &bench{dir: *dir, duration: time.Duration(*seconds) * time.Second, profile: *profile, organisations: *organisations, upstreams: *upstreams}
+	b := &bench{dir: *dir, duration: time.Duration(*seconds) * time.Second, profile: *profile, organisations: *organisations, upstreams: *upstreams, restOnly: *rest}
 	err := b.run()
 	b.stop()
 	if err != nil {
@@ -57,6 +58,7 @@
 	duration                 time.Duration
 	profile                  string
 	organisations, upstreams int
+	restOnly                 bool
 	started                  []*exec.Cmd
 	entry                    *exec.Cmd
 	caller, admin            string
@@ -104,6 +106,9 @@
 	if err := b.memoryAtRest(); err != nil {
 		return err
 	}
+	if b.restOnly {
+		return nil
+	}
 	for _, load := range []struct {
 		name         string
 		open, tokens int
@@ -144,7 +149,7 @@
 	if err := os.WriteFile(file, []byte(ini), 0o600); err != nil {
 		return err
 	}
-	if b.entry, err = b.start("entry", "bin/datapath-entry", "-c", file, "-profile", b.profile); err != nil {
+	if b.entry, err = b.start("entry", "bin/datapath-entry", "-c", file, "-profile", b.profile, "-heap", filepath.Join(b.dir, "heap.prof")); err != nil {
 		return err
 	}
 	if err := until(10*time.Second, func() bool { return b.admitted("GET", "/admin/v1/status", "") == nil }); err != nil {
--- a/internal/simtest/cmd/scale/change.go
+++ b/internal/simtest/cmd/scale/change.go
@@ -117,8 +117,8 @@
 	return results
 }
 
-func reportChanges(r *report, s shape, results []propagation) (slowest float64) {
-	bytes, accepted := 0.0, 0
+func reportChanges(r *report, s shape, results []propagation) {
+	slowest, bytes, accepted := 0.0, 0.0, 0
 	for _, p := range results {
 		slowest = max(slowest, p.slowest.Seconds())
 		bytes += p.bytes / float64(len(results))
@@ -127,5 +127,4 @@
 	r.add("change_in_force_slowest", s.nodes, slowest, "s")
 	r.add("change_bytes_small_set", s.nodes, bytes, "B/change/node")
 	r.add("changes_accepted", s.nodes, float64(accepted)/float64(changesPerSeed*len(results)), "share")
-	return slowest
 }
--- a/internal/simtest/cmd/scale/dense.go
+++ b/internal/simtest/cmd/scale/dense.go
@@ -15,7 +15,7 @@
 const (
 	denseRequests = float64(targetRequests) / targetNodes
 	denseTokens   = targetTokens / targetRequests
-	denseWarmUp   = 16 * time.Second
+	denseWarmUp   = 40 * time.Second
 	denseTime     = 4 * time.Second
 )
 
--- a/internal/simtest/cmd/scale/main.go
+++ b/internal/simtest/cmd/scale/main.go
@@ -5,8 +5,10 @@
 package main
 
 import (
+	"bytes"
 	"flag"
 	"os"
+	"sync"
 )
 
 func main() {
@@ -40,16 +42,39 @@
 	for _, nodes := range []int{8, 32, 128} {
 		measureRequests(r, ofNodes(nodes), seed)
 	}
-	for _, nodes := range []int{8, 32, 128, 512} {
-		measureStoreCalls(r, ofNodes(nodes), seed)
-	}
+	measureDense(r, seed)
 	small := shape{nodes: 32, cellSize: 8, upstreams: 32, organisations: 50, models: 4}
-	slowest := reportChanges(r, small, measureSeeds(small, seed, seeds, workers))
 	large := shape{nodes: 512, cellSize: 64, upstreams: 64, organisations: 50, models: 4}
-	slowest = max(slowest, reportChanges(r, large, measureSeeds(large, seed, 3, workers)))
-	measureDense(r, seed)
-	measureFlood(r, 32, seed)
-	reportRegionLoss(r, seed)
+	jobs := []func(*report){
+		func(r *report) { reportChanges(r, large, measureSeeds(large, seed, 3, 3)) },
+		func(r *report) { reportChanges(r, small, measureSeeds(small, seed, seeds, 1)) },
+		func(r *report) { reportRegionLoss(r, seed) },
+		func(r *report) { measureFlood(r, 32, seed) },
+	}
+	for _, nodes := range []int{8, 32, 128, 512} {
+		jobs = append(jobs, func(r *report) { measureStoreCalls(r, ofNodes(nodes), seed) })
+	}
+	runJobs(r, jobs, workers)
 	r.fits()
-	judge(r, slowest)
+	judge(r)
+}
+
+// runJobs runs measurements that do not measure processor time, some at the same
+// time, and prints their lines in order.
+func runJobs(r *report, jobs []func(*report), workers int) {
+	reports, lines := make([]*report, len(jobs)), make([]bytes.Buffer, len(jobs))
+	slots := make(chan struct{}, workers)
+	var wait sync.WaitGroup
+	for n, job := range jobs {
+		reports[n] = newReport(&lines[n])
+		slots <- struct{}{}
+		wait.Go(func() {
+			job(reports[n])
+			<-slots
+		})
+	}
+	wait.Wait()
+	for n := range jobs {
+		r.merge(reports[n], lines[n].String())
+	}
 }
--- a/internal/simtest/cmd/scale/memory.go
+++ b/internal/simtest/cmd/scale/memory.go
@@ -76,12 +76,15 @@
 // an upstream that has no capacity left.
 func waitingMemory() float64 {
 	const requests = 4000
-	s := shape{nodes: 1, cellSize: 1, upstreams: 1, organisations: 10, models: 1}
+	s := shape{nodes: 1, cellSize: 1, upstreams: 1, organisations: 10, models: 1, concurrency: 1}
 	n := loadedNode(s)
+	for now := 2 * time.Second; now <= 5*time.Second; now += 100 * time.Millisecond {
+		n.Step(now, node.Tick{}, nil)
+	}
 	submit := func(first, count int) {
 		for i := range count {
-			n.Step(2*time.Second, node.SubmitRequest{ID: node.RequestID(first + i), Organisation: organisationName(i % 10), Kind: kindName(0),
-				Model: modelName(0), PromptTokens: 100, MaxOutputTokens: 16, Remaining: 10 * time.Minute}, nil)
+			n.Step(5*time.Second, node.SubmitRequest{ID: node.RequestID(first + i), Organisation: organisationName(i % 10), Kind: kindName(0),
+				Model: modelName(0), PromptTokens: 1, MaxOutputTokens: 1, Remaining: 10 * time.Minute}, nil)
 		}
 	}
 	submit(1, 200)
@@ -89,7 +92,10 @@
 	submit(1000, requests)
 	used, added := heap()-before, totalWaiting(n)-waiting
 	runtime.KeepAlive(n)
-	return used / float64(max(added, 1))
+	if added < requests/2 {
+		panic("too few requests wait for a measurement of their memory")
+	}
+	return used / float64(added)
 }
 
 func totalWaiting(n *node.Node) int {
--- a/internal/simtest/cmd/scale/report.go
+++ b/internal/simtest/cmd/scale/report.go
@@ -92,6 +92,18 @@
 	return constant + slope*targetNodes
 }
 
+// merge takes over the lines and the values of another report.
+func (r *report) merge(other *report, lines string) {
+	fmt.Fprint(r.out, lines)
+	for _, quantity := range other.order {
+		if _, ok := r.series[quantity]; !ok {
+			r.order = append(r.order, quantity)
+		}
+		r.units[quantity] = other.units[quantity]
+		r.series[quantity] = append(r.series[quantity], other.series[quantity]...)
+	}
+}
+
 func (r *report) fits() {
 	for _, quantity := range r.order {
 		if len(r.series[quantity]) < 2 {
