--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -5,10 +5,24 @@
 const (
 	// limitRetryAfter is the delay advised after a refusal by a limit.
 	limitRetryAfter = time.Second
-	// admitFraction is the part of a request's slack that its expected wait may
-	// take. The rest covers errors of the estimate; a request that starts at
+	// The expected wait of a new request may take burstFraction of its slack
+	// after a calm time, falling to steadyFraction in lasting overload. A long
+	// queue helps in a burst, since the work can be done later. In lasting
+	// overload it only makes every answer later, and a request that starts at
 	// its latest start time misses its deadline one time in ten.
-	admitFraction           = 0.25
+	burstFraction  = 0.5
+	steadyFraction = 0.05
+	// Below the top tier, the wait may take waitFraction of what remains of the
+	// slack after serviceMargin times the service time: work with a long
+	// deadline can still be done when the overload ends.
+	waitFraction  = 0.5
+	serviceMargin = 1.0
+	// overloadRise and overloadFall are the times in which a line counts as
+	// lastingly overloaded, and as calm again.
+	overloadRise = 4 * time.Second
+	overloadFall = 10 * time.Second
+	// overloadStep bounds the time that one submission accounts for.
+	overloadStep            = 500 * time.Millisecond
 	minRetryAfter           = 100 * time.Millisecond
 	maxRetryAfter           = 30 * time.Second
 	minCapacityFraction     = 0.02
@@ -29,6 +43,7 @@
 	c := &p.classes[d.Class]
 	idle := c.idle.serviceTime(d.Prompt, d.OutMean)
 	loaded := c.loaded.serviceTime(d.Prompt, max(d.OutMean, d.OutHigh))
+	p.learnNeed(&d, d.Deadline-now, c.loaded.perPrompt)
 	slack := d.Deadline - now - idle
 	if slack < 0 {
 		p.refuse(d, Infeasible, 0)
@@ -39,8 +54,13 @@
 	latest := max(d.Deadline-loaded, now+time.Duration(float64(slack)*latestStartMeanFraction))
 	latest = min(latest, d.Deadline-idle)
 	wait := p.expectedWait(now, &d, c)
-	if wait > time.Duration(admitFraction*float64(latest-now)) ||
-		p.waiting >= p.config.MaxQueue && !p.makeRoom(d) {
+	margin := time.Duration(serviceMargin * float64(loaded))
+	if d.Tier == 0 {
+		margin = Never // urgent work does not queue in lasting overload
+	}
+	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, margin, wait > 0)
+	if wait > allowed || p.higherJustShed(now, &d, c) ||
+		p.waiting >= p.config.MaxQueue && !p.makeRoom(now, d) {
 		p.overloaded = append(p.overloaded, refusal{d, wait})
 		return
 	}
@@ -50,6 +70,35 @@
 	p.enqueue(r)
 }
 
+// higherJustShed reports whether work of a higher tier that shares an upstream
+// was shed so recently that this request may have waited at its entry then.
+func (p *Pool) higherJustShed(now time.Duration, d *Descriptor, c *class) bool {
+	for tier := range int(d.Tier) {
+		for _, o := range c.overlaps {
+			if now < p.tiers[tier].lines[o.class].shedUntil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// allowedWait returns the wait that a new request with the given slack may
+// expect. It follows how long work has been waiting. In lasting overload it
+// leaves the margin of the slack free.
+func (l *line) allowedWait(now, slack, margin time.Duration, waits bool) time.Duration {
+	elapsed := min(now-l.overloadAt, overloadStep)
+	if waits {
+		l.overload = min(1, l.overload+float64(elapsed)/float64(overloadRise))
+	} else {
+		l.overload = max(0, l.overload-float64(now-l.overloadAt)/float64(overloadFall))
+	}
+	l.overloadAt = now
+	steady := max(steadyFraction*float64(slack), waitFraction*float64(slack-margin))
+	burst := max(steady, burstFraction*float64(slack))
+	return time.Duration(burst - l.overload*(burst-steady))
+}
+
 // expectedWait estimates how long a new request would wait: the queued work
 // that is served before it, divided by the capacity of its class that higher
 // tiers leave.
@@ -131,7 +180,7 @@
 // full. The victim is the newest of the lowest tier; in the new request's own
 // tier it is the newest of the largest organisation flow. It returns false if
 // the new request is the one to shed.
-func (p *Pool) makeRoom(d Descriptor) bool {
+func (p *Pool) makeRoom(now time.Duration, d Descriptor) bool {
 	lowest := MaxTiers - 1
 	for lowest > 0 && p.tiers[lowest].waiting == 0 {
 		lowest--
@@ -161,7 +210,7 @@
 		return false
 	}
 	victim := newestOf(largest)
-	p.cascade(victim.Tier, victim.Class)
+	p.cascade(now, victim.Tier, victim.Class)
 	p.decideShed(victim, Overload, maxRetryAfter)
 	return true
 }
@@ -179,7 +228,8 @@
 // cascade sheds every waiting request of a lower tier that shares an upstream
 // with the class (promise P2). Each of these may share another upstream with a
 // still lower tier, so what is below a line is shed before the line itself.
-func (p *Pool) cascade(tier uint8, class uint32) {
+func (p *Pool) cascade(now time.Duration, tier uint8, class uint32) {
+	p.tiers[tier].lines[class].shedUntil = now + p.config.Transit
 	for lower := tier + 1; lower < MaxTiers; lower++ {
 		if p.tiers[lower].waiting == 0 {
 			continue
@@ -189,7 +239,7 @@
 			if l.count == 0 {
 				continue
 			}
-			p.cascade(lower, o.class)
+			p.cascade(now, lower, o.class)
 			for l.head != nil {
 				p.decideShed(l.head, Overload, maxRetryAfter)
 			}
@@ -206,9 +256,9 @@
 // shedOverloaded sheds the requests that were not admitted since the last step.
 // The cascade runs here and not at submission, because requests of lower tiers
 // may have been submitted in between.
-func (p *Pool) shedOverloaded() {
+func (p *Pool) shedOverloaded(now time.Duration) {
 	for i := range p.overloaded {
-		p.cascade(p.overloaded[i].Tier, p.overloaded[i].Class)
+		p.cascade(now, p.overloaded[i].Tier, p.overloaded[i].Class)
 	}
 	for i := range p.overloaded {
 		p.refuse(p.overloaded[i].Descriptor, Overload, p.overloaded[i].wait)
@@ -224,7 +274,7 @@
 			p.decideShed(r, LimitInFlight, limitRetryAfter)
 			continue
 		}
-		p.cascade(r.Tier, r.Class)
+		p.cascade(now, r.Tier, r.Class)
 		p.decideShed(r, Expired, maxRetryAfter)
 	}
 }
