node: a digest that crossed a grant agrees

Cause: digests tell waiting requests from permits since. Ruled out: ignoring mismatches after any recent grant, which would never compare busy entries; delaying the first digest of a waiting request, which would delay the repair of lost submissions. Change: the ledger remembers the grants of the last 100 ms and compares also with the digest before them. A lost grant shows in the next digest.

--- a/pkg/node/digest.go
+++ b/pkg/node/digest.go
@@ -80,7 +80,11 @@
 	if h == nil {
 		return
 	}
-	if h.ledger.digests[from] == (entryDigest{m.Count, m.Hash}) {
+	theirs := entryDigest{m.Count, m.Hash}
+	// A digest that crossed a grant agrees with what was before it. Without the
+	// comparison a Sync followed about every second grant. A lost grant shows
+	// in the next digest.
+	if theirs == h.ledger.digests[from] || theirs == h.ledger.digestBeforeGrants(n.now, from) {
 		h.agreedAt[from] = n.now
 		return
 	}
--- a/pkg/node/ledger.go
+++ b/pkg/node/ledger.go
@@ -40,8 +40,19 @@
 	// order lists the ids in order of arrival; ended ones are removed lazily.
 	order   []scheduler.GlobalID
 	digests map[uint64]entryDigest
+	// recent lists the grants of the last grantCrossing, oldest first.
+	recent []recentGrant
 }
 
+// recentGrant is a grant that its entry may not have received yet.
+type recentGrant struct {
+	id scheduler.GlobalID
+	at time.Duration
+}
+
+// grantCrossing is how long a digest may be on its way together with a grant.
+const grantCrossing = 100 * time.Millisecond
+
 func newLedger() ledger {
 	return ledger{items: map[scheduler.GlobalID]*item{}, digests: map[uint64]entryDigest{}}
 }
@@ -100,6 +111,30 @@
 	it.since, it.auditAt = now, now+auditBase
 	d.hash ^= it.hash()
 	l.digests[entry] = d
+	l.dropRecent(now)
+	l.recent = append(l.recent, recentGrant{it.descriptor.ID, now})
+}
+
+func (l *ledger) dropRecent(now time.Duration) {
+	kept := 0
+	for kept < len(l.recent) && now-l.recent[kept].at >= grantCrossing {
+		kept++
+	}
+	l.recent = slices.Delete(l.recent, 0, kept)
+}
+
+// digestBeforeGrants returns the digest of an entry that has not received its
+// recent grants yet.
+func (l *ledger) digestBeforeGrants(now time.Duration, entry uint64) entryDigest {
+	l.dropRecent(now)
+	d := l.digests[entry]
+	for _, g := range l.recent {
+		if it := l.items[g.id]; g.id.Entry == entry && it != nil && it.granted && it.since == g.at {
+			d.hash ^= it.hash()
+			d.hash ^= dispatch.HashRequest(g.id.Sequence, it.descriptor.Attempt, false)
+		}
+	}
+	return d
 }
 
 // of lists the items of an entry in order of arrival.
