daemon: a cell of one failure domain uses that domain's upstreams

Ruled out: a list setting (the settings schema has none); it is still needed for a region of several failure domains as a cell beside other regions. Change: if [instance] cell equals failure_domain, the cell uses only that domain. Conclusion: regions as cells, more than one region: open.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,6 +141,7 @@
 		FailureDomain:      s.GetInstance().GetFailureDomain(),
 		Region:             s.GetInstance().GetRegion(),
 		Cell:               s.GetInstance().GetCell(),
+		CellFailureDomains: cellFailureDomains(s.GetInstance()),
 		Seeds:              seeds(s),
 		PingInterval:       settings.Duration(s.GetPeer().GetPingInterval()),
 		DeadAfter:          settings.Duration(s.GetPeer().GetDeadAfter()),
@@ -308,3 +309,13 @@
 	}
 	return out
 }
+
+// cellFailureDomains returns the failure domains whose upstreams a cell uses. A
+// cell with the name of its failure domain uses that domain's only: cells that
+// use the same upstreams would each grant their full limits.
+func cellFailureDomains(instance *pb.InstanceSettings) []string {
+	if instance.GetCell() != "" && instance.GetCell() == instance.GetFailureDomain() {
+		return []string{instance.GetCell()}
+	}
+	return nil
+}
