--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -9,6 +9,7 @@
 
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/scheduler"
+	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -45,6 +46,14 @@
 	// OnOrder, if set, is called when a process is about to send an order, so
 	// that a fault can hit it at that moment.
 	OnOrder func(*Instance)
+	// NoPlatform holds the addresses of processes that cannot reach the platform.
+	NoPlatform map[string]bool
+	// TokenReport is after how many tokens of a stream the edge tells the node;
+	// NewWorld sets 8.
+	TokenReport uint32
+	// OnFrame, if set, is called for every frame that an instance sends, with
+	// the address of the receiver and the size of the encoded frame in bytes.
+	OnFrame func(from *Instance, to string, frame *pb.Frame, size int)
 	// IgnoreFencing is a mutation: upstreams accept orders with an old number.
 	IgnoreFencing bool
 
@@ -105,7 +114,7 @@
 func NewWorld(seed uint64) *World {
 	loop := NewLoop(seed)
 	return &World{
-		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, seed: seed,
+		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, TokenReport: 8, seed: seed,
 		Engines: map[string]*Engine{}, Services: map[string]*Service{}, cuts: map[[2]string]bool{},
 		listed: map[string]node.ListedInstance{}, fencing: map[string]uint64{},
 	}
@@ -292,9 +301,17 @@
 			origin: w.Trace.forwarded(a.Call.Key, a.Call.Sequence, i.Incarnation),
 		}
 	case node.StoreCall:
+		if w.NoPlatform[i.Address] {
+			w.Loop.After(callTimeout, func() { i.step(node.StoreDone{Call: a.Call, Result: storeResult{Status: store.Unavailable}}) })
+			return
+		}
 		w.Platform.Call(a.Op, func(r storeResult) { i.step(node.StoreDone{Call: a.Call, Result: r}) })
 	case node.ListInstances:
 		w.Loop.After(2*time.Millisecond, func() {
+			if w.NoPlatform[i.Address] {
+				i.step(node.InstanceList{})
+				return
+			}
 			lines, ok := w.Platform.List()
 			i.step(node.InstanceList{OK: ok, Instances: lines})
 		})
@@ -324,6 +341,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if w.OnFrame != nil {
+		w.OnFrame(from, a.Address, a.Frame, len(encoded))
+	}
 	w.FrameBytes += uint64(len(encoded))
 	if w.cuts[[2]string{from.Address, a.Address}] || w.Loop.Rand.Float64() < w.Loss {
 		w.Trace.Disturbances = append(w.Trace.Disturbances,
