--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,13 @@
 soak: ## run the generated tests with new seeds and more cases
 	$(GO) test -count=1 $(RAPID_PACKAGES) -rapid.seed=0 -rapid.checks=1000
 
+FUZZTIME ?= 20s
+
+fuzz: ## run each fuzz target for FUZZTIME
+	grep -rno 'func Fuzz[A-Za-z]*' --include=*_test.go internal pkg | while IFS=: read -r file _ target; do \
+		$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$${target#func }$$" -fuzztime $(FUZZTIME) || exit 1; \
+	done
+
 lint: ## formatter, vet, staticcheck, and stale generated code
 	bash scripts/lint.sh
 
