membership: whoever first reads of a leave announces it

After an outage a member that is not a reader read first that e3 leaves, and told others by gossip only. The owner learned it 600 ms after the first entry and kept granting e3; the entries returned the permits, and the top tier spent its time in retries while lower tiers got the other upstreams. Ruled out: telling the owner with each returned permit (one round trip later than an announcement, and only the owner learns). Change: a read that shows a new leave is announced to the cell by any reader of the list, not only by the two regular ones.

--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -65,6 +65,7 @@
 	v.list.failures = 0
 	v.list.heardAt = now
 	v.join.addresses = v.join.addresses[:0]
+	leavesKnown := v.leaving.version
 	var announced []*pb.MemberUpdate
 	for _, line := range listed {
 		if line.Upstream {
@@ -80,7 +81,9 @@
 	if v.join.joined {
 		v.rejoin()
 	}
-	if v.Reader() {
+	// After an outage another member than a reader may be the first to see a
+	// leave. Gossip alone could take longer than the owner's next grant.
+	if v.Reader() || v.leaving.version != leavesKnown {
 		v.announce(announced)
 	}
 }
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -363,3 +363,34 @@
 		}
 	}
 }
+
+// TestAnyMemberAnnouncesALeave guards against a leave that only gossip spreads
+// because the first member to see it, after an outage, is not a reader. The
+// owner would go on granting an upstream that all entries decline.
+func TestAnyMemberAnnouncesALeave(t *testing.T) {
+	c := newCell(t)
+	for id := uint64(1); id <= 5; id++ {
+		c.start(id, address(id), "c", 1)
+	}
+	c.run(4 * time.Second)
+	reads := 0
+	for _, id := range c.ids {
+		n := c.nodes[id]
+		if n.view.Reader() {
+			continue
+		}
+		reads++
+		upstream := fmt.Sprint("u", id)
+		n.view.OnList(c.now, true, []membership.Listed{{Name: upstream, Incarnation: "1", Upstream: true, Leaving: true}})
+		c.collect(id)
+		c.run(2 * tick)
+		for _, other := range c.ids {
+			if !c.nodes[other].view.UpstreamLeaving(upstream) {
+				t.Fatalf("%d does not know that %s is leaving", other, upstream)
+			}
+		}
+	}
+	if reads == 0 {
+		t.Fatal("all members are readers")
+	}
+}
