--- a/internal/simtest/cmd/invariants/check.go
+++ b/internal/simtest/cmd/invariants/check.go
@@ -15,6 +15,8 @@
 type verdict struct {
 	violations []string
 	judged     int
+	// doubtful of ended requests were answered ran: unknown.
+	doubtful, ended int
 }
 
 func (v *verdict) fail(format string, args ...any) {
@@ -102,6 +104,12 @@
 		}
 	}
 	for _, request := range r.world.Trace.Requests {
+		if request.Ended != 0 {
+			v.ended++
+		}
+		if request.Ran == "unknown" {
+			v.doubtful++
+		}
 		if len(r.faults) == 0 && request.Ran == "unknown" && slices.Contains(avoidable, request.Code) {
 			v.fail("in doubt without a fault: %s", show(request))
 		}
--- a/internal/simtest/cmd/invariants/report.go
+++ b/internal/simtest/cmd/invariants/report.go
@@ -105,6 +105,14 @@
 		status = "FAILED"
 	}
 	fmt.Printf("invariant %s %s faults=%s runs=%d judged=%d failed=%d\n", invariants[n].name, status, faults, len(jobs), judged, failed)
+	doubtful, ended := 0, 0
+	for _, j := range jobs {
+		doubtful += j.verdicts[n].doubtful
+		ended += j.verdicts[n].ended
+	}
+	if ended > 0 {
+		fmt.Printf("rate ran=unknown %.4f of %d requests faults=%s\n", float64(doubtful)/float64(ended), ended, faults)
+	}
 	shown := 0
 	for _, j := range jobs {
 		violations := j.verdicts[n].violations
