answer: one type for refusals, one for permit outcomes

Cause: pkg/binding, pkg/dispatch and pkg/node each defined Ran and Refusal, with functions to copy one into the other; pkg/dispatch repeated scheduler.Outcome. Change: pkg/answer holds Ran and Refusal; the packages name them by alias. Measured: go test ./pkg/... ok; no behaviour changed.

--- a/pkg/binding/binding.go
+++ b/pkg/binding/binding.go
@@ -16,6 +16,7 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/answer"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -51,25 +52,17 @@
 )
 
 // Ran says whether a refused call ran.
-type Ran string
+type Ran = answer.Ran
 
 // Values of Ran.
 const (
-	RanNo      Ran = "no"
-	RanYes     Ran = "yes"
-	RanUnknown Ran = "unknown"
+	RanNo      = answer.RanNo
+	RanYes     = answer.RanYes
+	RanUnknown = answer.RanUnknown
 )
 
 // Refusal is why a call has no answer.
-type Refusal struct {
-	Code           string
-	Ran            Ran
-	Reason, Remedy string
-	RetryAfter     time.Duration
-	// KeyChecked is true if Ran holds for every call with the key so far, and
-	// not only for the refused one.
-	KeyChecked bool
-}
+type Refusal = answer.Refusal
 
 // Decision is the verdict on one call.
 type Decision struct {
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -13,6 +13,9 @@
 
 import (
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/answer"
+	"github.com/citrongate/citrongate/pkg/scheduler"
 )
 
 // ID identifies a request within this instance.
@@ -92,39 +95,32 @@
 // InFlight reports whether the request may be at its upstream.
 func (r *Record) InFlight() bool { return r.State == Dispatched || r.State == Streaming }
 
-// Outcome says how a permit ended; values match scheduler.Outcome.
-type Outcome uint8
+// Outcome says how a permit ended.
+type Outcome = scheduler.Outcome
 
 // Outcomes of a permit.
 const (
-	Unused Outcome = iota + 1
-	Complete
-	Late
-	Broken
-	ConnectRefused
-	Refused
-	Canceled
+	Unused         = scheduler.Unused
+	Complete       = scheduler.Complete
+	Late           = scheduler.Late
+	Broken         = scheduler.Broken
+	ConnectRefused = scheduler.ConnectRefused
+	Refused        = scheduler.Refused
+	Canceled       = scheduler.Canceled
 )
 
 // Ran says whether a refused request ran.
-type Ran string
+type Ran = answer.Ran
 
 // Values of Ran.
 const (
-	RanNo      Ran = "no"
-	RanYes     Ran = "yes"
-	RanUnknown Ran = "unknown"
+	RanNo      = answer.RanNo
+	RanYes     = answer.RanYes
+	RanUnknown = answer.RanUnknown
 )
 
-// Refusal ends a request without an answer.
-type Refusal struct {
-	Code           string
-	Ran            Ran
-	Reason, Remedy string
-	RetryAfter     time.Duration
-	// KeyChecked is true if Ran holds for all calls with the same idempotency key.
-	KeyChecked bool
-}
+// Refusal is why a request ends without an answer.
+type Refusal = answer.Refusal
 
 // Retry reasons, as in section 3 of the design.
 const (
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -11,13 +12,13 @@
 type Action interface{ isAction() }
 
 // Ran says whether a refused request ran.
-type Ran string
+type Ran = answer.Ran
 
 // Values of Ran.
 const (
-	RanNo      Ran = "no"
-	RanYes     Ran = "yes"
-	RanUnknown Ran = "unknown"
+	RanNo      = answer.RanNo
+	RanYes     = answer.RanYes
+	RanUnknown = answer.RanUnknown
 )
 
 // Dispatch tells the upstream edge to send the request. It is emitted at most
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -96,21 +96,12 @@
 	case binding.Reply:
 		n.replyRecorded(id, d.Outcome)
 	case binding.Refuse:
-		n.refuseRequest(id, refusalOf(d.Refusal))
+		n.refuseRequest(id, d.Refusal)
 	case binding.Forward:
 		n.forward(id, r, d.Holder, hops)
 	}
 }
 
-func refusalOf(r binding.Refusal) dispatch.Refusal {
-	return dispatch.Refusal{Code: r.Code, Ran: dispatch.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter, KeyChecked: r.KeyChecked}
-}
-
-func refusalFor(r dispatch.Refusal) binding.Refusal {
-	return binding.Refusal{Code: r.Code, Ran: binding.Ran(r.Ran), Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter,
-		KeyChecked: r.KeyChecked}
-}
-
 // callEnded is called when a call of this instance ends, however it ended.
 func (n *Node) callEnded(id dispatch.ID, refusal dispatch.Refusal, silent bool) {
 	c := n.calls.running[id]
@@ -129,10 +120,10 @@
 		return
 	}
 	if refusal.Ran == dispatch.RanNo && refusal.Code != "" {
-		n.joined(n.notRun(c, id, refusalFor(refusal)))
+		n.joined(n.notRun(c, id, refusal))
 		return
 	}
-	n.joined(n.finish(c, id, refusalFor(refusal)))
+	n.joined(n.finish(c, id, refusal))
 }
 
 func (n *Node) notRun(c *call, id dispatch.ID, refusal binding.Refusal) []binding.Decided {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -120,7 +120,7 @@
 
 func (n *Node) release(e dispatch.Release) {
 	c := scheduler.Completion{
-		ID: n.globalID(e.ID), Outcome: scheduler.Outcome(e.Outcome), OutputTokens: e.OutputTokens,
+		ID: n.globalID(e.ID), Outcome: e.Outcome, OutputTokens: e.OutputTokens,
 		TTFT: e.TTFT, InterToken: e.InterToken, CachedPrompt: e.CachedPrompt,
 	}
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
