httpfront: one bound on all request bodies held at once

Cause: bodies were bounded one by one only: 4,096 connections times 1 MiB is 4 GiB, on instances that have far less. Bytes are released with their request. Measured: TestBufferedBytes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,8 @@
 	// maxStoreCalls bounds calls to the object API in progress; the node's
 	// budget keeps them far below it unless the platform hangs.
 	maxStoreCalls = 64
+	// maxOperatorBodies bounds the operators' request bodies held at once.
+	maxOperatorBodies = 4
 	// maxOrders bounds orders in progress.
 	maxOrders = 64
 	// flushTimeout bounds the wait for callers to take the rest of their answers at the end.
@@ -218,13 +220,15 @@
 	config := httpfront.ServerConfig{
 		Address: s.GetListen().GetCaller(), TLSCertificate: s.GetListen().GetTlsCertificate(), TLSKey: s.GetListen().GetTlsKey(),
 		MaxBodyBytes: int(limits.GetMaxBodyBytes()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
-		MaxConnections: int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
+		MaxBufferedBytes: limits.GetMaxBufferedBytes(),
+		MaxConnections:   int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
 		Handler: d.front, BadInput: d.badInput, Log: d.log,
 	}
 	if d.callers, err = httpfront.NewServer(config); err != nil {
 		return err
 	}
 	config.Address, config.MaxBodyBytes = s.GetListen().GetAdmin(), adminapi.MaxBodyBytes
+	config.MaxBufferedBytes = maxOperatorBodies * adminapi.MaxBodyBytes
 	config.TLSCertificate, config.TLSKey = "", ""
 	config.Handler = d.admin
 	d.operators, err = httpfront.NewServer(config)
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -50,6 +50,8 @@
 	nbhttp.Processor
 	*connection
 	input inputState
+	// receiving counts the body bytes of the request that is being received.
+	receiving int64
 }
 
 // inputState is what was seen of the request that is being received.
@@ -95,6 +97,7 @@
 		return 0, err
 	}
 	c.attach(parser)
+	defer func() { c.server.buffered.Add(-c.proc.receiving) }()
 	for {
 		n, err := c.Conn.Read(buffer)
 		if n > 0 && !c.discarding() {
@@ -134,7 +137,7 @@
 func (c *connection) attach(parser *nbhttp.Parser) {
 	c.proc = &processor{Processor: parser.Processor, connection: c, input: inputState{inHeader: true}}
 	parser.Processor = c.proc
-	parser.Execute = c.execute
+	parser.Execute = c.proc.execute
 	timer := time.AfterFunc(c.server.config.ReadTimeout, c.tooSlow)
 	c.mu.Lock()
 	c.timer = timer
@@ -251,6 +254,11 @@
 	if c.input.problem != nil {
 		return errRefusedInput
 	}
+	c.receiving += int64(len(data))
+	if c.server.buffered.Add(int64(len(data))) > c.server.config.MaxBufferedBytes {
+		c.input.reject(bodiesTooLarge(c.server.config.MaxBufferedBytes))
+		return errRefusedInput
+	}
 	return c.Processor.OnBody(parser, data)
 }
 
@@ -315,6 +323,14 @@
 	}
 }
 
+func bodiesTooLarge(limit int64) InputError {
+	return InputError{
+		Status: http.StatusServiceUnavailable, Code: "shed_overload",
+		Reason: fmt.Sprintf("this instance holds max_buffered_bytes = %d bytes of request bodies", limit),
+		Remedy: "retry at another instance of the discovery answer",
+	}
+}
+
 func tooManyConnections(limit int) InputError {
 	return InputError{
 		Status: http.StatusServiceUnavailable, Code: "limit_in_flight",
@@ -370,9 +386,23 @@
 	return c.refused
 }
 
-// execute runs the handlers of one connection in order on a goroutine of their
+// execute runs a request's handler and then counts its body as released.
+func (c *processor) execute(handler func()) bool {
+	held := c.receiving
+	c.receiving = 0
+	accepted := c.enqueue(func() {
+		defer c.server.buffered.Add(-held)
+		handler()
+	})
+	if !accepted {
+		c.server.buffered.Add(-held)
+	}
+	return accepted
+}
+
+// enqueue runs the handlers of one connection in order on a goroutine of their
 // own, so that the reader still sees when the caller closes the connection.
-func (c *connection) execute(handler func()) bool {
+func (c *connection) enqueue(handler func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refused || c.gone || len(c.queue) >= maxPipelined {
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -86,7 +86,7 @@
 	f.handler = NewHandler(f.backend, time.Minute, zerolog.Nop())
 	f.handler.SetAccess(NewAccess(testSet()))
 	server, err := NewServer(ServerConfig{
-		Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 2048, MaxConnections: 100,
+		Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 2048, MaxConnections: 100, MaxBufferedBytes: 10_000,
 		ReadTimeout: 300 * time.Millisecond, Handler: f.handler, BadInput: BadInputBody, Log: zerolog.Nop(),
 	})
 	require.NoError(t, err)
@@ -582,6 +582,38 @@
 	require.Equal(t, 200, resp.StatusCode)
 }
 
+// TestBufferedBytes guards against bodies that together take more memory than
+// the bound, and against bytes that stay counted after their request.
+func TestBufferedBytes(t *testing.T) {
+	release := make(chan struct{})
+	f := start(t, func(_ context.Context, r *Request, answer Answer) {
+		<-release
+		_ = answer.Outcome(&pb.BindingOutcome{HttpStatus: 200})
+	})
+	body := strings.Repeat("x", 4000)
+	done := make(chan int, 2)
+	for range 2 {
+		go func() {
+			resp, _ := f.do(t, "POST", "/v1/call/quote", body)
+			done <- resp.StatusCode
+		}()
+	}
+	for f.served.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, text := f.do(t, "POST", "/v1/call/quote", body)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Equal(t, "shed_overload", refusalOf(t, text).Code)
+	close(release)
+	require.Equal(t, 200, <-done)
+	require.Equal(t, 200, <-done)
+	for f.server.buffered.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, _ = f.do(t, "POST", "/v1/call/quote", body)
+	require.Equal(t, 200, resp.StatusCode)
+}
+
 // TestHandlerFault guards against a fault in one request that ends the process.
 func TestHandlerFault(t *testing.T) {
 	f := start(t, func(context.Context, *Request, Answer) { panic("fault") })
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -46,6 +46,8 @@
 	MaxBodyBytes           int
 	MaxHeaderBytes         int
 	MaxConnections         int
+	// MaxBufferedBytes bounds the request bodies held at once, over all connections.
+	MaxBufferedBytes int64
 	// ReadTimeout is the time to send one whole request.
 	ReadTimeout time.Duration
 	Handler     http.Handler
@@ -82,6 +84,8 @@
 	// conns holds the open connections, as keys of type *connection.
 	conns  sync.Map
 	online atomic.Int64
+	// buffered counts the bytes of request bodies that are held.
+	buffered atomic.Int64
 	// started is true once the engine listens.
 	started atomic.Bool
 }
--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -21,9 +23,22 @@
 	problems = append(problems, checkAuthority(s.GetPeer())...)
 	problems = append(problems, checkPeerTLS(s)...)
 	problems = append(problems, checkListeners(s.GetListen())...)
+	problems = append(problems, checkBodies(s.GetLimits())...)
 	return append(problems, checkDetection(s.GetPeer())...)
 }
 
+// checkBodies requires that the bound on all bodies leaves room for one.
+func checkBodies(limits *pb.LimitSettings) []Problem {
+	all, one := limits.GetMaxBufferedBytes(), limits.GetMaxBodyBytes()
+	if all == 0 || one <= all {
+		return nil
+	}
+	return []Problem{{
+		Section: "limits", Key: "max_buffered_bytes", Value: strconv.FormatInt(all, 10), What: "less than max_body_bytes",
+		Allowed: fmt.Sprintf("at least max_body_bytes = %d", one), Remedy: "raise it, or lower max_body_bytes",
+	}}
+}
+
 // checkPair requires certificate and key together and that they belong together.
 func checkPair(section, certKey, cert, keyKey, key string) []Problem {
 	switch {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -101,6 +101,7 @@
 		{"pair without certificate", "[peer]\ncertificate = " + plain + "\nkey = " + plain + "\n", "cannot be used"},
 		{"part of mutual TLS", "[peer]\nauthority = " + plain + "\n", "needs all of certificate, key and authority"},
 		{"short detection", "[peer]\nping_interval = 1s\ndead_after = 1s\n", "less than two ping intervals"},
+		{"bound on all bodies below one", "[limits]\nmax_body_bytes = 2097152\nmax_buffered_bytes = 1048576\n", "less than max_body_bytes"},
 		{"bad seed", "[peer]\nseeds = 127.0.0.1:1, nowhere\n", "not an IP address and port"},
 		{"not a number", "[platform]\ncalls_per_second = NaN\n", "not a number"},
 		{"token instead of its digest", "[bootstrap]\noperator_token_sha256 = secret\n", "not a SHA-256 digest"},
