Operators can give orders to upstreams

Cause: leases and fencing numbers were built and proved, but no operator could use them: the node's OrderUpstream had no address and OrderResult was dropped. Change: POST /admin/v1/orders, citrongate order, team and read-only bounds; one generic type for operators' requests that wait for the node, in place of one for changes only.

--- a/cmd/citrongate/main.go
+++ b/cmd/citrongate/main.go
@@ -48,6 +48,7 @@
 			deleteCommand(),
 			statusCommand(),
 			explainCommand(),
+			orderCommand(),
 			drainCommand(),
 			callCommand(),
 			keysCommand(),
--- a/internal/adminapi/api.go
+++ b/internal/adminapi/api.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/routing"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -45,6 +46,8 @@
 	Set() *configstate.Set
 	Status(ctx context.Context) (Status, bool)
 	Explain(ctx context.Context, r routing.Request) (Explanation, bool)
+	// Order returns ok false if the result is not known in time.
+	Order(ctx context.Context, order Order) (status node.OrderStatus, ok bool)
 	// Drain starts a planned stop.
 	Drain()
 	// NotReady says why callers should not be sent here; empty if ready.
@@ -142,6 +145,7 @@
 	a.mux.HandleFunc("POST /admin/v1/apply", a.guarded(a.apply))
 	a.mux.HandleFunc("GET /admin/v1/status", a.guarded(a.status))
 	a.mux.HandleFunc("GET /admin/v1/explain", a.guarded(a.explain))
+	a.mux.HandleFunc("POST /admin/v1/orders", a.guarded(a.order))
 	a.mux.HandleFunc("POST /admin/v1/drain", a.guarded(a.drain))
 	return a
 }
--- a/internal/adminapi/operator_test.go
+++ b/internal/adminapi/operator_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/routing"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -27,6 +28,9 @@
 	set     *configstate.Set
 	changes []Change
 	result  ChangeResult
+	orders  []Order
+	// orderStatus answers orders; 0 means that nothing is known in time.
+	orderStatus node.OrderStatus
 }
 
 func (b *backend) Apply(_ context.Context, c Change) (ChangeResult, bool) {
@@ -35,8 +39,12 @@
 }
 func (b *backend) Set() *configstate.Set                 { return b.set }
 func (b *backend) Status(context.Context) (Status, bool) { return Status{}, false }
-func (b *backend) Drain()                                {}
-func (b *backend) NotReady() string                      { return "starting" }
+func (b *backend) Order(_ context.Context, o Order) (node.OrderStatus, bool) {
+	b.orders = append(b.orders, o)
+	return b.orderStatus, b.orderStatus != 0
+}
+func (b *backend) Drain()           {}
+func (b *backend) NotReady() string { return "starting" }
 func (b *backend) Explain(context.Context, routing.Request) (Explanation, bool) {
 	return Explanation{}, false
 }
@@ -122,3 +130,40 @@
 	require.Equal(t, 503, call(a, "GET", "/admin/v1/status", "all-token", "").Code)
 	require.Equal(t, 503, call(a, "GET", "/readyz", "", "").Code)
 }
+
+// TestOrders guards against an order by somebody who may not give it, an order
+// that is reported as carried out although that is not known, and bad input.
+func TestOrders(t *testing.T) {
+	a, b := newAPI()
+	b.set = configstate.NewSet(5, []*pb.Object{
+		{Meta: &pb.ObjectMeta{Kind: "Upstream", Name: "e1", Labels: map[string]string{"team": "red"}}, Spec: &pb.Object_Upstream{Upstream: &pb.UpstreamSpec{}}},
+		{Meta: &pb.ObjectMeta{Kind: "Upstream", Name: "e2"}, Spec: &pb.Object_Upstream{Upstream: &pb.UpstreamSpec{}}},
+	})
+	const load = `{"upstream":"e1","verb":"load_model","argument":"m"}`
+	for _, c := range []struct {
+		token, body string
+		result      node.OrderStatus
+		status      int
+		code        string
+	}{
+		{"all-token", load, node.OrderApplied, 200, ""},
+		{"red-token", load, node.OrderApplied, 200, ""},
+		{"all-token", load, node.OrderNotSent, 503, "not_sent"},
+		{"all-token", load, node.OrderRefusedFencing, 409, "conflict"},
+		{"all-token", load, node.OrderUnknown, 504, "outcome_unknown"},
+		{"all-token", load, 0, 504, "outcome_unknown"},
+		{"red-token", `{"upstream":"e2","verb":"load_model"}`, node.OrderApplied, 403, "forbidden"},
+		{"wrong", load, node.OrderApplied, 401, "unauthenticated"},
+		{"all-token", `{"upstream":"e9","verb":"load_model"}`, node.OrderApplied, 404, "not_found"},
+		{"all-token", `{"upstream":"e1"}`, node.OrderApplied, 400, "invalid"},
+		{"all-token", `{"upstream":"e1","verb":"a b"}`, node.OrderApplied, 400, "invalid"},
+		{"all-token", `[]`, node.OrderApplied, 400, "invalid"},
+	} {
+		b.orders, b.orderStatus = nil, c.result
+		w := call(a, "POST", "/admin/v1/orders", c.token, c.body)
+		require.Equal(t, c.status, w.Code, "%+v %s", c, w.Body)
+		require.Contains(t, w.Body.String(), c.code)
+		sent := c.status == 200 || c.status >= 409
+		require.Equal(t, sent, len(b.orders) == 1, "%+v", c)
+	}
+}
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -158,6 +158,22 @@
 	return explanation, body, nil
 }
 
+// Order gives an order to an upstream and returns once it was carried out.
+func (a *Admin) Order(ctx context.Context, upstream, verb, argument string) error {
+	body, err := json.Marshal(orderBody{Upstream: upstream, Verb: verb, Argument: argument})
+	if err != nil {
+		return err
+	}
+	_, err = a.call(ctx, http.MethodPost, "/admin/v1/orders", body, nil)
+	return err
+}
+
+type orderBody struct {
+	Upstream string `json:"upstream"`
+	Verb     string `json:"verb"`
+	Argument string `json:"argument"`
+}
+
 // Drain starts a planned stop of the instance.
 func (a *Admin) Drain(ctx context.Context) error {
 	_, err := a.call(ctx, http.MethodPost, "/admin/v1/drain", nil, nil)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -18,6 +18,10 @@
 // changeTimeout bounds the wait for a change; the node gives up earlier.
 const changeTimeout = 30 * time.Second
 
+// orderTimeout bounds the wait for an order. Taking over a lease that another
+// instance holds lasts one lease duration, 20 s.
+const orderTimeout = 60 * time.Second
+
 // adminBackend carries out what operators ask for.
 type adminBackend struct{ d *Daemon }
 
@@ -30,10 +34,23 @@
 	if !b.d.loop.post(node.ApplyChange{Change: id, Puts: change.Puts, Deletes: change.Deletes, Conditional: change.Conditional, DryRun: change.DryRun}) {
 		return adminapi.ChangeResult{}, false
 	}
-	done, ok := waitChange(ctx, result)
+	done, ok := waitFor(ctx, result)
 	return adminapi.ChangeResult{Accepted: done.Accepted, Revision: done.Revision, Code: done.Code, Problems: done.Problems}, ok
 }
 
+// Order hands an order to the node and waits for its result.
+func (b adminBackend) Order(ctx context.Context, order adminapi.Order) (node.OrderStatus, bool) {
+	ctx, stop := context.WithTimeout(ctx, orderTimeout)
+	defer stop()
+	id, result := b.d.orderAnswers.add()
+	defer b.d.orderAnswers.remove(id)
+	if !b.d.loop.post(node.OrderUpstream{Order: id, Upstream: order.Upstream, Verb: order.Verb, Argument: order.Argument}) {
+		return node.OrderNotSent, true
+	}
+	done, ok := waitFor(ctx, result)
+	return done.Status, ok
+}
+
 // Set is the configuration in force.
 func (b adminBackend) Set() *configstate.Set { return b.d.config.Load() }
 
--- a/internal/daemon/background.go
+++ b/internal/daemon/background.go
@@ -213,45 +213,45 @@
 	return out
 }
 
-// changes passes the results of changes to those who wait for them.
-type changes struct {
+// pending holds operators' requests that wait for the node's answer.
+type pending[T any] struct {
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]chan node.ChangeDone
+	waiting map[uint64]chan T
 }
 
-func newChanges() *changes { return &changes{waiting: map[uint64]chan node.ChangeDone{}} }
+func newPending[T any]() *pending[T] { return &pending[T]{waiting: map[uint64]chan T{}} }
 
-func (c *changes) add() (uint64, <-chan node.ChangeDone) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.next++
-	result := make(chan node.ChangeDone, 1)
-	c.waiting[c.next] = result
-	return c.next, result
+func (p *pending[T]) add() (uint64, <-chan T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	result := make(chan T, 1)
+	p.waiting[p.next] = result
+	return p.next, result
 }
 
-func (c *changes) remove(change uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, change)
+func (p *pending[T]) remove(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, id)
 }
 
-func (c *changes) done(a node.ChangeDone) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if result, ok := c.waiting[a.Change]; ok {
-		result <- a
-		delete(c.waiting, a.Change)
+func (p *pending[T]) done(id uint64, answer T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if result, ok := p.waiting[id]; ok {
+		result <- answer
+		delete(p.waiting, id)
 	}
 }
 
-// wait returns the result of a change, or ok false if ctx ends first.
-func waitChange(ctx context.Context, result <-chan node.ChangeDone) (node.ChangeDone, bool) {
+// waitFor returns an answer, or ok false if ctx ends first.
+func waitFor[T any](ctx context.Context, result <-chan T) (answer T, ok bool) {
 	select {
-	case done := <-result:
-		return done, true
+	case answer = <-result:
+		return answer, true
 	case <-ctx.Done():
-		return node.ChangeDone{}, false
+		return answer, false
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,24 +41,25 @@
 
 // Daemon is one running instance.
 type Daemon struct {
-	settings    *pb.Settings
-	identity    identity
-	log         zerolog.Logger
-	metrics     *telemetry.Metrics
-	loop        *loop
-	front       *httpfront.Handler
-	callers     *httpfront.Server
-	admin       *adminapi.API
-	operators   *httpfront.Server
-	peers       *peer.Edge
-	upstream    *upstream.Client
-	platform    *platform.Client
-	requests    *requests
-	changes     *changes
-	kinds       *kindGauges
-	loads       *loadReports
-	maxDeadline time.Duration
-	maxRequests int64
+	settings     *pb.Settings
+	identity     identity
+	log          zerolog.Logger
+	metrics      *telemetry.Metrics
+	loop         *loop
+	front        *httpfront.Handler
+	callers      *httpfront.Server
+	admin        *adminapi.API
+	operators    *httpfront.Server
+	peers        *peer.Edge
+	upstream     *upstream.Client
+	platform     *platform.Client
+	requests     *requests
+	changes      *pending[node.ChangeDone]
+	orderAnswers *pending[node.OrderResult]
+	kinds        *kindGauges
+	loads        *loadReports
+	maxDeadline  time.Duration
+	maxRequests  int64
 
 	nextID  atomic.Uint64
 	held    atomic.Int64
@@ -102,20 +103,21 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, identity: id, log: log.With().Str("instance", s.GetInstance().GetName()).Logger(), metrics: metrics,
-		upstream:    upstream.NewClient(upstream.Options{Connections: int(limits.GetUpstreamConnections()), MaxAnswerBytes: limits.GetMaxBodyBytes()}),
-		platform:    platform.NewClient(s.GetPlatform().GetAddress(), settings.Duration(s.GetPlatform().GetCallTimeout())),
-		requests:    newRequests(),
-		changes:     newChanges(),
-		kinds:       newKindGauges(),
-		loads:       newLoadReports(),
-		maxDeadline: settings.Duration(limits.GetMaxDeadline()),
-		maxRequests: limits.GetMaxRequests(),
-		compile:     make(chan *configstate.Set, 1),
-		storeCalls:  make(chan struct{}, maxStoreCalls),
-		orders:      make(chan struct{}, maxOrders),
-		draining:    make(chan struct{}),
-		drained:     make(chan struct{}),
-		ctx:         ctx, stop: stop,
+		upstream:     upstream.NewClient(upstream.Options{Connections: int(limits.GetUpstreamConnections()), MaxAnswerBytes: limits.GetMaxBodyBytes()}),
+		platform:     platform.NewClient(s.GetPlatform().GetAddress(), settings.Duration(s.GetPlatform().GetCallTimeout())),
+		requests:     newRequests(),
+		changes:      newPending[node.ChangeDone](),
+		orderAnswers: newPending[node.OrderResult](),
+		kinds:        newKindGauges(),
+		loads:        newLoadReports(),
+		maxDeadline:  settings.Duration(limits.GetMaxDeadline()),
+		maxRequests:  limits.GetMaxRequests(),
+		compile:      make(chan *configstate.Set, 1),
+		storeCalls:   make(chan struct{}, maxStoreCalls),
+		orders:       make(chan struct{}, maxOrders),
+		draining:     make(chan struct{}),
+		drained:      make(chan struct{}),
+		ctx:          ctx, stop: stop,
 	}
 	starting := "this instance is starting"
 	d.notReady.Store(&starting)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -369,6 +369,22 @@
 	i.until("none is held", func() bool { return i.held.Load() == 0 })
 }
 
+// TestOrder guards against an operator's order that does not reach the engine,
+// or is answered before the engine has carried it out.
+func TestOrder(t *testing.T) {
+	s := newSite(t)
+	i := s.start("")
+	s.configure(i)
+	for range 2 {
+		status, _, text := i.call("POST", i.admin, "/admin/v1/orders", "op", `{"upstream":"e1","verb":"load_model","argument":"m9"}`)
+		require.Equal(t, 200, status, text)
+	}
+	orders := control[[]engine.Order](t, s.engine, "/control/orders")
+	require.Len(t, orders, 2)
+	require.Equal(t, "m9", orders[1].Argument)
+	require.Equal(t, orders[0].FencingNumber, orders[1].FencingNumber, "one lease for both")
+}
+
 // TestDrain guards against a planned stop that cuts an answer, refuses callers
 // with an old discovery answer, stays in discovery or never ends.
 func TestDrain(t *testing.T) {
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -33,7 +33,9 @@
 	case node.SendOrder:
 		d.sendOrder(a)
 	case node.ChangeDone:
-		d.changes.done(a)
+		d.changes.done(a.Change, a)
+	case node.OrderResult:
+		d.orderAnswers.done(a.Order, a)
 	case node.ConfigInForce:
 		d.configInForce(a)
 	case node.Count:
