--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -16,13 +16,13 @@
 // Three makes it very unlikely that a member misses it.
 const gossipFactor = 3
 
-type rumor struct {
+type queuedUpdate struct {
 	update *pb.MemberUpdate
 	left   int
 }
 
 // gossipQueue holds the updates that still have to be spread.
-type gossipQueue struct{ rumors []rumor }
+type gossipQueue struct{ pending []queuedUpdate }
 
 // sameSubject reports whether a newer update replaces an older one.
 func sameSubject(a, b *pb.MemberUpdate) bool {
@@ -32,20 +32,20 @@
 }
 
 func (q *gossipQueue) add(update *pb.MemberUpdate, cell int) {
-	q.rumors = slices.DeleteFunc(q.rumors, func(r rumor) bool { return sameSubject(r.update, update) })
-	q.rumors = append(q.rumors, rumor{update: update, left: gossipFactor * bits.Len(uint(cell+1))})
+	q.pending = slices.DeleteFunc(q.pending, func(r queuedUpdate) bool { return sameSubject(r.update, update) })
+	q.pending = append(q.pending, queuedUpdate{update: update, left: gossipFactor * bits.Len(uint(cell+1))})
 }
 
 // take returns the updates sent least often and counts them as sent.
 func (q *gossipQueue) take(limit int) []*pb.MemberUpdate {
-	slices.SortStableFunc(q.rumors, func(a, b rumor) int { return b.left - a.left })
-	n := min(limit, len(q.rumors))
+	slices.SortStableFunc(q.pending, func(a, b queuedUpdate) int { return b.left - a.left })
+	n := min(limit, len(q.pending))
 	updates := make([]*pb.MemberUpdate, 0, n+2)
 	for i := range n {
-		updates = append(updates, q.rumors[i].update)
-		q.rumors[i].left--
+		updates = append(updates, q.pending[i].update)
+		q.pending[i].left--
 	}
-	q.rumors = slices.DeleteFunc(q.rumors, func(r rumor) bool { return r.left <= 0 })
+	q.pending = slices.DeleteFunc(q.pending, func(r queuedUpdate) bool { return r.left <= 0 })
 	return updates
 }
 
