node: readers announce a new revision to their whole cell

A reader, mostly the first of its cell to learn of a change in another cell, told three members; the rest heard by gossip. Ruled out: more contacts in other cells (constant bytes at rest); announcing to all by every member (quadratic in the cell). Change: readers tell the whole cell, as the accepting instance does.

--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -19,7 +19,7 @@
 	// peerSilence is after how long without a peer an instance reads the head itself.
 	peerSilence = 3 * time.Second
 	// announceFanout is how many members an instance tells about a revision
-	// that it learned; the accepting instance tells all of its cell.
+	// that it learned; the accepting instance and readers tell all of their cell.
 	announceFanout = 3
 )
 
@@ -133,9 +133,11 @@
 	return len(out.Calls)+len(out.Done) > 0 || out.InForce != 0
 }
 
-// announce tells peers that a new revision is in force. They pull it.
+// announce tells peers that a new revision is in force. They pull it. A reader
+// is mostly the first of its cell to learn of a change in another cell, so it
+// tells the whole cell, as the accepting instance does.
 func (n *Node) announce(accepted bool) {
-	if accepted {
+	if accepted || n.view.Reader() {
 		n.view.Live(func(m membership.Member) { n.announceRevision(m.Incarnation) })
 	}
 	for _, id := range n.view.Sample(announceFanout) {
