--- a/cmd/citrongate/explain.go
+++ b/cmd/citrongate/explain.go
@@ -9,7 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/citrongate/citrongate/internal/client"
+	"github.com/citrongate/citrongate/internal/adminwire"
 )
 
 func explainCommand() *cli.Command {
@@ -68,7 +68,7 @@
 	return strings.Join(pairs, ",")
 }
 
-func printExplanation(command *cli.Command, e *client.Explanation) error {
+func printExplanation(command *cli.Command, e *adminwire.Explanation) error {
 	for _, step := range e.Steps {
 		fmt.Fprintln(writer(command), step)
 	}
--- a/cmd/citrongate/status.go
+++ b/cmd/citrongate/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/citrongate/citrongate/internal/client"
+	"github.com/citrongate/citrongate/internal/adminwire"
 )
 
 func statusCommand() *cli.Command {
@@ -39,7 +39,7 @@
 	return printStatus(command, status)
 }
 
-func printStatus(command *cli.Command, status *client.Status) error {
+func printStatus(command *cli.Command, status *adminwire.Status) error {
 	fmt.Fprintf(writer(command), "instance %s (%s) in %s, cell %s: ready %s, draining %s, store available %s, configuration revision %d\n\n",
 		status.Name, status.Incarnation, status.FailureDomain, status.Cell,
 		yesNo(status.Ready), yesNo(status.Draining), yesNo(status.StoreAvailable), status.ConfigRevision)
@@ -68,7 +68,7 @@
 	return printCounters(command, status.Counters)
 }
 
-func printUpstreams(command *cli.Command, upstreams []client.UpstreamStatus) error {
+func printUpstreams(command *cli.Command, upstreams []adminwire.UpstreamStatus) error {
 	t := newTable(command, "UPSTREAM", "STATE", "LIMIT", "IN FLIGHT", "TTFT MS", "INTER-TOKEN MS", "STRAGGLER")
 	for _, u := range upstreams {
 		t.row(u.Name, u.State, fmt.Sprint(u.Limit), fmt.Sprint(u.InFlight),
@@ -77,14 +77,14 @@
 	return t.flush()
 }
 
-func printCounters(command *cli.Command, counters []client.Counter) error {
+func printCounters(command *cli.Command, counters []adminwire.CounterStatus) error {
 	if len(counters) == 0 {
 		return nil
 	}
 	fmt.Fprintln(writer(command))
 	t := newTable(command, "COUNTER", "REASON", "VALUE")
 	for _, c := range counters {
-		t.row(c.Name, c.Reason, strconv.FormatUint(c.Value, 10))
+		t.row(c.Name, c.Reason, strconv.FormatInt(c.Value, 10))
 	}
 	return t.flush()
 }
--- a/internal/adminapi/api.go
+++ b/internal/adminapi/api.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/routing"
@@ -44,85 +45,16 @@
 	Apply(ctx context.Context, change Change) (result ChangeResult, ok bool)
 	// Set is the configuration in force, or nil.
 	Set() *configstate.Set
-	Status(ctx context.Context) (Status, bool)
-	Explain(ctx context.Context, r routing.Request) (Explanation, bool)
+	Status(ctx context.Context) (adminwire.Status, bool)
+	Explain(ctx context.Context, r routing.Request) (adminwire.Explanation, bool)
 	// Order returns ok false if the result is not known in time.
-	Order(ctx context.Context, order Order) (status node.OrderStatus, ok bool)
+	Order(ctx context.Context, order adminwire.Order) (status node.OrderStatus, ok bool)
 	// Drain starts a planned stop.
 	Drain()
 	// NotReady says why callers should not be sent here; empty if ready.
 	NotReady() string
 }
 
-// Status is what an instance knows of itself and the others.
-type Status struct {
-	Name           string           `json:"name"`
-	Incarnation    string           `json:"incarnation"`
-	FailureDomain  string           `json:"failure_domain"`
-	Cell           string           `json:"cell"`
-	Ready          bool             `json:"ready"`
-	NotReadyReason string           `json:"not_ready_reason,omitempty"`
-	Draining       bool             `json:"draining"`
-	ConfigRevision uint64           `json:"config_revision"`
-	StoreAvailable bool             `json:"store_available"`
-	Instances      []InstanceStatus `json:"instances"`
-	Upstreams      []UpstreamStatus `json:"upstreams"`
-	Tiers          []TierStatus     `json:"tiers"`
-	Counters       []CounterStatus  `json:"counters"`
-}
-
-// InstanceStatus describes one instance.
-type InstanceStatus struct {
-	Incarnation    string `json:"incarnation"`
-	State          string `json:"state"`
-	CallerAddress  string `json:"caller_address"`
-	AdminAddress   string `json:"admin_address"`
-	FailureDomain  string `json:"failure_domain"`
-	ConfigRevision uint64 `json:"config_revision"`
-}
-
-// UpstreamStatus describes one upstream as its pool's owner sees it.
-type UpstreamStatus struct {
-	Name         string  `json:"name"`
-	State        string  `json:"state"`
-	Limit        uint32  `json:"limit"`
-	InFlight     uint32  `json:"in_flight"`
-	TTFTMs       float64 `json:"ttft_ms"`
-	InterTokenMs float64 `json:"inter_token_ms"`
-	Straggler    bool    `json:"straggler"`
-}
-
-// TierStatus counts the work of one tier in the pools that this instance owns.
-type TierStatus struct {
-	Tier     int    `json:"tier"`
-	Waiting  uint32 `json:"waiting"`
-	InFlight uint32 `json:"in_flight"`
-}
-
-// CounterStatus is the value of one counter.
-type CounterStatus struct {
-	Name   string `json:"name"`
-	Reason string `json:"reason"`
-	Value  int64  `json:"value"`
-}
-
-// Explanation says how a request would be routed and why.
-type Explanation struct {
-	Route     string              `json:"route"`
-	Tier      string              `json:"tier"`
-	Pool      string              `json:"pool"`
-	Owner     string              `json:"owner"`
-	Upstreams []ExplainedUpstream `json:"upstreams"`
-	Steps     []string            `json:"steps"`
-}
-
-// ExplainedUpstream says whether an upstream is eligible.
-type ExplainedUpstream struct {
-	Name     string `json:"name"`
-	Eligible bool   `json:"eligible"`
-	Why      string `json:"why"`
-}
-
 // API is the administration API.
 type API struct {
 	backend   Backend
--- a/internal/adminapi/operator_test.go
+++ b/internal/adminapi/operator_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/routing"
@@ -28,7 +29,7 @@
 	set     *configstate.Set
 	changes []Change
 	result  ChangeResult
-	orders  []Order
+	orders  []adminwire.Order
 	// orderStatus answers orders; 0 means that nothing is known in time.
 	orderStatus node.OrderStatus
 }
@@ -37,16 +38,16 @@
 	b.changes = append(b.changes, c)
 	return b.result, true
 }
-func (b *backend) Set() *configstate.Set                 { return b.set }
-func (b *backend) Status(context.Context) (Status, bool) { return Status{}, false }
-func (b *backend) Order(_ context.Context, o Order) (node.OrderStatus, bool) {
+func (b *backend) Set() *configstate.Set                           { return b.set }
+func (b *backend) Status(context.Context) (adminwire.Status, bool) { return adminwire.Status{}, false }
+func (b *backend) Order(_ context.Context, o adminwire.Order) (node.OrderStatus, bool) {
 	b.orders = append(b.orders, o)
 	return b.orderStatus, b.orderStatus != 0
 }
 func (b *backend) Drain()           {}
 func (b *backend) NotReady() string { return "starting" }
-func (b *backend) Explain(context.Context, routing.Request) (Explanation, bool) {
-	return Explanation{}, false
+func (b *backend) Explain(context.Context, routing.Request) (adminwire.Explanation, bool) {
+	return adminwire.Explanation{}, false
 }
 
 func tier(name, team string, version uint64) *pb.Object {
--- a/internal/adminapi/order.go
+++ b/internal/adminapi/order.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/apimachinery/pkg/util/validation"
 
+	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -13,14 +14,6 @@
 // maxArgumentBytes bounds the argument of an order.
 const maxArgumentBytes = 1 << 10
 
-// Order is an order to an upstream, for example to load a model.
-type Order struct {
-	Upstream string `json:"upstream"`
-	// Verb is a word that the upstream knows, such as load_model.
-	Verb     string `json:"verb"`
-	Argument string `json:"argument"`
-}
-
 // order sends an order under the upstream's lease and answers with its result.
 func (a *API) order(w http.ResponseWriter, r *http.Request, op operator) *apiError {
 	order, problem := parseOrder(r)
@@ -57,8 +50,8 @@
 	return set.Upstreams[name]
 }
 
-func parseOrder(r *http.Request) (Order, *apiError) {
-	var order Order
+func parseOrder(r *http.Request) (adminwire.Order, *apiError) {
+	var order adminwire.Order
 	body, problem := readBody(r)
 	if problem != nil {
 		return order, problem
--- a/internal/client/status.go
+++ b/internal/adminwire/adminwire.go
@@ -1,23 +1,25 @@
-package client
+// Package adminwire holds the JSON shapes of the administration API that its
+// server and its client share.
+package adminwire
 
-// Status is what one instance reports of itself and of what it knows.
+// Status is what an instance knows of itself and the others.
 type Status struct {
 	Name           string           `json:"name"`
 	Incarnation    string           `json:"incarnation"`
 	FailureDomain  string           `json:"failure_domain"`
 	Cell           string           `json:"cell"`
 	Ready          bool             `json:"ready"`
-	NotReadyReason string           `json:"not_ready_reason"`
+	NotReadyReason string           `json:"not_ready_reason,omitempty"`
 	Draining       bool             `json:"draining"`
 	ConfigRevision uint64           `json:"config_revision"`
 	StoreAvailable bool             `json:"store_available"`
 	Instances      []InstanceStatus `json:"instances"`
 	Upstreams      []UpstreamStatus `json:"upstreams"`
 	Tiers          []TierStatus     `json:"tiers"`
-	Counters       []Counter        `json:"counters"`
+	Counters       []CounterStatus  `json:"counters"`
 }
 
-// InstanceStatus is one entry instance.
+// InstanceStatus describes one instance.
 type InstanceStatus struct {
 	Incarnation string `json:"incarnation"`
 	// State is "alive", "suspect", "leaving" or "dead".
@@ -28,7 +30,7 @@
 	ConfigRevision uint64 `json:"config_revision"`
 }
 
-// UpstreamStatus is one upstream as its pool's owner sees it.
+// UpstreamStatus describes one upstream as its pool's owner sees it.
 type UpstreamStatus struct {
 	Name         string  `json:"name"`
 	State        string  `json:"state"`
@@ -39,34 +41,42 @@
 	Straggler    bool    `json:"straggler"`
 }
 
-// TierStatus counts the work of one tier in the pools that the instance owns.
+// TierStatus counts the work of one tier in the pools that this instance owns.
 type TierStatus struct {
-	Tier     uint32 `json:"tier"`
+	Tier     int    `json:"tier"`
 	Waiting  uint32 `json:"waiting"`
 	InFlight uint32 `json:"in_flight"`
 }
 
-// Counter is one counter of the instance.
-type Counter struct {
+// CounterStatus is the value of one counter.
+type CounterStatus struct {
 	Name   string `json:"name"`
 	Reason string `json:"reason"`
-	Value  uint64 `json:"value"`
+	Value  int64  `json:"value"`
 }
 
-// Explanation says where a request would go and why.
+// Explanation says how a request would be routed and why.
 type Explanation struct {
-	Route     string                `json:"route"`
-	Tier      string                `json:"tier"`
-	Pool      string                `json:"pool"`
-	Owner     string                `json:"owner"`
-	Upstreams []UpstreamExplanation `json:"upstreams"`
+	Route     string              `json:"route"`
+	Tier      string              `json:"tier"`
+	Pool      string              `json:"pool"`
+	Owner     string              `json:"owner"`
+	Upstreams []ExplainedUpstream `json:"upstreams"`
 	// Steps are the decisions in their order.
 	Steps []string `json:"steps"`
 }
 
-// UpstreamExplanation says whether an upstream may serve the request.
-type UpstreamExplanation struct {
+// ExplainedUpstream says whether an upstream is eligible.
+type ExplainedUpstream struct {
 	Name     string `json:"name"`
 	Eligible bool   `json:"eligible"`
 	Why      string `json:"why"`
 }
+
+// Order is an order to an upstream, for example to load a model.
+type Order struct {
+	Upstream string `json:"upstream"`
+	// Verb is a word that the upstream knows, such as load_model.
+	Verb     string `json:"verb"`
+	Argument string `json:"argument"`
+}
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/citrongate/citrongate/internal/adminwire"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -133,12 +134,12 @@
 }
 
 // Status reads the status of one instance as JSON.
-func (a *Admin) Status(ctx context.Context) (*Status, []byte, error) {
+func (a *Admin) Status(ctx context.Context) (*adminwire.Status, []byte, error) {
 	body, err := a.call(ctx, http.MethodGet, "/admin/v1/status", nil, nil)
 	if err != nil {
 		return nil, nil, err
 	}
-	status := &Status{}
+	status := &adminwire.Status{}
 	if err := json.Unmarshal(body, status); err != nil {
 		return nil, body, Failed.Wrap(err, "the status cannot be read")
 	}
@@ -146,12 +147,12 @@
 }
 
 // Explain asks where requests of a kind and an organisation with these labels go.
-func (a *Admin) Explain(ctx context.Context, query url.Values) (*Explanation, []byte, error) {
+func (a *Admin) Explain(ctx context.Context, query url.Values) (*adminwire.Explanation, []byte, error) {
 	body, err := a.call(ctx, http.MethodGet, "/admin/v1/explain?"+query.Encode(), nil, nil)
 	if err != nil {
 		return nil, nil, err
 	}
-	explanation := &Explanation{}
+	explanation := &adminwire.Explanation{}
 	if err := json.Unmarshal(body, explanation); err != nil {
 		return nil, body, Failed.Wrap(err, "the explanation cannot be read")
 	}
@@ -160,7 +161,7 @@
 
 // Order gives an order to an upstream and returns once it was carried out.
 func (a *Admin) Order(ctx context.Context, upstream, verb, argument string) error {
-	body, err := json.Marshal(orderBody{Upstream: upstream, Verb: verb, Argument: argument})
+	body, err := json.Marshal(adminwire.Order{Upstream: upstream, Verb: verb, Argument: argument})
 	if err != nil {
 		return err
 	}
@@ -168,12 +169,6 @@
 	return err
 }
 
-type orderBody struct {
-	Upstream string `json:"upstream"`
-	Verb     string `json:"verb"`
-	Argument string `json:"argument"`
-}
-
 // Drain starts a planned stop of the instance.
 func (a *Admin) Drain(ctx context.Context) error {
 	_, err := a.call(ctx, http.MethodPost, "/admin/v1/drain", nil, nil)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/membership"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -39,7 +40,7 @@
 }
 
 // Order hands an order to the node and waits for its result.
-func (b adminBackend) Order(ctx context.Context, order adminapi.Order) (node.OrderStatus, bool) {
+func (b adminBackend) Order(ctx context.Context, order adminwire.Order) (node.OrderStatus, bool) {
 	ctx, stop := context.WithTimeout(ctx, orderTimeout)
 	defer stop()
 	id, result := b.d.orderAnswers.add()
@@ -61,11 +62,11 @@
 func (b adminBackend) NotReady() string { return *b.d.notReady.Load() }
 
 // Status reads the state of this instance and what it knows of the others.
-func (b adminBackend) Status(ctx context.Context) (adminapi.Status, bool) {
+func (b adminBackend) Status(ctx context.Context) (adminwire.Status, bool) {
 	ctx, stop := context.WithTimeout(ctx, queryTimeout)
 	defer stop()
 	d := b.d
-	s := adminapi.Status{
+	s := adminwire.Status{
 		Name: d.settings.GetInstance().GetName(), Incarnation: d.identity.String(),
 		FailureDomain: d.settings.GetInstance().GetFailureDomain(), Cell: d.settings.GetInstance().GetCell(),
 		StoreAvailable: !d.storeDown.Load(),
@@ -91,14 +92,14 @@
 	return s, ok
 }
 
-func instanceStatuses(members []membership.Member) []adminapi.InstanceStatus {
-	out := make([]adminapi.InstanceStatus, 0, len(members))
+func instanceStatuses(members []membership.Member) []adminwire.InstanceStatus {
+	out := make([]adminwire.InstanceStatus, 0, len(members))
 	for _, m := range members {
 		state := m.State.String()
 		if m.Leaving {
 			state = "leaving"
 		}
-		out = append(out, adminapi.InstanceStatus{
+		out = append(out, adminwire.InstanceStatus{
 			Incarnation: incarnationText(node.Incarnation(m.Incarnation)), State: state, CallerAddress: m.CallerAddress,
 			AdminAddress: m.AdminAddress, FailureDomain: m.FailureDomain, ConfigRevision: m.ConfigRevision,
 		})
@@ -107,28 +108,28 @@
 }
 
 // summarise adds up the pools that this instance schedules.
-func summarise(pools []node.PoolSummary) ([]adminapi.TierStatus, []adminapi.UpstreamStatus) {
-	tiers := []adminapi.TierStatus{}
-	upstreams := []adminapi.UpstreamStatus{}
+func summarise(pools []node.PoolSummary) ([]adminwire.TierStatus, []adminwire.UpstreamStatus) {
+	tiers := []adminwire.TierStatus{}
+	upstreams := []adminwire.UpstreamStatus{}
 	for _, p := range pools {
 		for rank, t := range p.Scheduler.Tiers {
 			if t.Waiting+t.InFlight > 0 {
-				tiers = addTier(tiers, adminapi.TierStatus{Tier: rank, Waiting: t.Waiting, InFlight: t.InFlight})
+				tiers = addTier(tiers, adminwire.TierStatus{Tier: rank, Waiting: t.Waiting, InFlight: t.InFlight})
 			}
 		}
 		for _, u := range p.Scheduler.Upstreams {
-			upstreams = append(upstreams, adminapi.UpstreamStatus{
+			upstreams = append(upstreams, adminwire.UpstreamStatus{
 				Name: u.Name, State: "live", Limit: u.Limit, InFlight: u.InFlight, TTFTMs: milliseconds(u.TTFT),
 				InterTokenMs: milliseconds(u.InterToken), Straggler: u.Straggler,
 			})
 		}
 	}
-	slices.SortFunc(tiers, func(a, b adminapi.TierStatus) int { return cmp.Compare(a.Tier, b.Tier) })
-	slices.SortFunc(upstreams, func(a, b adminapi.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(tiers, func(a, b adminwire.TierStatus) int { return cmp.Compare(a.Tier, b.Tier) })
+	slices.SortFunc(upstreams, func(a, b adminwire.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return tiers, upstreams
 }
 
-func addTier(tiers []adminapi.TierStatus, add adminapi.TierStatus) []adminapi.TierStatus {
+func addTier(tiers []adminwire.TierStatus, add adminwire.TierStatus) []adminwire.TierStatus {
 	for i := range tiers {
 		if tiers[i].Tier == add.Tier {
 			tiers[i].Waiting += add.Waiting
@@ -140,7 +141,7 @@
 }
 
 // withUnowned marks leaving upstreams and adds those whose pool another instance owns.
-func withUnowned(upstreams []adminapi.UpstreamStatus, leaving map[string]bool) []adminapi.UpstreamStatus {
+func withUnowned(upstreams []adminwire.UpstreamStatus, leaving map[string]bool) []adminwire.UpstreamStatus {
 	for i := range upstreams {
 		if leaving[upstreams[i].Name] {
 			upstreams[i].State = "leaving"
@@ -152,9 +153,9 @@
 		if isLeaving {
 			state = "leaving"
 		}
-		upstreams = append(upstreams, adminapi.UpstreamStatus{Name: name, State: state})
+		upstreams = append(upstreams, adminwire.UpstreamStatus{Name: name, State: state})
 	}
-	slices.SortFunc(upstreams, func(a, b adminapi.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(upstreams, func(a, b adminwire.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return upstreams
 }
 
@@ -162,16 +163,16 @@
 
 func tierName(rank int) string { return strconv.Itoa(rank) }
 
-func (d *Daemon) counters() []adminapi.CounterStatus {
-	out := []adminapi.CounterStatus{}
+func (d *Daemon) counters() []adminwire.CounterStatus {
+	out := []adminwire.CounterStatus{}
 	for _, c := range d.metrics.Counters() {
-		out = append(out, adminapi.CounterStatus{Name: c.Name, Reason: c.Reason, Value: c.Value})
+		out = append(out, adminwire.CounterStatus{Name: c.Name, Reason: c.Reason, Value: c.Value})
 	}
 	return out
 }
 
 // Explain says how a request would be routed and why.
-func (b adminBackend) Explain(ctx context.Context, r routing.Request) (adminapi.Explanation, bool) {
+func (b adminBackend) Explain(ctx context.Context, r routing.Request) (adminwire.Explanation, bool) {
 	ctx, stop := context.WithTimeout(ctx, queryTimeout)
 	defer stop()
 	var e routing.Explanation
@@ -188,8 +189,8 @@
 }
 
 // explain puts an explanation into the words of the operator API.
-func explain(e routing.Explanation, owner string) adminapi.Explanation {
-	out := adminapi.Explanation{Tier: e.Tier, Owner: owner, Upstreams: []adminapi.ExplainedUpstream{}, Steps: []string{}}
+func explain(e routing.Explanation, owner string) adminwire.Explanation {
+	out := adminwire.Explanation{Tier: e.Tier, Owner: owner, Upstreams: []adminwire.ExplainedUpstream{}, Steps: []string{}}
 	for _, r := range e.Routes {
 		switch {
 		case r.Chosen:
@@ -205,7 +206,7 @@
 		if u.Failed != "" {
 			why = string(u.Failed)
 		}
-		out.Upstreams = append(out.Upstreams, adminapi.ExplainedUpstream{Name: u.Upstream, Eligible: u.Failed == "", Why: why})
+		out.Upstreams = append(out.Upstreams, adminwire.ExplainedUpstream{Name: u.Upstream, Eligible: u.Failed == "", Why: why})
 	}
 	if e.Err != nil {
 		out.Steps = append(out.Steps, e.Err.Error())
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/standin/engine"
@@ -273,7 +273,7 @@
 	b := s.start("")
 	s.configure(a, b)
 	members := func(i *instance) int {
-		var status adminapi.Status
+		var status adminwire.Status
 		_, _, text := i.call("GET", i.admin, "/admin/v1/status", "op", "")
 		_ = json.Unmarshal([]byte(text), &status)
 		return len(status.Instances)
@@ -455,7 +455,7 @@
 	require.Contains(t, text, "problems")
 
 	_, _, text = i.call("GET", i.admin, "/admin/v1/status", "op", "")
-	var report adminapi.Status
+	var report adminwire.Status
 	require.NoError(t, json.Unmarshal([]byte(text), &report))
 	require.True(t, report.Ready)
 	require.True(t, report.StoreAvailable)
@@ -464,12 +464,12 @@
 	require.Len(t, report.Upstreams, 2)
 
 	_, _, text = i.call("GET", i.admin, "/admin/v1/explain?kind=default&organisation=acme&model=m", "op", "")
-	var explanation adminapi.Explanation
+	var explanation adminwire.Explanation
 	require.NoError(t, json.Unmarshal([]byte(text), &explanation))
 	require.Equal(t, "models", explanation.Route)
 	require.Equal(t, "t", explanation.Tier)
 	require.Equal(t, i.identity.String(), explanation.Owner)
-	require.Contains(t, explanation.Upstreams, adminapi.ExplainedUpstream{Name: "e1", Eligible: true, Why: "all requirements hold"})
+	require.Contains(t, explanation.Upstreams, adminwire.ExplainedUpstream{Name: "e1", Eligible: true, Why: "all requirements hold"})
 
 	i.until("gauges", func() bool {
 		_, _, text := i.call("GET", i.admin, "/metrics", "", "")
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -299,46 +299,6 @@
 	return bodyTooLarge(c.server.config.MaxBodyBytes)
 }
 
-func malformed(reason string) InputError {
-	return InputError{
-		Status: http.StatusBadRequest, Code: "bad_request",
-		Reason: "the request is not valid HTTP/1.1: " + reason,
-		Remedy: "send one valid HTTP/1.1 request with one Content-Length or chunked encoding",
-	}
-}
-
-func headerTooLarge(limit int) InputError {
-	return InputError{
-		Status: http.StatusRequestHeaderFieldsTooLarge, Code: "too_large",
-		Reason: fmt.Sprintf("the header block is larger than %d bytes", limit),
-		Remedy: "send fewer or shorter headers",
-	}
-}
-
-func bodyTooLarge(limit int) InputError {
-	return InputError{
-		Status: http.StatusRequestEntityTooLarge, Code: "too_large",
-		Reason: fmt.Sprintf("the body is larger than %d bytes", limit),
-		Remedy: "shorten the body or ask the operator to raise max_body_bytes",
-	}
-}
-
-func bodiesTooLarge(limit int64) InputError {
-	return InputError{
-		Status: http.StatusServiceUnavailable, Code: "shed_overload",
-		Reason: fmt.Sprintf("this instance holds max_buffered_bytes = %d bytes of request bodies", limit),
-		Remedy: "retry at another instance of the discovery answer",
-	}
-}
-
-func tooManyConnections(limit int) InputError {
-	return InputError{
-		Status: http.StatusServiceUnavailable, Code: "limit_in_flight",
-		Reason: fmt.Sprintf("this instance has max_connections = %d connections", limit),
-		Remedy: "use another instance of the discovery answer",
-	}
-}
-
 // tooSlow refuses a request that was not received in time.
 func (c *connection) tooSlow() {
 	c.mu.Lock()
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -57,15 +57,6 @@
 	Log zerolog.Logger
 }
 
-// InputError says what is wrong with input that never became a request.
-type InputError struct {
-	Status int
-	// Code is a refusal code.
-	Code   string
-	Reason string
-	Remedy string
-}
-
 // Server is an HTTP server with bounded input and output.
 //
 // nbhttp runs in its blocking mode. In its other modes (1.6.8) a connection
