One piece of code for refusals, attempts, tier ranks and stand-in answers

Cause: read-through of the whole change. node.Refuse and httpfront.Refusal repeated answer.Refusal and were copied field by field; the rule for "not run" of a repeated key stood in httpfront twice; pkg/dispatch had its own bound on tier ranks; three stand-ins had the same JSON writer; the command line and the client each joined labels. Change: node.Refuse embeds answer.Refusal, httpfront.Refusal is that type with its HTTP form; attemptNotRun; scheduler.MaxTiers; internal/standin/jsonhttp; client.FormatLabels. One composite literal in a test follows the new shape; no assertion changed.

--- a/cmd/citrongate/explain.go
+++ b/cmd/citrongate/explain.go
@@ -4,12 +4,11 @@
 	"context"
 	"fmt"
 	"net/url"
-	"slices"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/citrongate/citrongate/internal/adminwire"
+	"github.com/citrongate/citrongate/internal/client"
 )
 
 func explainCommand() *cli.Command {
@@ -47,7 +46,7 @@
 		}
 	}
 	if len(labels) > 0 {
-		query.Set("labels", joinLabels(labels))
+		query.Set("labels", client.FormatLabels(labels))
 	}
 	explanation, raw, err := admin.Explain(ctx, query)
 	if err != nil {
@@ -59,15 +58,6 @@
 	return printExplanation(command, explanation)
 }
 
-func joinLabels(labels map[string]string) string {
-	var pairs []string
-	for key, value := range labels {
-		pairs = append(pairs, key+"="+value)
-	}
-	slices.Sort(pairs)
-	return strings.Join(pairs, ",")
-}
-
 func printExplanation(command *cli.Command, e *adminwire.Explanation) error {
 	for _, step := range e.Steps {
 		fmt.Fprintln(writer(command), step)
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -311,11 +311,12 @@
 		header.Set("Citrongate-Deadline-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
 	if len(c.request.Labels) > 0 {
-		header.Set("Citrongate-Labels", formatLabels(c.request.Labels))
+		header.Set("Citrongate-Labels", FormatLabels(c.request.Labels))
 	}
 }
 
-func formatLabels(labels map[string]string) string {
+// FormatLabels writes labels as the API takes them, sorted by key.
+func FormatLabels(labels map[string]string) string {
 	var pairs []string
 	for key, value := range labels {
 		pairs = append(pairs, key+"="+value)
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -87,7 +87,7 @@
 
 func (c *call) refuse(a node.Refuse) {
 	c.log("request refused", a.Code, string(a.Ran))
-	c.answer.Refuse(httpfront.Refusal{Code: a.Code, Ran: a.Ran, Reason: a.Reason, Remedy: a.Remedy, RetryAfter: a.RetryAfter})
+	c.answer.Refuse(httpfront.Refusal(a.Refusal))
 }
 
 func (c *call) recorded(o *pb.BindingOutcome) {
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -68,7 +69,7 @@
 			return []node.Action{dispatch, dispatch}
 		case node.UpstreamDone:
 			again := node.Dispatch{ID: e.ID, Address: server.Listener.Addr().String(), Remaining: time.Minute}
-			return []node.Action{again, node.Refuse{ID: e.ID, Code: "upstream_broke", Ran: node.RanUnknown}}
+			return []node.Action{again, node.Refuse{ID: e.ID, Refusal: answer.Refusal{Code: "upstream_broke", Ran: node.RanUnknown}}}
 		}
 		return nil
 	})
--- a/internal/httpfront/handler.go
+++ b/internal/httpfront/handler.go
@@ -77,12 +77,7 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	if refusal := h.route(w, r, id); refusal != nil {
-		key := r.Header.Get("Idempotency-Key")
-		if key != "" && len(key) <= maxIDBytes && !firstAttempt(r.Header) {
-			// An earlier attempt under the same key may have run, unless the
-			// key is too long to be accepted anywhere.
-			refusal.Ran = node.RanUnknown
-		}
+		refusal.Ran = attemptNotRun(r.Header.Get("Idempotency-Key"), firstAttempt(r.Header))
 		h.backend.Refused(refusal.Code)
 		h.log.Info().Str("request_id", id).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).Str("detail", refusal.Reason).Msg("request refused")
 		writeRefusal(w, id, *refusal)
--- a/internal/httpfront/refusal.go
+++ b/internal/httpfront/refusal.go
@@ -5,19 +5,13 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
+	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/node"
 )
 
-// Refusal says why a request ends without an answer.
-type Refusal struct {
-	Code       string
-	Ran        node.Ran
-	Reason     string
-	Remedy     string
-	RetryAfter time.Duration
-}
+// Refusal is a refusal as it is written to the caller.
+type Refusal answer.Refusal
 
 // statusCanceled is logged for callers that went away; nobody receives it.
 const statusCanceled = 499
--- a/internal/httpfront/request.go
+++ b/internal/httpfront/request.go
@@ -57,8 +57,12 @@
 }
 
 // NotRun is what a refusal says that knows only that this attempt did not run.
-func (r *Request) NotRun() node.Ran {
-	if r.IdempotencyKey != "" && !r.FirstAttempt {
+func (r *Request) NotRun() node.Ran { return attemptNotRun(r.IdempotencyKey, r.FirstAttempt) }
+
+// attemptNotRun is unknown if an earlier attempt under the key may have run. No
+// instance accepts a longer key than the bound, so none ran under such a key.
+func attemptNotRun(key string, first bool) node.Ran {
+	if key != "" && len(key) <= maxIDBytes && !first {
 		return node.RanUnknown
 	}
 	return node.RanNo
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/citrongate/citrongate/internal/standin/jsonhttp"
 )
 
 // Order is an instruction of an operator or of citrongate to the engine.
@@ -37,7 +39,7 @@
 	case "unload_model":
 		delete(e.models, order.Argument)
 	}
-	writeJSON(w, map[string]bool{"applied": true})
+	jsonhttp.Write(w, map[string]bool{"applied": true})
 }
 
 // load answers with the load as it was LoadLag ago.
@@ -54,7 +56,7 @@
 			sample = later
 		}
 	}
-	writeJSON(w, map[string]int64{
+	jsonhttp.Write(w, map[string]int64{
 		"running": int64(sample.running), "waiting": int64(sample.waiting),
 		"age_ms": now.Sub(sample.at).Milliseconds(),
 	})
@@ -65,30 +67,30 @@
 	e.mu.Lock()
 	events, next, gap := e.events.since(time.Now(), after)
 	e.mu.Unlock()
-	writeJSON(w, map[string]any{"events": events, "next": next, "gap": gap})
+	jsonhttp.Write(w, map[string]any{"events": events, "next": next, "gap": gap})
 }
 
 func (e *Engine) routeControl(mux *http.ServeMux) {
 	mux.HandleFunc("GET /control/state", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(w, e.faults)
+		jsonhttp.Write(w, e.faults)
 	})
 	mux.HandleFunc("POST /control/state", e.setState)
 	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(w, e.counters)
+		jsonhttp.Write(w, e.counters)
 	})
 	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(w, e.runs)
+		jsonhttp.Write(w, e.runs)
 	})
 	mux.HandleFunc("GET /control/orders", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(w, append([]Order{}, e.orders...))
+		jsonhttp.Write(w, append([]Order{}, e.orders...))
 	})
 }
 
@@ -105,10 +107,5 @@
 	}
 	e.faults = changed
 	e.notify()
-	writeJSON(w, e.faults)
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(value)
+	jsonhttp.Write(w, e.faults)
 }
--- /dev/null
+++ b/internal/standin/jsonhttp/jsonhttp.go
@@ -0,0 +1,13 @@
+// Package jsonhttp writes the JSON answers of the stand-ins.
+package jsonhttp
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Write answers with status 200 and the value as JSON.
+func Write(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/citrongate/citrongate/internal/standin/jsonhttp"
 )
 
 func (p *Platform) routeControl(mux *http.ServeMux) {
@@ -19,7 +21,7 @@
 func (p *Platform) getState(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	writeJSON(w, p.faults)
+	jsonhttp.Write(w, p.faults)
 }
 
 // setState changes the fields that the body names.
@@ -37,13 +39,13 @@
 	p.faults = changed
 	lag := time.Duration(changed.ListLagMs) * time.Millisecond
 	p.instances.freeze(p.now(), changed.StaleList, lag)
-	writeJSON(w, p.faults)
+	jsonhttp.Write(w, p.faults)
 }
 
 func (p *Platform) getCounters(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	writeJSON(w, p.counters)
+	jsonhttp.Write(w, p.counters)
 }
 
 // putInstance lists an instance until it is removed.
@@ -82,7 +84,7 @@
 		return
 	}
 	lag := time.Duration(faults.ListLagMs) * time.Millisecond
-	writeJSON(w, map[string]any{"instances": p.instances.at(p.now(), lag)})
+	jsonhttp.Write(w, map[string]any{"instances": p.instances.at(p.now(), lag)})
 }
 
 // heartbeat lists the instance in the body until its time to live has passed.
--- a/internal/standin/platform/objectapi.go
+++ b/internal/standin/platform/objectapi.go
@@ -1,12 +1,13 @@
 package platform
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/citrongate/citrongate/internal/standin/jsonhttp"
 )
 
 // maxWatch bounds the time that a watch waits.
@@ -158,7 +159,7 @@
 }
 
 func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, map[string]any{"objects": p.objects.list(r.URL.Query().Get("prefix"))})
+	jsonhttp.Write(w, map[string]any{"objects": p.objects.list(r.URL.Query().Get("prefix"))})
 }
 
 // watch answers as soon as there is a change after the version, or with no
@@ -179,7 +180,7 @@
 			return
 		}
 		if len(events) > 0 || expired {
-			writeJSON(w, watchAnswer{Version: newest, Events: append([]Event{}, events...)})
+			jsonhttp.Write(w, watchAnswer{Version: newest, Events: append([]Event{}, events...)})
 			return
 		}
 		select {
@@ -209,11 +210,6 @@
 	return version, err == nil
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(value)
-}
-
 // closeConnection ends the connection without an answer.
 func closeConnection(w http.ResponseWriter) {
 	hijacker, ok := w.(http.Hijacker)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/citrongate/citrongate/internal/standin/jsonhttp"
 )
 
 // maxBodyBytes bounds a request body.
@@ -104,7 +106,7 @@
 		id = "other-" + id
 	}
 	w.Header().Set("X-Request-Id", id)
-	writeJSON(w, answer)
+	jsonhttp.Write(w, answer)
 }
 
 // take returns the faults that apply to one call and uses up the counted ones.
@@ -142,13 +144,13 @@
 func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, s.ledger)
+	jsonhttp.Write(w, s.ledger)
 }
 
 func (s *Service) getState(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, s.faults)
+	jsonhttp.Write(w, s.faults)
 }
 
 // setState changes the faults that the body names.
@@ -163,10 +165,5 @@
 		return
 	}
 	s.faults = changed
-	writeJSON(w, s.faults)
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(value)
+	jsonhttp.Write(w, s.faults)
 }
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -3,18 +3,17 @@
 import (
 	"slices"
 	"time"
-)
 
-// maxTiers is the number of tier ranks.
-const maxTiers = 16
+	"github.com/citrongate/citrongate/pkg/scheduler"
+)
 
 // waitingSet lists the records of each tier that may be waiting, oldest first.
 // Records that have ended are dropped when a list has grown to twice the bound
 // on records, so that adding one costs constant time on average.
-type waitingSet [maxTiers][]*Record
+type waitingSet [scheduler.MaxTiers][]*Record
 
 func (s *waitingSet) add(r *Record, maxRecords int) {
-	tier := min(int(r.Tier), maxTiers-1)
+	tier := min(int(r.Tier), scheduler.MaxTiers-1)
 	if len(s[tier]) >= 2*maxRecords {
 		s[tier] = slices.DeleteFunc(s[tier], func(r *Record) bool { return r.State == Done })
 	}
@@ -24,7 +23,7 @@
 // newestBelow returns the newest waiting record of the lowest tier that is
 // lower than tier, or nil.
 func (s *waitingSet) newestBelow(tier uint8) *Record {
-	for t := maxTiers - 1; t > int(tier); t-- {
+	for t := scheduler.MaxTiers - 1; t > int(tier); t-- {
 		for i, r := range slices.Backward(s[t]) {
 			if r.State == Waiting {
 				s[t] = slices.Delete(s[t], i, i+1)
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -34,12 +34,8 @@
 
 // Refuse tells the caller edge that the request ends without an answer.
 type Refuse struct {
-	ID         RequestID
-	Code       string
-	Ran        Ran
-	Reason     string
-	Remedy     string
-	RetryAfter time.Duration
+	ID RequestID
+	answer.Refusal
 }
 
 // ReplyRecorded answers a non-idempotent call with a recorded outcome. The call
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -143,7 +143,7 @@
 
 func (n *Node) emitRefuse(id dispatch.ID, r dispatch.Refusal) {
 	r = n.forKey(n.requests[id], r)
-	n.emit(Refuse{ID: RequestID(id), Code: r.Code, Ran: r.Ran, Reason: r.Reason, Remedy: r.Remedy, RetryAfter: r.RetryAfter})
+	n.emit(Refuse{ID: RequestID(id), Refusal: r})
 }
 
 func (n *Node) callerGone(id dispatch.ID) {
