--- /dev/null
+++ b/cmd/citrongate/gateway.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/citrongate/citrongate/internal/gateway"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/platform"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// runGateway serves on the platform until a planned stop has finished.
+func runGateway(path string, loaded *pb.Settings, log zerolog.Logger) error {
+	store := platform.NewStore(loaded.GetPlatform().GetAddress(), settings.Duration(loaded.GetPlatform().GetCallTimeout()))
+	defer store.Close()
+	g, err := gateway.New(loaded, log, store, platform.Codec{})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	if err := g.Start(); err != nil {
+		return err
+	}
+	defer g.Close()
+	for {
+		select {
+		case <-reloads:
+			reload(path, g, log)
+		case <-signals:
+			g.Drain()
+			return finish(g.Finish, signals, log)
+		}
+	}
+}
+
+// reload puts changed settings in force. Faulty ones change nothing.
+func reload(path string, g *gateway.Gateway, log zerolog.Logger) {
+	next, err := settings.Load(path)
+	if err != nil {
+		log.Error().Err(err).Msg("changed settings are not used")
+		return
+	}
+	g.Reload(next)
+}
--- a/cmd/citrongate/serve.go
+++ b/cmd/citrongate/serve.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/citrongate/citrongate/internal/daemon"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/telemetry"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -47,7 +48,10 @@
 	}
 	log := telemetry.NewLogger(errWriter(command), loaded.GetLog().GetLevel())
 	telemetry.RouteNBIO(log)
-	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) daemon.Machine { return node.New(cfg, seed) })
+	if loaded.GetGateway().GetMode() == settings.On {
+		return runGateway(command.String("config"), loaded, log)
+	}
+	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
 	if err != nil {
 		return err
 	}
@@ -68,12 +72,17 @@
 		d.Drain()
 	case <-d.Draining():
 	}
+	return finish(d.Finish, signals, log)
+}
+
+// finish waits for the end of a planned stop, or for a second signal.
+func finish(wait func(context.Context), signals <-chan os.Signal, log zerolog.Logger) error {
 	finished := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
 		defer close(finished)
-		d.Finish(ctx)
+		wait(ctx)
 	}()
 	select {
 	case <-finished:
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/citrongate/citrongate/internal/adminapi"
 	"github.com/citrongate/citrongate/internal/adminwire"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/membership"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -32,7 +33,7 @@
 	defer stop()
 	id, result := b.d.changes.add()
 	defer b.d.changes.remove(id)
-	if !b.d.loop.post(node.ApplyChange{Change: id, Puts: change.Puts, Deletes: change.Deletes, Conditional: change.Conditional, DryRun: change.DryRun}) {
+	if !b.d.loop.Post(node.ApplyChange{Change: id, Puts: change.Puts, Deletes: change.Deletes, Conditional: change.Conditional, DryRun: change.DryRun}) {
 		return adminapi.ChangeResult{}, false
 	}
 	done, ok := waitFor(ctx, result)
@@ -45,7 +46,7 @@
 	defer stop()
 	id, result := b.d.orderAnswers.add()
 	defer b.d.orderAnswers.remove(id)
-	if !b.d.loop.post(node.OrderUpstream{Order: id, Upstream: order.Upstream, Verb: order.Verb, Argument: order.Argument}) {
+	if !b.d.loop.Post(node.OrderUpstream{Order: id, Upstream: order.Upstream, Verb: order.Verb, Argument: order.Argument}) {
 		return node.OrderNotSent, true
 	}
 	done, ok := waitFor(ctx, result)
@@ -73,8 +74,8 @@
 	}
 	var pools []node.PoolSummary
 	leaving := map[string]bool{}
-	ok := d.loop.query(ctx, func(time.Duration) {
-		m := d.loop.machine
+	ok := d.loop.Query(ctx, func(time.Duration) {
+		m := d.loop.Machine
 		s.NotReadyReason = m.NotReadyReason()
 		s.Ready, s.Draining = s.NotReadyReason == "", m.Leaving()
 		if set := m.ConfigSet(); set != nil {
@@ -100,7 +101,7 @@
 			state = "leaving"
 		}
 		out = append(out, adminwire.InstanceStatus{
-			Incarnation: incarnationText(node.Incarnation(m.Incarnation)), State: state, CallerAddress: m.CallerAddress,
+			Incarnation: nodeloop.IncarnationText(node.Incarnation(m.Incarnation)), State: state, CallerAddress: m.CallerAddress,
 			AdminAddress: m.AdminAddress, FailureDomain: m.FailureDomain, ConfigRevision: m.ConfigRevision,
 		})
 	}
@@ -177,11 +178,11 @@
 	defer stop()
 	var e routing.Explanation
 	owner := ""
-	ok := b.d.loop.query(ctx, func(time.Duration) {
-		e = b.d.loop.machine.Explain(r)
-		for _, p := range b.d.loop.machine.PoolSummaries() {
+	ok := b.d.loop.Query(ctx, func(time.Duration) {
+		e = b.d.loop.Machine.Explain(r)
+		for _, p := range b.d.loop.Machine.PoolSummaries() {
 			if e.Err == nil && p.Pool == e.Target.Pool {
-				owner = incarnationText(p.Owner)
+				owner = nodeloop.IncarnationText(p.Owner)
 			}
 		}
 	})
--- a/internal/daemon/background.go
+++ b/internal/daemon/background.go
@@ -27,7 +27,7 @@
 // configInForce publishes a configuration. Compiling the callers' tokens takes
 // milliseconds with many organisations, so it is not done on the loop.
 func (d *Daemon) configInForce(a node.ConfigInForce) {
-	set := d.loop.machine.ConfigSet()
+	set := d.loop.Machine.ConfigSet()
 	if set == nil {
 		return
 	}
@@ -88,9 +88,9 @@
 func (d *Daemon) readStatus() {
 	var reason string
 	var pools []node.PoolSummary
-	if !d.loop.query(d.ctx, func(time.Duration) {
-		reason = d.loop.machine.NotReadyReason()
-		pools = d.loop.machine.PoolSummaries()
+	if !d.loop.Query(d.ctx, func(time.Duration) {
+		reason = d.loop.Machine.NotReadyReason()
+		pools = d.loop.Machine.PoolSummaries()
 	}) {
 		return
 	}
@@ -144,7 +144,7 @@
 	d.loads.advance(e.name, next)
 	if len(events.Cached)+len(events.Evicted) > 0 || events.Gap {
 		events.Upstream = e.name
-		d.loop.post(events)
+		d.loop.Post(events)
 	}
 }
 
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/upstream"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -22,7 +23,7 @@
 	id        node.RequestID
 	request   *httpfront.Request
 	answer    httpfront.Answer
-	mailbox   *mailbox
+	mailbox   *nodeloop.Mailbox
 	kind      *kindGauge
 	submitted time.Time
 	// wireID identifies the request at its upstream.
@@ -41,7 +42,7 @@
 	wait, stop := context.WithTimeout(ctx, limit+answerGrace)
 	defer stop()
 	for {
-		switch a := c.mailbox.next(wait).(type) {
+		switch a := c.mailbox.Next(wait).(type) {
 		case node.Dispatch:
 			if c.sent {
 				// The edge keeps its promise also against a fault in the decisions.
@@ -71,7 +72,7 @@
 		c.giveUp()
 		return
 	}
-	c.daemon.loop.post(node.CallerGone{ID: c.id})
+	c.daemon.loop.Post(node.CallerGone{ID: c.id})
 	if c.request.NonIdempotent {
 		// The call may still have to run, so that its outcome is recorded.
 		c.run(context.WithoutCancel(ctx))
@@ -80,7 +81,7 @@
 
 // giveUp answers a request that the node does not answer.
 func (c *call) giveUp() {
-	c.daemon.loop.post(node.CallerGone{ID: c.id})
+	c.daemon.loop.Post(node.CallerGone{ID: c.id})
 	c.answer.Refuse(httpfront.Refusal{Code: "internal", Ran: node.RanUnknown,
 		Reason: "no decision was made in time", Remedy: "report this with the request id to an operator"})
 }
@@ -127,23 +128,23 @@
 	}
 	limited, cancel := context.WithTimeout(base, d.Remaining)
 	defer cancel()
-	c.mailbox.begin(cancel)
+	c.mailbox.Begin(cancel)
 	result, outcome := c.send(limited, d)
-	c.mailbox.end()
+	c.mailbox.End()
 	if result.Status != upstream.Complete {
 		c.daemon.log.Info().Str("request_id", c.request.CallerID).Str("organisation", c.request.Organisation).
 			Str("upstream", d.Upstream).Str("wire_id", c.wireID).Str("detail", result.Detail).Msg("upstream did not answer whole")
 	}
 	if result.Status == upstream.NotSent {
-		c.daemon.loop.post(node.DispatchFailed{ID: c.id})
+		c.daemon.loop.Post(node.DispatchFailed{ID: c.id})
 		return false
 	}
 	c.sent = true
 	if ctx.Err() != nil && result.Status == upstream.Canceled {
-		c.daemon.loop.post(node.CallerGone{ID: c.id})
+		c.daemon.loop.Post(node.CallerGone{ID: c.id})
 		return true
 	}
-	c.daemon.loop.post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.OutputTokens,
+	c.daemon.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.OutputTokens,
 		CachedPromptTokens: result.CachedPromptTokens, Outcome: outcome})
 	if result.Status != upstream.Complete {
 		return false
@@ -177,7 +178,7 @@
 		Body: c.request.Body, ContentType: c.request.ContentType,
 	})
 	if result.Status == upstream.Complete {
-		c.daemon.loop.post(node.UpstreamFirstToken{ID: c.id})
+		c.daemon.loop.Post(node.UpstreamFirstToken{ID: c.id})
 	}
 	return result, outcome
 }
@@ -194,7 +195,7 @@
 func (p *progress) FirstToken() {
 	p.last = time.Now()
 	p.call.daemon.metrics.FirstToken(p.last.Sub(p.sent))
-	p.call.daemon.loop.post(node.UpstreamFirstToken{ID: p.call.id})
+	p.call.daemon.loop.Post(node.UpstreamFirstToken{ID: p.call.id})
 }
 
 // Tokens reports the number of tokens; the metric gets the mean time between
@@ -205,5 +206,5 @@
 		p.call.daemon.metrics.BetweenTokens(now.Sub(p.last) / time.Duration(total-p.total))
 	}
 	p.last, p.total = now, total
-	p.call.daemon.loop.post(node.UpstreamTokens{ID: p.call.id, Total: total})
+	p.call.daemon.loop.Post(node.UpstreamTokens{ID: p.call.id, Total: total})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,3 +1,6 @@
+// Package daemon runs one entry instance: it carries out the node's actions
+// through the edges and turns what the edges see into events. It decides nothing
+// itself.
 package daemon
 
 import (
@@ -11,6 +14,7 @@
 
 	"github.com/citrongate/citrongate/internal/adminapi"
 	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/peer"
 	"github.com/citrongate/citrongate/internal/platform"
 	"github.com/citrongate/citrongate/internal/settings"
@@ -42,10 +46,10 @@
 // Daemon is one running instance.
 type Daemon struct {
 	settings     *pb.Settings
-	identity     identity
+	identity     nodeloop.Identity
 	log          zerolog.Logger
 	metrics      *telemetry.Metrics
-	loop         *loop
+	loop         *nodeloop.Loop
 	front        *httpfront.Handler
 	callers      *httpfront.Server
 	admin        *adminapi.API
@@ -53,7 +57,7 @@
 	peers        *peer.Edge
 	upstream     *upstream.Client
 	platform     *platform.Client
-	requests     *requests
+	requests     *nodeloop.Mailboxes
 	changes      *pending[node.ChangeDone]
 	orderAnswers *pending[node.OrderResult]
 	kinds        *kindGauges
@@ -87,11 +91,11 @@
 
 // New returns a daemon that has opened no connection yet. makeMachine builds
 // the node from the daemon's configuration.
-func New(s *pb.Settings, log zerolog.Logger, makeMachine func(cfg node.Config, seed uint64) Machine) (*Daemon, error) {
+func New(s *pb.Settings, log zerolog.Logger, makeMachine func(cfg node.Config, seed uint64) nodeloop.Machine) (*Daemon, error) {
 	if err := checkBootstrap(s); err != nil {
 		return nil, err
 	}
-	id, err := newIdentity()
+	id, err := nodeloop.NewIdentity()
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +109,7 @@
 		settings: s, identity: id, log: log.With().Str("instance", s.GetInstance().GetName()).Logger(), metrics: metrics,
 		upstream:     upstream.NewClient(upstream.Options{Connections: int(limits.GetUpstreamConnections()), MaxAnswerBytes: limits.GetMaxBodyBytes()}),
 		platform:     platform.NewClient(s.GetPlatform().GetAddress(), settings.Duration(s.GetPlatform().GetCallTimeout())),
-		requests:     newRequests(),
+		requests:     nodeloop.NewMailboxes(),
 		changes:      newPending[node.ChangeDone](),
 		orderAnswers: newPending[node.OrderResult](),
 		kinds:        newKindGauges(),
@@ -122,7 +126,7 @@
 	starting := "this instance is starting"
 	d.notReady.Store(&starting)
 	started := time.Now()
-	d.loop = newLoop(makeMachine(d.nodeConfig(started), id.seed), started, d.execute)
+	d.loop = nodeloop.New(makeMachine(d.nodeConfig(started), id.Seed), d.execute)
 	d.front = httpfront.NewHandler(d, d.maxDeadline, d.log)
 	d.admin = adminapi.New(adminBackend{d}, metrics.Handler(), d.log)
 	d.admin.SetOperators(adminapi.NewOperators(nil, s.GetBootstrap().GetOperatorTokenSha256()))
@@ -138,7 +142,7 @@
 	}
 	return node.Config{
 		Name:               s.GetInstance().GetName(),
-		Incarnation:        d.identity.incarnation,
+		Incarnation:        d.identity.Incarnation,
 		PeerAddress:        s.GetListen().GetPeer(),
 		CallerAddress:      s.GetListen().GetCaller(),
 		AdminAddress:       s.GetListen().GetAdmin(),
@@ -162,7 +166,7 @@
 		RecordTTL:          settings.Duration(s.GetBinding().GetRecordTtl()),
 		ClaimRetention:     settings.Duration(s.GetBinding().GetClaimRetention()),
 		MaxRecords:         int(s.GetBinding().GetMaxRecords()),
-		TicketSecret:       d.identity.ticketSecret,
+		TicketSecret:       d.identity.TicketSecret,
 		CallsPerSecond:     s.GetPlatform().GetCallsPerSecond(),
 		WallClockOffset:    time.Duration(started.UnixNano()),
 	}
@@ -178,7 +182,7 @@
 		d.Close()
 		return err
 	}
-	d.goRun(func() { d.loop.run(d.ctx) })
+	d.goRun(func() { d.loop.Run(d.ctx) })
 	d.goRun(d.compileConfigs)
 	d.goRun(d.keepRegistered)
 	d.goRun(d.refreshStatus)
@@ -214,7 +218,7 @@
 	d.peers, err = peer.New(peer.Config{
 		Address: s.GetListen().GetPeer(), Certificate: s.GetPeer().GetCertificate(), Key: s.GetPeer().GetKey(),
 		Authority: s.GetPeer().GetAuthority(), Seeds: seeds(s), Log: d.log,
-		Receive: func(f *pb.Frame) { d.loop.post(node.FrameReceived{Frame: f}) },
+		Receive: func(f *pb.Frame) { d.loop.Post(node.FrameReceived{Frame: f}) },
 	})
 	if err != nil {
 		return fmt.Errorf("cannot listen on [listen] peer %s: %w", s.GetListen().GetPeer(), err)
@@ -254,7 +258,7 @@
 		close(d.draining)
 		d.goRun(func() {
 			d.register()
-			d.loop.post(node.Drain{})
+			d.loop.Post(node.Drain{})
 		})
 	})
 }
@@ -273,7 +277,7 @@
 	d.front.CloseConnections()
 	ctx, stop := context.WithTimeout(ctx, flushTimeout)
 	defer stop()
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(nodeloop.TickInterval)
 	defer ticker.Stop()
 	for d.held.Load() > 0 || d.callers.Busy() {
 		select {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/citrongate/citrongate/internal/adminwire"
 	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/standin/engine"
 	"github.com/citrongate/citrongate/internal/standin/platform"
@@ -106,7 +107,7 @@
 		s.next, entry, admin, freeAddress(s.t), s.platform, digest("op"), extra)
 	loaded, err := settings.Parse("test", []byte(text))
 	require.NoError(s.t, err)
-	d, err := New(loaded, zerolog.Nop(), func(cfg node.Config, seed uint64) Machine { return node.New(cfg, seed) })
+	d, err := New(loaded, zerolog.Nop(), func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
 	require.NoError(s.t, err)
 	if err := d.Start(); err != nil {
 		return nil, err
@@ -336,7 +337,7 @@
 	i.until("the engine canceled", func() bool {
 		return control[engine.Counters](t, s.engine, "/control/counters").Canceled == 1
 	})
-	i.until("nothing is held", func() bool { return i.held.Load() == 0 && len(i.requests.open) == 0 })
+	i.until("nothing is held", func() bool { return i.held.Load() == 0 && i.requests.Len() == 0 })
 }
 
 // TestMaxRequests guards against holding more requests than the bound.
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -14,7 +14,7 @@
 	switch a := action.(type) {
 	case node.Dispatch:
 		if !d.deliver(a.ID, a) {
-			d.loop.postLocal(node.DispatchFailed{ID: a.ID})
+			d.loop.PostLocal(node.DispatchFailed{ID: a.ID})
 		}
 	case node.Refuse:
 		d.deliver(a.ID, a)
@@ -48,11 +48,11 @@
 // deliver hands an action to the goroutine that serves the request. It returns
 // false if the request has ended.
 func (d *Daemon) deliver(id node.RequestID, a node.Action) bool {
-	m := d.requests.find(id)
+	m := d.requests.Find(id)
 	if m == nil {
 		return false
 	}
-	m.deliver(a)
+	m.Deliver(a)
 	return true
 }
 
@@ -61,7 +61,7 @@
 	select {
 	case d.storeCalls <- struct{}{}:
 	default:
-		d.loop.postLocal(node.StoreDone{Call: a.Call, Result: store.Result{Status: store.Throttled}})
+		d.loop.PostLocal(node.StoreDone{Call: a.Call, Result: store.Result{Status: store.Throttled}})
 		return
 	}
 	d.goRun(func() {
@@ -69,7 +69,7 @@
 		result := d.platform.Do(d.ctx, a.Op)
 		d.metrics.StoreCall(opNames[a.Op.Kind], statusNames[result.Status])
 		d.storeDown.Store(result.Status == store.Unavailable || result.Status == store.Unknown)
-		d.loop.post(node.StoreDone{Call: a.Call, Result: result})
+		d.loop.Post(node.StoreDone{Call: a.Call, Result: result})
 	})
 }
 
@@ -90,7 +90,7 @@
 	d.goRun(func() {
 		list := d.platform.Instances(d.ctx)
 		d.listing.Store(false)
-		d.loop.post(list)
+		d.loop.Post(list)
 	})
 }
 
@@ -101,7 +101,7 @@
 	select {
 	case d.orders <- struct{}{}:
 	default:
-		d.loop.postLocal(node.OrderDone{Order: a.Order, Status: node.OrderNotSent})
+		d.loop.PostLocal(node.OrderDone{Order: a.Order, Status: node.OrderNotSent})
 		return
 	}
 	d.goRun(func() {
@@ -110,6 +110,6 @@
 			FencingNumber: a.FencingNumber, Verb: a.Verb, Argument: a.Argument,
 		}, notAfter)
 		d.log.Info().Str("upstream", a.Upstream).Str("verb", a.Verb).Uint64("fencing_number", a.FencingNumber).Uint8("status", uint8(status)).Msg("order sent")
-		d.loop.post(node.OrderDone{Order: a.Order, Status: status})
+		d.loop.Post(node.OrderDone{Order: a.Order, Status: status})
 	})
 }
--- a/internal/daemon/script_test.go
+++ b/internal/daemon/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -20,7 +21,7 @@
 
 // script is a Machine whose answers are scripted.
 type script struct {
-	Machine
+	nodeloop.Machine
 	step func(ev node.Event) []node.Action
 }
 
@@ -33,9 +34,9 @@
 	t.Helper()
 	loaded, err := settings.Parse("test", []byte("[instance]\nname = a\nfailure_domain = z\nregion = r\n[listen]\ncaller = 127.0.0.1:1\nadmin = 127.0.0.1:2\npeer = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n"))
 	require.NoError(t, err)
-	d, err := New(loaded, zerolog.Nop(), func(node.Config, uint64) Machine { return &script{step: step} })
+	d, err := New(loaded, zerolog.Nop(), func(node.Config, uint64) nodeloop.Machine { return &script{step: step} })
 	require.NoError(t, err)
-	d.goRun(func() { d.loop.run(d.ctx) })
+	d.goRun(func() { d.loop.Run(d.ctx) })
 	t.Cleanup(d.Close)
 	return d
 }
@@ -124,21 +125,21 @@
 	d.Serve(ctx, &httpfront.Request{Kind: "k"}, answer)
 	require.Equal(t, node.RequestID(1001), <-failed)
 	require.Empty(t, answer.refused)
-	require.Empty(t, d.requests.open)
+	require.Zero(t, d.requests.Len())
 }
 
 // TestCancelBeforeExchange guards against sending a request that was canceled
 // between its grant and its dispatch.
 func TestCancelBeforeExchange(t *testing.T) {
-	m := newMailbox()
-	m.deliver(node.CancelUpstream{})
+	m := nodeloop.NewMailbox()
+	m.Deliver(node.CancelUpstream{})
 	ctx, cancel := context.WithCancel(context.Background())
-	m.begin(cancel)
+	m.Begin(cancel)
 	require.Error(t, ctx.Err())
-	m.end()
+	m.End()
 	ctx, cancel = context.WithCancel(context.Background())
 	defer cancel()
-	m.begin(cancel)
+	m.Begin(cancel)
 	require.NoError(t, ctx.Err(), "a cancel does not outlive its exchange")
 }
 
@@ -146,13 +147,13 @@
 func TestStoppedLoop(t *testing.T) {
 	d := scripted(t, func(node.Event) []node.Action { return nil })
 	d.stop()
-	<-d.loop.stopped
-	for range 2 * maxEvents {
-		if !d.loop.post(node.Tick{}) {
+	<-d.loop.Stopped()
+	for range 2 * nodeloop.MaxEvents {
+		if !d.loop.Post(node.Tick{}) {
 			break
 		}
 	}
-	require.False(t, d.loop.query(context.Background(), func(time.Duration) {}))
+	require.False(t, d.loop.Query(context.Background(), func(time.Duration) {}))
 	answer := &recorder{}
 	for len(answer.refused) == 0 {
 		d.Serve(context.Background(), &httpfront.Request{Kind: "k", Remaining: time.Millisecond}, answer)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -26,7 +26,7 @@
 	id := node.RequestID(d.nextID.Add(1))
 	c := d.newCall(id, r, answer)
 	defer d.endCall(c)
-	submitted := d.loop.post(node.SubmitRequest{
+	submitted := d.loop.Post(node.SubmitRequest{
 		ID: id, Organisation: r.Organisation, Kind: r.Kind, Model: r.Model, Labels: r.Labels,
 		PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens, Remaining: r.Remaining,
 		Prefix: r.Prefix, IdempotencyKey: r.IdempotencyKey, FirstAttempt: r.FirstAttempt, Body: forwardable(r), ContentType: r.ContentType,
@@ -49,7 +49,7 @@
 
 func (d *Daemon) newCall(id node.RequestID, r *httpfront.Request, answer httpfront.Answer) *call {
 	c := &call{
-		daemon: d, id: id, request: r, answer: answer, mailbox: d.requests.add(id), kind: d.kinds.of(r.Kind),
+		daemon: d, id: id, request: r, answer: answer, mailbox: d.requests.Add(id), kind: d.kinds.of(r.Kind),
 		submitted: time.Now(), wireID: fmt.Sprintf("%s-%x", d.identity, uint64(id)),
 	}
 	c.kind.waiting.Add(1)
@@ -57,7 +57,7 @@
 }
 
 func (d *Daemon) endCall(c *call) {
-	d.requests.remove(c.id)
+	d.requests.Remove(c.id)
 	c.kind.waiting.Add(-1)
 }
 
@@ -106,12 +106,12 @@
 	ctx, stop := context.WithTimeout(ctx, queryTimeout)
 	defer stop()
 	out := httpfront.Discovery{TTLMs: discoveryTTL.Milliseconds()}
-	ok := d.loop.query(ctx, func(now time.Duration) {
-		out.Addresses = d.loop.machine.Discovery()
-		if d.loop.machine.Leaving() {
+	ok := d.loop.Query(ctx, func(now time.Duration) {
+		out.Addresses = d.loop.Machine.Discovery()
+		if d.loop.Machine.Leaving() {
 			return
 		}
-		ticket, ttl := d.loop.machine.IssueTicket(now)
+		ticket, ttl := d.loop.Machine.IssueTicket(now)
 		out.Ticket, out.TicketTTLMs = ticket, ttl.Milliseconds()
 	})
 	if !ok {
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citrongate/citrongate/internal/boottime"
+	"github.com/citrongate/citrongate/internal/settings"
+	"github.com/citrongate/citrongate/pkg/ingress"
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+const (
+	// pollShare is the part of the time within which changes must be in force
+	// after which the store is read again. It leaves room for one lost read.
+	pollShare = 0.33
+	// confirmMargin is left of the time for revocations for a request on its
+	// way to its upstream.
+	confirmMargin = 500 * time.Millisecond
+	// faultLogInterval is the least time between two log lines on faulty entries.
+	faultLogInterval = 10 * time.Second
+)
+
+// snapshot is what the path of a request reads of the configuration. It is
+// immutable.
+type snapshot struct {
+	table *ingress.Table
+	// engines are the services whose upstreams are model engines.
+	engines map[string]*ingress.Service
+	// ids maps the names of upstreams to the ids that they are registered under.
+	ids map[string]string
+}
+
+// configState follows the store. The poller owns all fields but the atomics.
+type configState struct {
+	tracker   ingress.Tracker
+	registry  *ingress.Registry
+	revision  uint64
+	faultsAt  time.Duration
+	storeAway bool
+
+	current atomic.Pointer[snapshot]
+	// confirmedAt is the boot time of the start of the newest confirming read;
+	// 0 before the first.
+	confirmedAt atomic.Int64
+}
+
+// pollStore reads configuration and upstreams until the gateway stops.
+func (g *Gateway) pollStore() {
+	gateway := g.settings.GetGateway()
+	bound := min(settings.Duration(gateway.GetConfigApply()), settings.Duration(gateway.GetUpstreamDrain()))
+	interval := time.Duration(float64(bound) * pollShare)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		g.pollOnce()
+		select {
+		case <-ticker.C:
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// pollOnce reads configuration and upstreams side by side, so that a slow
+// answer to one does not age the other.
+func (g *Gateway) pollOnce() {
+	started := boottime.Now()
+	var config *ingress.Config
+	var upstreams []ingress.Upstream
+	var faults []error
+	var configErr, listErr error
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		upstreams, faults, listErr = g.store.Upstreams(g.ctx)
+	}()
+	config, configErr = g.store.Config(g.ctx)
+	wait.Wait()
+	g.noteStore(configErr, listErr)
+	changed := false
+	if configErr == nil {
+		changed = g.config.tracker.Observe(started, config) != nil
+		g.config.confirm()
+	}
+	if listErr == nil {
+		g.logFaults(faults)
+		changed = g.config.registry.Observe(started, boottime.Now(), upstreams) || changed
+	}
+	if changed && g.config.tracker.Table() != nil {
+		g.publish()
+	}
+}
+
+func (c *configState) confirm() {
+	if at, ok := c.tracker.ConfirmedAt(); ok {
+		c.confirmedAt.Store(int64(at))
+	}
+}
+
+// confirmedWithin reports whether the configuration in force was the newest one
+// at some time within the last age.
+func (c *configState) confirmedWithin(age time.Duration) bool {
+	at := time.Duration(c.confirmedAt.Load())
+	return at > 0 && boottime.Now()-at < age
+}
+
+// publish puts configuration and upstreams in force.
+func (g *Gateway) publish() {
+	c := &g.config
+	c.revision++
+	table := c.tracker.Table()
+	upstreams := c.registry.Upstreams()
+	next := &snapshot{table: table, engines: map[string]*ingress.Service{}, ids: map[string]string{}}
+	config := table.Config()
+	for i := range config.Services {
+		if config.Services[i].Slots > 0 {
+			next.engines[config.Services[i].Name] = &config.Services[i]
+		}
+	}
+	for i := range upstreams {
+		next.ids[upstreams[i].Name()] = upstreams[i].ID
+	}
+	g.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Int("upstreams", len(upstreams)).
+		Int("organisations", len(config.Organisations)).Msg("configuration in force")
+	g.loop.Post(g.lines.setUpstreams(upstreams))
+	g.loop.Post(node.UseConfiguration{Set: ingress.Objects(c.revision, config, upstreams)})
+	c.current.Store(next)
+}
+
+// noteStore logs when the store goes away and when it is back.
+func (g *Gateway) noteStore(errs ...error) {
+	for _, err := range errs {
+		if err == nil {
+			g.metrics.Count("store_reads", "ok")
+			continue
+		}
+		g.metrics.Count("store_reads", "failed")
+		if !g.config.storeAway && g.ctx.Err() == nil {
+			g.config.storeAway = true
+			g.log.Warn().Err(err).Msg("store lost")
+		}
+		return
+	}
+	if g.config.storeAway {
+		g.config.storeAway = false
+		g.log.Info().Msg("store regained")
+	}
+}
+
+// logFaults logs entries of the store that can not be used, seldom.
+func (g *Gateway) logFaults(faults []error) {
+	now := boottime.Now()
+	if len(faults) == 0 || g.config.faultsAt != 0 && now-g.config.faultsAt < faultLogInterval {
+		return
+	}
+	g.config.faultsAt = now
+	g.log.Warn().Err(faults[0]).Int("entries", len(faults)).Msg("entries of the store are not used")
+}
+
+// announce writes this instance's entry and reports whether it is written.
+func (g *Gateway) announce(ctx context.Context) bool {
+	s := g.settings
+	err := g.store.Announce(ctx, Instance{
+		Name: s.GetInstance().GetName(), Incarnation: g.identity.String(),
+		PeerAddress: s.GetListen().GetPeer(), CallerAddress: s.GetListen().GetCaller(),
+		FailureDomain: s.GetInstance().GetFailureDomain(), Leaving: g.leaving.Load(),
+	})
+	if err != nil {
+		g.metrics.Count("announcements", "failed")
+		g.log.Warn().Err(err).Msg("this instance is not announced in the store")
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/gateway/internal.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// internalCalls serves the ready, discovery and administration addresses.
+type internalCalls struct{ g *Gateway }
+
+// ServeHTTP answers one call.
+func (c internalCalls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g := c.g
+	switch g.codec.Call(r) {
+	case ReadyCall:
+		g.answerReady(w)
+		return
+	case DiscoveryCall:
+		g.answerDiscovery(w)
+		return
+	}
+	switch r.URL.Path {
+	case "/healthz":
+		writeText(w, http.StatusOK, "ok\n")
+	case "/readyz":
+		g.answerReady(w)
+	case "/metrics":
+		g.metrics.Handler().ServeHTTP(w, r)
+	default:
+		writeText(w, http.StatusNotFound, "there is no such address\n")
+	}
+}
+
+func (g *Gateway) answerReady(w http.ResponseWriter) {
+	reason := g.notReadyReason()
+	if reason != "" {
+		writeText(w, http.StatusServiceUnavailable, reason+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+// notReadyReason says why callers should not be sent here; empty if they may.
+func (g *Gateway) notReadyReason() string {
+	switch {
+	case g.leaving.Load():
+		return "this instance is stopping"
+	case g.config.current.Load() == nil:
+		return "no configuration has been read yet"
+	}
+	return g.members.Load().notReady
+}
+
+func (g *Gateway) answerDiscovery(w http.ResponseWriter) {
+	addresses := g.members.Load().pick()
+	if len(addresses) == 0 {
+		writeText(w, http.StatusServiceUnavailable, "no instance is ready\n")
+		return
+	}
+	body, err := g.codec.DiscoveryAnswer(addresses, time.Duration(g.discoveryTTL.Load()))
+	if err != nil {
+		g.log.Error().Err(err).Msg("discovery answer can not be encoded")
+		writeText(w, http.StatusInternalServerError, "the answer can not be encoded\n")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body) // a failed write means that the caller is gone
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text)) // a failed write means that the caller is gone
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/ingress"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/node"
+)
+
+const (
+	// memberInterval is the age of readiness and of discovery answers.
+	memberInterval = 100 * time.Millisecond
+	// announceRetry is the time between attempts to announce this instance.
+	announceRetry = time.Second
+	// maxAddresses bounds the addresses in a discovery answer.
+	maxAddresses = 64
+)
+
+// membersView is what the node knows of the instances. It is immutable.
+type membersView struct {
+	// addresses are those that callers may use.
+	addresses []string
+	notReady  string
+	// live is the number of instances that share limits.
+	live int
+}
+
+// refreshMembers keeps readiness and the addresses for callers up to date.
+func (g *Gateway) refreshMembers() {
+	ticker := time.NewTicker(memberInterval)
+	defer ticker.Stop()
+	for {
+		g.loop.Query(g.ctx, func(time.Duration) { g.members.Store(g.readMembers()) })
+		select {
+		case <-ticker.C:
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) readMembers() *membersView {
+	view := &membersView{notReady: g.loop.Machine.NotReadyReason()}
+	for _, m := range g.loop.Machine.Members() {
+		if m.State == membership.Dead {
+			continue
+		}
+		view.live++
+		if m.State == membership.Alive && !m.Leaving && m.CallerAddress != "" {
+			view.addresses = append(view.addresses, m.CallerAddress)
+		}
+	}
+	view.live = max(1, view.live)
+	return view
+}
+
+// pick returns addresses for one discovery answer, in random order.
+func (v *membersView) pick() []string {
+	out := slices.Clone(v.addresses)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxAddresses)]
+}
+
+// announceUntilDone announces this instance once the store takes it.
+func (g *Gateway) announceUntilDone() {
+	ticker := time.NewTicker(announceRetry)
+	defer ticker.Stop()
+	for !g.announce(g.ctx) {
+		select {
+		case <-ticker.C:
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// instanceLines holds the newest lists of instances and upstreams, since the
+// node takes both as one list.
+type instanceLines struct {
+	mu        sync.Mutex
+	instances []node.ListedInstance
+	upstreams []node.ListedInstance
+}
+
+// setUpstreams replaces the upstreams and returns the list for the node.
+func (l *instanceLines) setUpstreams(upstreams []ingress.Upstream) node.InstanceList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.upstreams = l.upstreams[:0]
+	for i := range upstreams {
+		u := &upstreams[i]
+		l.upstreams = append(l.upstreams, node.ListedInstance{
+			Name: u.Name(), Incarnation: u.Incarnation, Upstream: true, Leaving: u.Leaving})
+	}
+	return l.list()
+}
+
+func (l *instanceLines) setInstances(instances []Instance) node.InstanceList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances = l.instances[:0]
+	for _, i := range instances {
+		l.instances = append(l.instances, node.ListedInstance{
+			Name: i.Name, Incarnation: i.Incarnation, PeerAddress: i.PeerAddress, Leaving: i.Leaving})
+	}
+	return l.list()
+}
+
+func (l *instanceLines) list() node.InstanceList {
+	return node.InstanceList{OK: true, Instances: append(slices.Clone(l.instances), l.upstreams...)}
+}
+
+// listInstances answers the node's wish for the list of instances.
+func (g *Gateway) listInstances() {
+	instances, faults, err := g.store.Instances(g.ctx)
+	if err != nil {
+		g.metrics.Count("store_reads", "failed")
+		g.loop.Post(node.InstanceList{})
+		return
+	}
+	g.metrics.Count("store_reads", "ok")
+	for _, fault := range faults {
+		g.log.Warn().Err(fault).Msg("an instance's entry is not used")
+	}
+	g.loop.Post(g.lines.setInstances(instances))
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -50,6 +50,8 @@
 	MaxBufferedBytes int64
 	// ReadTimeout is the time to send one whole request.
 	ReadTimeout time.Duration
+	// IdleTimeout closes connections without a request; 0 takes 75 s.
+	IdleTimeout time.Duration
 	Handler     http.Handler
 	// BadInput builds the body of an answer to input that is not a valid request.
 	BadInput func(InputError) []byte
@@ -83,6 +85,9 @@
 
 // NewServer returns a server that is not started yet.
 func NewServer(config ServerConfig) (*Server, error) {
+	if config.IdleTimeout <= 0 {
+		config.IdleTimeout = idleTimeout
+	}
 	s := &Server{config: config}
 	conf := nbhttp.Config{
 		Name:    "http",
@@ -94,7 +99,7 @@
 		ReadLimit:              config.MaxBodyBytes + config.MaxHeaderBytes + readBufferBytes,
 		MaxHTTPBodySize:        config.MaxBodyBytes,
 		BlockingReadBufferSize: readBufferBytes,
-		KeepaliveTime:          idleTimeout,
+		KeepaliveTime:          config.IdleTimeout,
 		Handler:                config.Handler,
 		Addrs:                  []string{config.Address},
 	}
--- a/internal/daemon/loop.go
+++ b/internal/nodeloop/loop.go
@@ -1,27 +1,29 @@
-package daemon
+package nodeloop
 
 import (
 	"context"
 	"time"
 
+	"github.com/citrongate/citrongate/internal/boottime"
 	"github.com/citrongate/citrongate/pkg/node"
 )
 
 const (
-	// tickInterval drives the node's timers.
-	tickInterval = 20 * time.Millisecond
-	// maxEvents bounds the events that wait for the loop; senders wait above it.
-	maxEvents = 4096
+	// TickInterval drives the node's timers.
+	TickInterval = 20 * time.Millisecond
+	// MaxEvents bounds the events that wait for the loop; senders wait above it.
+	MaxEvents = 4096
 	// maxQueries bounds the reads of the node's state that wait.
 	maxQueries = 256
 )
 
-// loop is the one goroutine that steps the node.
-type loop struct {
-	machine Machine
+// Loop is the one goroutine that steps the node.
+type Loop struct {
+	// Machine may be used by execute and by the functions given to Query only.
+	Machine Machine
 	// execute carries out an action; it must not block.
 	execute func(node.Action)
-	started time.Time
+	started time.Duration
 	events  chan node.Event
 	queries chan func(now time.Duration)
 	// local holds events that execute produced; only the loop's goroutine uses it.
@@ -30,19 +32,21 @@
 	stopped chan struct{}
 }
 
-func newLoop(machine Machine, started time.Time, execute func(node.Action)) *loop {
-	return &loop{
-		machine: machine, execute: execute, started: started,
-		events:  make(chan node.Event, maxEvents),
+// New returns a loop that is not running. execute carries out an action; it
+// runs on the loop's goroutine and must not block.
+func New(machine Machine, execute func(node.Action)) *Loop {
+	return &Loop{
+		Machine: machine, execute: execute, started: boottime.Now(),
+		events:  make(chan node.Event, MaxEvents),
 		queries: make(chan func(time.Duration), maxQueries),
 		stopped: make(chan struct{}),
 	}
 }
 
-// run steps the node until ctx ends.
-func (l *loop) run(ctx context.Context) {
+// Run steps the node until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
 	defer close(l.stopped)
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -51,23 +55,26 @@
 		case ev := <-l.events:
 			l.step(ev)
 		case query := <-l.queries:
-			query(l.now())
+			query(l.Now())
 		case <-ticker.C:
 			l.step(node.Tick{})
 		}
 	}
 }
 
-// now is the process time on the monotonic clock.
-func (l *loop) now() time.Duration { return time.Since(l.started) }
+// Stopped is closed once the loop has stopped.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
+
+// Now is the time since the loop was made, suspensions of the machine included.
+func (l *Loop) Now() time.Duration { return boottime.Now() - l.started }
 
 // step handles one event and the events that its actions produce.
-func (l *loop) step(ev node.Event) {
+func (l *Loop) step(ev node.Event) {
 	l.local = append(l.local, ev)
 	for len(l.local) > 0 {
 		next := l.local[0]
 		l.local = l.local[1:]
-		l.actions = l.machine.Step(l.now(), next, l.actions[:0])
+		l.actions = l.Machine.Step(l.Now(), next, l.actions[:0])
 		for i, action := range l.actions {
 			l.execute(action)
 			l.actions[i] = nil
@@ -76,12 +83,12 @@
 	l.local = nil
 }
 
-// postLocal adds an event from within execute.
-func (l *loop) postLocal(ev node.Event) { l.local = append(l.local, ev) }
+// PostLocal adds an event from within execute.
+func (l *Loop) PostLocal(ev node.Event) { l.local = append(l.local, ev) }
 
-// post waits until the loop's queue takes the event; it returns false if the
+// Post waits until the loop's queue takes the event; it returns false if the
 // loop has stopped. It must not be called by the loop's goroutine.
-func (l *loop) post(ev node.Event) bool {
+func (l *Loop) Post(ev node.Event) bool {
 	select {
 	case <-l.stopped:
 		return false
@@ -95,9 +102,9 @@
 	}
 }
 
-// query runs read on the loop's goroutine and waits for it. It returns false
+// Query runs read on the loop's goroutine and waits for it. It returns false
 // if ctx ended or the loop stopped before read ran.
-func (l *loop) query(ctx context.Context, read func(now time.Duration)) bool {
+func (l *Loop) Query(ctx context.Context, read func(now time.Duration)) bool {
 	done := make(chan struct{})
 	run := func(now time.Duration) {
 		defer close(done)
--- a/internal/daemon/machine.go
+++ b/internal/nodeloop/machine.go
@@ -1,7 +1,8 @@
-// Package daemon runs one instance: it owns the node's event loop, carries out
-// the node's actions through the edges and turns what the edges see into
-// events. It decides nothing itself.
-package daemon
+// Package nodeloop runs a node: it owns the goroutine that steps it, the clock
+// that it is stepped by, the identity of this run of the process, and the
+// mailboxes through which the node's actions reach the goroutines that serve
+// requests. It decides nothing.
+package nodeloop
 
 import (
 	"time"
@@ -12,7 +13,7 @@
 	"github.com/citrongate/citrongate/pkg/routing"
 )
 
-// Machine is what the daemon needs of a node.Node. All methods are called by
+// Machine is what a daemon needs of a node.Node. All methods are called by
 // the loop's goroutine only.
 type Machine interface {
 	Step(now time.Duration, ev node.Event, out []node.Action) []node.Action
--- a/internal/peer/identity.go
+++ b/internal/peer/identity.go
@@ -36,6 +36,8 @@
 	certificate tls.Certificate
 	// authority is nil for self-signed certificates on the loopback interface.
 	authority *x509.CertPool
+	// open accepts peers at any address without an authority.
+	open bool
 	// resetKey is the same after a restart, so that a peer learns at once that
 	// its old connection is gone.
 	resetKey quic.StatelessResetKey
@@ -49,7 +51,7 @@
 	}
 	addresses := append([]string{config.Address}, config.Seeds...)
 	for _, address := range addresses {
-		if !isLoopback(address) {
+		if !config.TrustNetwork && !isLoopback(address) {
 			return nil, ErrIdentity.New("address %s is not loopback and no certificate is set; set certificate, key and authority in [peer]", address)
 		}
 	}
@@ -57,7 +59,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &identity{certificate: certificate, resetKey: sha256.Sum256([]byte("loopback " + config.Address))}, nil
+	return &identity{certificate: certificate, open: config.TrustNetwork,
+		resetKey: sha256.Sum256([]byte("loopback " + config.Address))}, nil
 }
 
 func loadFiles(config Config) (*identity, error) {
@@ -139,7 +142,7 @@
 		return ErrStranger.New("the other side has no UDP address")
 	}
 	if i.authority == nil {
-		if !remote.IP.IsLoopback() {
+		if !i.open && !remote.IP.IsLoopback() {
 			return ErrStranger.New("%v is not loopback and no authority is set; set certificate, key and authority in [peer]", remote)
 		}
 		return nil
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,6 +51,9 @@
 	Address string
 	// Certificate, Key and Authority are PEM file names; see loadIdentity.
 	Certificate, Key, Authority string
+	// TrustNetwork accepts all peers that reach Address, without certificates.
+	// It is for networks that carry nothing else.
+	TrustNetwork bool
 	// Seeds are further addresses that decide whether TLS files are required.
 	Seeds []string
 	// Receive takes the frames of all peers, from several goroutines. While it
--- a/internal/proctest/datapath/entry/main.go
+++ b/internal/proctest/datapath/entry/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/citrongate/citrongate/internal/daemon"
+	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/telemetry"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -35,7 +36,7 @@
 	}
 	log := telemetry.NewLogger(os.Stderr, loaded.GetLog().GetLevel())
 	telemetry.RouteNBIO(log)
-	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) daemon.Machine { return node.New(cfg, seed) })
+	d, err := daemon.New(loaded, log, func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
 	if err != nil {
 		return err
 	}
--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -14,6 +14,12 @@
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
+// TrustNetwork is the value of [peer] trust that accepts all peers.
+const TrustNetwork = "network"
+
+// On is the value of settings that switch something on.
+const On = "on"
+
 // crossCheck reports faults that concern more than one setting. Settings that
 // are missing or faulty on their own are empty here and are skipped.
 func crossCheck(s *pb.Settings) []Problem {
@@ -80,7 +86,7 @@
 		{"certificate", peer.GetCertificate()}, {"key", peer.GetKey()}, {"authority", peer.GetAuthority()},
 	})
 	address, err := netip.ParseAddrPort(s.GetListen().GetPeer())
-	exposed := err == nil && !address.Addr().IsLoopback()
+	exposed := err == nil && !address.Addr().IsLoopback() && peer.GetTrust() != TrustNetwork
 	if len(missing) == 0 || len(missing) == 3 && !exposed {
 		return nil
 	}
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -30,31 +30,48 @@
 	return ok && r.InFlight() && r.Attempt == d.Attempt && r.Holder == d.From && r.Upstream == upstream
 }
 
-// Grant uses a permit. usable is false if the upstream may receive no new work
-// or this instance cannot trust the permit's age; the permit is then returned.
-func (t *Table) Grant(now time.Duration, d Decision, upstream string, usable bool) {
+// Use says whether a permit may be used.
+type Use uint8
+
+// Values of Use.
+const (
+	// Usable permits are used.
+	Usable Use = iota
+	// NotNow means that this instance cannot trust the permit's age.
+	NotNow
+	// UpstreamGone means that the upstream may receive no new work. The owner
+	// does not know it yet and must not grant it again at once.
+	UpstreamGone
+)
+
+// returnedAs is the outcome with which a permit that is not used is returned.
+var returnedAs = map[Use]Outcome{NotNow: Unused, UpstreamGone: ConnectRefused}
+
+// Grant uses a permit, or returns it if it may not be used.
+func (t *Table) Grant(now time.Duration, d Decision, upstream string, use Use) {
 	r := t.current(d)
 	if r == nil {
 		if !t.usedPermit(d, upstream) {
-			t.returnPermit(d)
+			t.returnPermit(d, Unused)
 		}
 		return
 	}
 	t.setState(r, Granted)
-	if !usable {
-		t.returnPermit(d)
+	if use != Usable {
+		t.returnPermit(d, returnedAs[use])
 		t.setState(r, Waiting)
 		t.retry(now, r, PermitLapsed)
 		return
 	}
 	r.Upstream, r.DispatchedAt = upstream, now
+	r.sends++
 	t.setState(r, Dispatched)
 	t.emit(Send{ID: r.ID, Upstream: upstream, Deadline: r.Deadline})
 }
 
-func (t *Table) returnPermit(d Decision) {
+func (t *Table) returnPermit(d Decision, outcome Outcome) {
 	t.count("permits", "returned_unused")
-	t.emit(Release{ID: d.ID, Pool: d.Pool, Attempt: d.Attempt, Holder: d.From, Outcome: Unused})
+	t.emit(Release{ID: d.ID, Pool: d.Pool, Attempt: d.Attempt, Holder: d.From, Outcome: outcome})
 }
 
 // Shed refuses a request that its holder has shed.
@@ -86,6 +103,7 @@
 	}
 	t.release(now, r, ConnectRefused, 0)
 	r.Upstream, r.DispatchedAt = "", 0
+	r.sends--
 	t.setState(r, Waiting)
 	if r.gone {
 		t.end(r, Refusal{Code: "canceled", Ran: RanNo, Reason: "the caller closed its connection"})
@@ -172,7 +190,37 @@
 		refusal.Ran = RanNo
 	}
 	t.release(now, r, outcome, cached)
-	t.end(r, refusal)
+	if !t.sendAgain(now, r, result) {
+		t.end(r, refusal)
+	}
+	return true
+}
+
+// sendAgain makes a dispatched request wait for another upstream, if it may be
+// sent again and the retry budget allows it.
+func (t *Table) sendAgain(now time.Duration, r *Record, result Result) bool {
+	reason := NotRun
+	switch {
+	case r.gone || r.sends >= max(r.MaxSends, 1) || now >= r.Deadline:
+		return false
+	case result == UpstreamRefused:
+	case r.Repeatable && (result == AnswerBroken || result == AnswerMismatched):
+		reason = Repeated
+		r.ranBefore = true
+	default:
+		return false
+	}
+	if !t.budget.take() {
+		t.count("retries_denied", reason)
+		return false
+	}
+	t.count("retries", reason)
+	r.Upstream, r.DispatchedAt, r.FirstTokenAt, r.LastTokenAt = "", 0, 0, 0
+	t.setState(r, Waiting)
+	r.Attempt++
+	r.Holder = t.route(r.Pool).holder(t.cfg.Self)
+	r.offered, r.notBefore = false, 0
+	t.offer(now, r)
 	return true
 }
 
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -4,7 +4,9 @@
 //
 // Invariants:
 //   - Dispatch is emitted at most once per record, unless Failed reported in
-//     between that no byte was handed to the upstream's connection;
+//     between that no byte was handed to the upstream's connection, or the
+//     record allows several sends and the upstream did not run the request, or
+//     the record is repeatable;
 //   - a refusal with ran: no is emitted only for a record that was never
 //     dispatched, or whose upstream refused explicitly before it started;
 //   - each accepted permit is released exactly once, and a permit that cannot
@@ -66,6 +68,13 @@
 	// KeepRunning is set for non-idempotent calls: once dispatched they are
 	// not canceled when the caller goes away, since their outcome is recorded.
 	KeepRunning bool
+	// MaxSends bounds the upstreams that the request may be handed to, one
+	// after the other; 0 means 1.
+	MaxSends uint32
+	// Repeatable is true if the request may be sent again although it may have run.
+	Repeatable bool
+	// StartBy is the time until which a start is useful; 0 if only the deadline counts.
+	StartBy time.Duration
 }
 
 // Record is the state of one request.
@@ -90,6 +99,10 @@
 	resendAt  time.Duration
 	resends   uint8
 	gone      bool
+	// sends counts the upstreams that were handed the request; ranBefore is
+	// true once one of them may have run it.
+	sends     uint32
+	ranBefore bool
 }
 
 // InFlight reports whether the request may be at its upstream.
@@ -129,4 +142,8 @@
 	ConnectFailed = "connect_refused"
 	OwnerGone     = "owner_gone"
 	NotOwner      = "not_owner"
+	// NotRun is a repetition after an upstream that did not run the request.
+	NotRun = "upstream_refused"
+	// Repeated is a repetition of a request that may have run.
+	Repeated = "answer_broken"
 )
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -190,6 +190,9 @@
 	delete(t.records, r.ID)
 	p := t.route(r.Pool)
 	p.records = slices.DeleteFunc(p.records, func(other *Record) bool { return other == r })
+	if refusal.Ran == RanNo && r.ranBefore {
+		refusal.Ran = RanUnknown
+	}
 	if refusal.Code != "" {
 		t.count("refusals", refusal.Code)
 	}
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -46,6 +46,8 @@
 	// open holds permits that were granted and not released; the value is
 	// true if the permit was used.
 	open map[permit]bool
+	// declined is the permit that is being returned because its upstream is gone.
+	declined permit
 }
 
 func newModel(t *rapid.T) *model {
@@ -88,7 +90,13 @@
 	p := permit{e.ID, e.Attempt, e.Holder}
 	used, open := m.open[p]
 	require.True(m.t, open, "permit %v was released twice or never granted", p)
-	require.Equal(m.t, used, e.Outcome != dispatch.Unused, "permit %v: used=%v but outcome %d", p, used, e.Outcome)
+	if m.declined == p {
+		// The owner learns that the upstream takes no work; nothing was used.
+		require.Equal(m.t, dispatch.ConnectRefused, e.Outcome, "permit %v for an upstream that is gone", p)
+		require.False(m.t, used)
+	} else {
+		require.Equal(m.t, used, e.Outcome != dispatch.Unused, "permit %v: used=%v but outcome %d", p, used, e.Outcome)
+	}
 	delete(m.open, p)
 }
 
@@ -137,11 +145,11 @@
 func (m *model) grant() {
 	id := m.pick()
 	d := m.decision(id)
-	usable := rapid.IntRange(0, 3).Draw(m.t, "usable") > 0
+	use := dispatch.Use(max(0, rapid.IntRange(-2, 2).Draw(m.t, "use")))
 	p := permit{id, d.Attempt, d.From}
 	if _, granted := m.open[p]; granted {
 		// A repeated grant is the same permit; the table must not use it again.
-		m.table.Grant(m.now, d, "u", usable)
+		m.table.Grant(m.now, d, "u", use)
 		return
 	}
 	m.open[p] = false
@@ -151,11 +159,15 @@
 	if r != nil {
 		handed = r.handed
 	}
-	m.table.Grant(m.now, d, "u", usable)
+	if current && use == dispatch.UpstreamGone {
+		m.declined = p
+	}
+	m.table.Grant(m.now, d, "u", use)
 	record := m.table.Record(id)
 	stillCurrent := current && record != nil
 	m.absorb()
-	if stillCurrent && usable && record.Attempt == d.Attempt {
+	m.declined = permit{}
+	if stillCurrent && use == dispatch.Usable && record.Attempt == d.Attempt {
 		require.Equal(m.t, handed+1, r.handed, "a current, usable grant was not used")
 	} else if r != nil {
 		require.Equal(m.t, handed, r.handed, "a stale or unusable grant was used")
@@ -317,7 +329,7 @@
 	for id, tier := range []uint8{2, 1, 2, 0} {
 		require.Empty(t, ended(submit(dispatch.ID(id+1), tier)))
 	}
-	table.Grant(0, dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: self}}, "u", true)
+	table.Grant(0, dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: self}}, "u", dispatch.Usable)
 	table.Take()
 	require.Equal(t, []dispatch.ID{3}, ended(submit(5, 1)), "the waiting request of the lowest tier goes, not the dispatched one")
 	require.Equal(t, []dispatch.ID{6}, ended(submit(6, 1)), "equal tiers do not shed each other")
@@ -335,7 +347,7 @@
 	for id := dispatch.ID(1); id <= 2; id++ {
 		require.Empty(t, endCodes(submitOne(table, id, limits, dispatch.Limits{})), "waiting requests count as in flight")
 	}
-	table.Grant(0, dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: self}}, "u", true)
+	table.Grant(0, dispatch.Decision{ID: 1, Pool: pool, Attempt: 1, From: dispatch.Holder{Owner: self}}, "u", dispatch.Usable)
 	table.Take()
 	require.Equal(t, []string{"limit_in_flight"}, endCodes(submitOne(table, 3, limits, dispatch.Limits{})))
 	table.Finish(0, 1, dispatch.AnsweredWhole, 1, 0)
@@ -352,7 +364,7 @@
 	retries := 0
 	for {
 		r := table.Record(1)
-		table.Grant(now, dispatch.Decision{ID: 1, Pool: pool, Attempt: r.Attempt, From: r.Holder}, "u", true)
+		table.Grant(now, dispatch.Decision{ID: 1, Pool: pool, Attempt: r.Attempt, From: r.Holder}, "u", dispatch.Usable)
 		table.Failed(now, 1)
 		effects := table.Take()
 		if codes := endCodes(effects); len(codes) > 0 {
--- /dev/null
+++ b/pkg/ingress/objects.go
@@ -0,0 +1,135 @@
+package ingress
+
+import (
+	"strconv"
+
+	"github.com/citrongate/citrongate/pkg/configstate"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+// Labels of requests and upstreams that the routes of a gateway select by.
+const (
+	LabelService = "service"
+	labelVersion = "version"
+)
+
+// NoOrganisation is the organisation of requests without a key.
+const NoOrganisation = "none"
+
+// maxPriority is the largest rank of a tier.
+const maxPriority = 15
+
+// defaultSlots is taken for an upstream that does not tell its slots.
+const defaultSlots = 4
+
+// Objects translates a configuration and the registered upstreams into the
+// objects that the scheduler routes by: a tier for each priority, a request
+// kind for each route and priority, and a route by label for each service.
+func Objects(revision uint64, config *Config, upstreams []Upstream) *configstate.Set {
+	b := builder{config: config, services: map[string]*Service{}}
+	for i := range config.Services {
+		b.services[config.Services[i].Name] = &config.Services[i]
+	}
+	b.addOrganisations()
+	b.addKinds()
+	b.addServices()
+	for i := range upstreams {
+		b.addUpstream(&upstreams[i])
+	}
+	return configstate.NewSet(revision, b.objects)
+}
+
+type builder struct {
+	config   *Config
+	services map[string]*Service
+	objects  []*pb.Object
+}
+
+func (b *builder) add(kind, name string, labels map[string]string, o *pb.Object) {
+	o.Meta = &pb.ObjectMeta{Kind: kind, Name: name, Labels: labels}
+	b.objects = append(b.objects, o)
+}
+
+func (b *builder) addOrganisations() {
+	b.add(configstate.KindOrganisation, NoOrganisation, nil,
+		&pb.Object{Spec: &pb.Object_Organisation{Organisation: &pb.OrganisationSpec{}}})
+	for _, o := range b.config.Organisations {
+		b.add(configstate.KindOrganisation, o.Name, nil,
+			&pb.Object{Spec: &pb.Object_Organisation{Organisation: &pb.OrganisationSpec{}}})
+	}
+}
+
+// addKinds adds a kind for each route at its own priority and at each priority
+// that an organisation imposes.
+func (b *builder) addKinds() {
+	priorities := map[int]bool{}
+	for _, o := range b.config.Organisations {
+		if o.HasPriority {
+			priorities[o.Priority] = true
+		}
+	}
+	tiers := map[string]bool{}
+	for i := range b.config.Routes {
+		r := &b.config.Routes[i]
+		b.addKind(r, r.Priority, tiers)
+		for priority := range priorities {
+			if priority != r.Priority {
+				b.addKind(r, priority, tiers)
+			}
+		}
+	}
+}
+
+func (b *builder) addKind(r *Route, priority int, tiers map[string]bool) {
+	rank := min(max(priority, 0), maxPriority)
+	tier := "priority-" + strconv.Itoa(rank)
+	if !tiers[tier] {
+		tiers[tier] = true
+		b.add(configstate.KindTier, tier, nil, &pb.Object{Spec: &pb.Object_Tier{Tier: &pb.TierSpec{Rank: uint32(rank)}}})
+	}
+	b.add(configstate.KindRequestKind, KindName(r, priority), nil,
+		&pb.Object{Spec: &pb.Object_RequestKind{RequestKind: &pb.RequestKindSpec{Tier: tier, ModelCall: r.ModelCall}}})
+}
+
+// KindName returns the request kind of a route at a priority.
+func KindName(r *Route, priority int) string {
+	return r.Name + "@" + strconv.Itoa(min(max(priority, 0), maxPriority))
+}
+
+// PriorityOf returns the priority of an organisation's requests on a route.
+func PriorityOf(r *Route, o *Organisation) int {
+	if o != nil && o.HasPriority {
+		return o.Priority
+	}
+	return r.Priority
+}
+
+func (b *builder) addServices() {
+	for _, s := range b.config.Services {
+		selector := LabelService + "=" + s.Name
+		b.add(configstate.KindRoute, s.Name, nil,
+			&pb.Object{Spec: &pb.Object_Route{Route: &pb.RouteSpec{Order: 1, Requests: selector, Upstreams: selector}}})
+	}
+}
+
+func (b *builder) addUpstream(u *Upstream) {
+	service, ok := b.services[u.Service]
+	if !ok {
+		return
+	}
+	spec := &pb.UpstreamSpec{Address: u.Address, Type: "service", FailureDomain: u.FailureDomain}
+	slots := u.Slots
+	if service.Slots > 0 {
+		slots, spec.Type, spec.Models = service.Slots, "engine", []string{AnyModel}
+	}
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	spec.Concurrency, spec.MaxConcurrency = uint32(slots), uint32(slots)
+	b.add(configstate.KindUpstream, u.Name(), map[string]string{LabelService: u.Service, labelVersion: u.Version},
+		&pb.Object{Spec: &pb.Object_Upstream{Upstream: spec}})
+}
+
+// AnyModel is the model of all model calls: which engines serve a request
+// follows from its service alone.
+const AnyModel = "any"
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -26,6 +26,11 @@
 	// Bootstrap is a configuration set to start from, for tests and
 	// single-process use. If nil, the set is learned from peers or the store.
 	Bootstrap *configstate.Set
+	// ExternalConfig is true if configuration sets come by UseConfiguration
+	// only. Instances may then number their revisions differently, and pools
+	// and classes are identified by selectors in place of their upstreams, since
+	// instances learn of upstreams at different times.
+	ExternalConfig bool
 
 	// PingInterval is the interval between failure-detection pings; 500 ms.
 	PingInterval time.Duration
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -32,7 +32,8 @@
 
 // useSet puts a configuration set in force.
 func (n *Node) useSet(set *configstate.Set) {
-	routes, err := routing.BuildCell(set, n.cfg.CellFailureDomains)
+	routes, err := routing.BuildWith(set, routing.Options{
+		FailureDomains: n.cfg.CellFailureDomains, IDsBySelector: n.cfg.ExternalConfig})
 	if err != nil {
 		// Accepted sets are validated, so this is a fault of this release.
 		n.count("config", "build_failed")
@@ -66,6 +67,13 @@
 	}
 }
 
+// useConfiguration puts a set in force that was accepted outside the node.
+func (n *Node) useConfiguration(set *configstate.Set) {
+	if n.cfg.ExternalConfig && set.Revision > n.revision() {
+		n.useSet(set)
+	}
+}
+
 // reroute resolves all requests again: labels or selectors may have changed.
 // Waiting requests move to their new class and pool; the permits of dispatched
 // ones count in the pool that their upstream belongs to now. It returns the
@@ -96,6 +104,9 @@
 }
 
 func (n *Node) tickConfig() {
+	if n.cfg.ExternalConfig {
+		return
+	}
 	n.configs.Step(n.now)
 	if n.cfg.Bootstrap != nil || n.now < n.headDue {
 		return
@@ -149,6 +160,9 @@
 }
 
 func (n *Node) onConfigPull(from uint64, m *pb.ConfigPull) {
+	if n.cfg.ExternalConfig {
+		return
+	}
 	if push := n.configs.OnPull(m); push != nil {
 		n.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_ConfigPush{ConfigPush: push}})
 	}
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -112,7 +112,7 @@
 func (n *Node) inheritLimits(h *hostedPool) {
 	inFlight := make([]uint32, len(h.def.Upstreams))
 	for _, it := range h.ledger.items {
-		if it.granted {
+		if it.granted && it.upstream != noUpstream {
 			inFlight[it.upstream]++
 		}
 	}
@@ -122,6 +122,10 @@
 }
 
 func (n *Node) grant(h *hostedPool, id scheduler.GlobalID, it *item) {
+	if it.upstream == noUpstream {
+		h.drop(n.now, id, scheduler.Unused)
+		return
+	}
 	name := h.def.Upstreams[it.upstream].Name
 	if id.Entry == n.self {
 		n.table.Grant(n.now, n.decisionAt(h, id, it.descriptor.Attempt), name, n.usable(name))
@@ -140,8 +144,14 @@
 }
 
 // usable reports whether a permit for an upstream may be used now.
-func (n *Node) usable(upstream string) bool {
-	return n.view.Trusted() && !n.view.UpstreamLeaving(upstream) && n.addressOf(upstream) != ""
+func (n *Node) usable(upstream string) dispatch.Use {
+	switch {
+	case !n.view.Trusted():
+		return dispatch.NotNow
+	case n.view.UpstreamLeaving(upstream), n.addressOf(upstream) == "":
+		return dispatch.UpstreamGone
+	}
+	return dispatch.Usable
 }
 
 func (n *Node) shed(h *hostedPool, d scheduler.Decision) {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -81,6 +81,7 @@
 		ID: n.globalID(r.ID), Attempt: r.Attempt, Tier: n.tierOf(r.Tier),
 		Kind: n.kinds.intern(r.Kind), Org: n.orgs.intern(r.Organisation), Class: class,
 		Prompt: r.Prompt, OutMean: r.OutMean, OutHigh: r.OutHigh, Deadline: r.Deadline, Prefix: r.Prefix,
+		StartBy: r.StartBy,
 	}, true
 }
 
@@ -96,9 +97,19 @@
 		Sequence: uint64(r.ID), Pool: r.Pool, Tier: uint32(r.Tier), Kind: r.Kind, Organisation: r.Organisation,
 		Class: r.Class, PromptTokens: r.Prompt, OutputMean: r.OutMean, OutputHigh: r.OutHigh,
 		RemainingMs: milliseconds(r.Deadline - n.now), Prefix: r.Prefix, Attempt: r.Attempt,
+		StartWithinMs: startWithin(n.now, r.StartBy),
 	}
 }
 
+// startWithin returns the milliseconds left until startBy, at least 1, or 0 if
+// only the deadline counts.
+func startWithin(now, startBy time.Duration) uint32 {
+	if startBy == 0 {
+		return 0
+	}
+	return max(1, milliseconds(startBy-now))
+}
+
 func (n *Node) withdraw(e dispatch.Withdraw) {
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -44,6 +45,14 @@
 	// may be forwarded to the home of their key.
 	Body        []byte
 	ContentType string
+	// MaxSends bounds the upstreams that the request may be handed to, one
+	// after the other; 0 means 1.
+	MaxSends uint32
+	// Repeatable is true if the request may be sent again although it may have run.
+	Repeatable bool
+	// StartWithin is the time within which a start is useful, since the caller
+	// leaves without a first token; 0 if only the deadline counts.
+	StartWithin time.Duration
 }
 
 // CallerGone reports that the caller's connection closed before the answer ended.
@@ -169,6 +178,11 @@
 	DryRun      bool
 }
 
+// UseConfiguration puts a configuration set in force that another component
+// has accepted. It is for nodes with Config.ExternalConfig; a set whose revision
+// is not above the one in force is ignored.
+type UseConfiguration struct{ Set *configstate.Set }
+
 // Drain starts a planned stop.
 type Drain struct{}
 
@@ -188,5 +202,6 @@
 func (OrderDone) isEvent()          {}
 func (CacheEvents) isEvent()        {}
 func (ApplyChange) isEvent()        {}
+func (UseConfiguration) isEvent()   {}
 func (Drain) isEvent()              {}
 func (Tick) isEvent()               {}
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -110,12 +110,24 @@
 			class = uint32(len(def.Classes))
 		}
 		it.descriptor.Class = class
-		if it.granted {
-			it.upstream = h.upstreams[h.def.Upstreams[it.upstream].Name]
+		if it.granted && it.upstream != noUpstream {
+			it.upstream = h.indexOf(h.def.Upstreams[it.upstream].Name)
 		}
 	}
 }
 
+// noUpstream is the number of an upstream that left the pool's definition while
+// a request was in flight there.
+const noUpstream = ^uint32(0)
+
+// indexOf returns the number of an upstream, or noUpstream.
+func (h *hostedPool) indexOf(name string) uint32 {
+	if index, ok := h.upstreams[name]; ok {
+		return index
+	}
+	return noUpstream
+}
+
 func (h *hostedPool) classOf(it *item) routing.ClassID {
 	if int(it.descriptor.Class) >= len(h.def.Classes) {
 		return 0
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -155,6 +155,8 @@
 		n.cacheEvents(e)
 	case ApplyChange:
 		n.applyChange(e)
+	case UseConfiguration:
+		n.useConfiguration(e.Set)
 	case Drain:
 		n.startDrain()
 	case Tick:
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -21,7 +21,7 @@
 	for _, message := range frame.Messages {
 		n.messageReceived(from, message)
 	}
-	if frame.ConfigRevision > n.revision() {
+	if frame.ConfigRevision > n.revision() && !n.cfg.ExternalConfig {
 		n.configs.OnPeerRevision(n.now, from, frame.ConfigRevision)
 	}
 	n.updateOwnership()
@@ -97,6 +97,7 @@
 		Kind: n.kinds.intern(m.Kind), Org: n.orgs.intern(m.Organisation), Class: class,
 		Prompt: m.PromptTokens, OutMean: m.OutputMean, OutHigh: m.OutputHigh,
 		Deadline: n.now + time.Duration(m.RemainingMs)*time.Millisecond, Prefix: m.Prefix,
+		StartBy: startBy(n.now, time.Duration(m.StartWithinMs)*time.Millisecond),
 	}, true
 }
 
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -72,9 +72,19 @@
 		Prompt: r.PromptTokens, OutMean: mean, OutHigh: high,
 		Prefix: r.Prefix, Deadline: r.deadline,
 		KeepRunning: n.nonIdempotent(r.Kind),
+		MaxSends:    r.MaxSends, Repeatable: r.Repeatable, StartBy: startBy(n.now, r.StartWithin),
 	}, n.kinds.limits(r.Kind), n.orgs.limits(r.Organisation))
 }
 
+// startBy returns the time until which a start is useful; 0 if only the
+// deadline counts.
+func startBy(now, within time.Duration) time.Duration {
+	if within <= 0 {
+		return 0
+	}
+	return now + within
+}
+
 // resolveRefusal translates an error of routing into a refusal.
 func resolveRefusal(err error) dispatch.Refusal {
 	refusal := dispatch.Refusal{Code: "internal", Ran: dispatch.RanNo, Reason: err.Error(), Remedy: "report this to an operator"}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,6 +110,8 @@
 	// their values decide which route matches.
 	keys  []string
 	cache *cache
+	// idsBySelector is Options.IDsBySelector.
+	idsBySelector bool
 }
 
 // Revision returns the configuration revision that the table was built from.
@@ -120,13 +123,29 @@
 // Pool returns the pool with an id, or nil.
 func (t *Table) Pool(id PoolID) *Pool { return t.poolByID[id] }
 
+// Options of BuildWith.
+type Options struct {
+	// FailureDomains limits the upstreams to those of a cell; none means all.
+	FailureDomains []string
+	// IDsBySelector derives the ids of classes and pools from the routes'
+	// selectors in place of the upstreams that they match, so that instances
+	// that learn of upstreams at different times agree on the ids.
+	IDsBySelector bool
+}
+
 // Build compiles a set with all its upstreams.
 func Build(set *configstate.Set) (*Table, error) { return BuildCell(set, nil) }
 
 // BuildCell compiles a set with only the upstreams of the given failure
 // domains; none means all.
 func BuildCell(set *configstate.Set, failureDomains []string) (*Table, error) {
+	return BuildWith(set, Options{FailureDomains: failureDomains})
+}
+
+// BuildWith compiles a set.
+func BuildWith(set *configstate.Set, options Options) (*Table, error) {
 	t := &Table{
+		idsBySelector: options.IDsBySelector,
 		revision:      set.Revision,
 		kinds:         map[string]*kindInfo{},
 		organisations: map[string]*organisationInfo{},
@@ -136,7 +155,7 @@
 	}
 	t.addKinds(set)
 	t.addOrganisations(set)
-	t.addUpstreams(set, failureDomains)
+	t.addUpstreams(set, options.FailureDomains)
 	if err := t.addRoutes(set); err != nil {
 		return nil, err
 	}
@@ -278,9 +297,9 @@
 			}
 		}
 	}
-	r.services.class = t.classOf(r.services.upstreams)
+	r.services.class = t.classOf(r, "", r.services.upstreams)
 	for model, d := range r.models {
-		d.class = t.classOf(d.upstreams)
+		d.class = t.classOf(r, model, d.upstreams)
 		r.models[model] = d
 	}
 }
@@ -309,8 +328,13 @@
 	return out
 }
 
-func (t *Table) classOf(upstreams []int) ClassID {
+// classOf identifies the upstreams that a route leads to for a model.
+func (t *Table) classOf(r *route, model string, upstreams []int) ClassID {
 	d := xxhash.New()
+	if t.idsBySelector {
+		_, _ = d.WriteString("selector\x00" + r.upstreams.String() + "\x00" + model)
+		return ClassID(d.Sum64())
+	}
 	for _, i := range upstreams {
 		_, _ = d.WriteString(t.upstreams[i].Name)
 		_, _ = d.Write([]byte{0})
@@ -320,7 +344,8 @@
 
 // addPools computes the connected components of the destinations. A pool's id
 // is a digest of its first upstream's name, so that it stays the same when
-// other upstreams join or leave the pool.
+// other upstreams join or leave the pool, or of its smallest class id if ids
+// come from selectors.
 func (t *Table) addPools() {
 	parent := make([]int, len(t.upstreams))
 	for i := range parent {
@@ -344,13 +369,14 @@
 		return d
 	})
 	index := make([]uint32, len(t.upstreams))
+	smallest := t.smallestClasses(find)
 	for i, u := range t.upstreams {
 		if !used[i] {
 			continue
 		}
 		root := t.upstreams[find(i)]
 		if root.pool == nil {
-			root.pool = &Pool{ID: PoolID(xxhash.Sum64String("pool\x00" + root.Name))}
+			root.pool = &Pool{ID: t.poolID(root, smallest[find(i)])}
 			t.pools = append(t.pools, root.pool)
 			t.poolByID[root.pool.ID] = root.pool
 		}
@@ -367,6 +393,29 @@
 	t.addClasses(index)
 }
 
+// smallestClasses returns the smallest class id of each connected component by
+// the index of its root.
+func (t *Table) smallestClasses(find func(int) int) map[int]ClassID {
+	smallest := map[int]ClassID{}
+	t.eachDestination(func(d destination) destination {
+		if len(d.upstreams) > 0 {
+			root := find(d.upstreams[0])
+			if known, ok := smallest[root]; !ok || d.class < known {
+				smallest[root] = d.class
+			}
+		}
+		return d
+	})
+	return smallest
+}
+
+func (t *Table) poolID(root *upstreamInfo, smallest ClassID) PoolID {
+	if t.idsBySelector {
+		return PoolID(xxhash.Sum64String("pool\x00" + strconv.FormatUint(uint64(smallest), 16)))
+	}
+	return PoolID(xxhash.Sum64String("pool\x00" + root.Name))
+}
+
 // addClasses gives every destination its pool and every pool its classes.
 // index maps upstreams to their positions in their pools.
 func (t *Table) addClasses(index []uint32) {
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -55,6 +55,9 @@
 	// the mean does; such a request may wait for a part of its slack.
 	latest := max(d.Deadline-loaded, now+time.Duration(float64(slack)*latestStartMeanFraction))
 	latest = min(latest, d.Deadline-idle)
+	if d.StartBy > 0 {
+		latest = max(now, min(latest, d.StartBy))
+	}
 	wait := p.expectedWait(now, &d, c)
 	margin := time.Duration(serviceMargin * float64(loaded))
 	if d.Tier == 0 {
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -42,6 +42,8 @@
 	OutMean, OutHigh uint32
 	// Deadline is on the local monotonic clock.
 	Deadline time.Duration
+	// StartBy is the time until which a grant is useful; 0 if only the deadline counts.
+	StartBy time.Duration
 	// Prefix is the digest of the prompt prefix; 0 if none.
 	Prefix uint64
 }
