Quotas shared by transfers; engine limits that are configured are not learned

Ruled out: one owner for each quota (its death takes the record of what was used); a larger fixed part (the sum of the parts then exceeds the quota).

Change: an instance that lacks quota asks up to four others for what they do not need; the request waits at most 40 ms. Members taken for dead go on counting for 5 s, or for as long as they are known where most are. UpstreamSpec gets fixed_limit.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -10,6 +10,7 @@
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/quota"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// confirmMargin is left of the time for revocations for a request on its
 	// way to its upstream.
 	confirmMargin = 500 * time.Millisecond
+	// toleranceShare is the part of the tolerance of quotas that is used.
+	toleranceShare = 0.4
 	// faultLogInterval is the least time between two log lines on faulty entries.
 	faultLogInterval = 10 * time.Second
 )
@@ -127,10 +130,29 @@
 	g.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Int("upstreams", len(upstreams)).
 		Int("organisations", len(config.Organisations)).Msg("configuration in force")
 	g.loop.Post(g.lines.setUpstreams(upstreams))
-	g.loop.Post(node.UseConfiguration{Set: ingress.Objects(c.revision, config, upstreams)})
+	g.loop.Post(node.UseConfiguration{
+		Set: ingress.Objects(c.revision, config, upstreams), Quotas: g.quotas(config)})
 	c.current.Store(next)
 }
 
+// quotas returns the quotas of the organisations, with a part of the tolerance
+// in their burst: instances that take requests by chance need some more than
+// their exact share, and do not always agree on how many they are.
+func (g *Gateway) quotas(config *ingress.Config) map[string]quota.Limit {
+	gateway := g.settings.GetGateway()
+	window := settings.Duration(gateway.GetQuotaWindow()).Seconds()
+	limits := map[string]quota.Limit{}
+	for i := range config.Organisations {
+		o := &config.Organisations[i]
+		if o.QuotaPerSecond <= 0 {
+			continue
+		}
+		tolerance := gateway.GetQuotaOver()*(o.QuotaPerSecond*window+o.QuotaBurst) + gateway.GetQuotaSlack()
+		limits[o.Name] = quota.Limit{PerSecond: o.QuotaPerSecond, Burst: o.QuotaBurst + toleranceShare*tolerance}
+	}
+	return limits
+}
+
 // noteStore logs when the store goes away and when it is back.
 func (g *Gateway) noteStore(errs ...error) {
 	for _, err := range errs {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/citrongate/citrongate/internal/telemetry"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
-	"github.com/citrongate/citrongate/pkg/quota"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -43,7 +42,7 @@
 	minStopMargin = 300 * time.Millisecond
 	// acceptShare is the part of the time for a planned stop during which
 	// callers with an old discovery answer are still served.
-	acceptShare = 0.6
+	acceptShare = 0.35
 	// bodyShare is the part of the machine's memory for request bodies.
 	bodyShare  = 0.25
 	bytesPerMB = 1 << 20
@@ -63,7 +62,6 @@
 	peers     *peer.Edge
 	upstreams *forward.Client
 	servers   []*httpfront.Server
-	quota     *quota.Limiter
 
 	config  configState
 	members atomic.Pointer[membersView]
@@ -97,13 +95,12 @@
 		settings: s, identity: id, metrics: metrics, store: store, codec: codec,
 		log:       log.With().Str("instance", s.GetInstance().GetName()).Logger(),
 		mailboxes: nodeloop.NewMailboxes(),
-		quota:     quota.NewLimiter(),
 		drained:   make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
 	g.config.registry = ingress.NewRegistry()
-	g.members.Store(&membersView{notReady: "this instance is starting", live: 1})
+	g.members.Store(&membersView{notReady: "this instance is starting"})
 	g.upstreams = forward.NewClient(forward.Options{DialTimeout: dialTimeout, MaxIdle: maxIdle, ReadHead: codec.ReadAnswer})
 	g.loop = nodeloop.New(node.New(g.nodeConfig(), id.Seed), g.execute)
 	return g, nil
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -25,8 +25,6 @@
 	// addresses are those that callers may use.
 	addresses []string
 	notReady  string
-	// live is the number of instances that share limits.
-	live int
 }
 
 // refreshMembers keeps readiness and the addresses for callers up to date.
@@ -49,12 +47,10 @@
 		if m.State == membership.Dead {
 			continue
 		}
-		view.live++
 		if m.State == membership.Alive && !m.Leaving && m.CallerAddress != "" {
 			view.addresses = append(view.addresses, m.CallerAddress)
 		}
 	}
-	view.live = max(1, view.live)
 	return view
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,7 +13,6 @@
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
-	"github.com/citrongate/citrongate/pkg/quota"
 )
 
 const (
@@ -79,7 +78,7 @@
 		return nil, &answer.Refusal{Code: "bad_request", Ran: answer.RanNo, Reason: "the body can not be read: " + err.Error(), Remedy: "send the whole body"}
 	}
 	j.deadline = arrived + j.timeLimit()
-	return j, g.takeQuota(j)
+	return j, nil
 }
 
 // notJudged refuses a request that this instance cannot judge for now.
@@ -135,21 +134,7 @@
 	return limit
 }
 
-// takeQuota counts the request against its organisation's quota.
-func (g *Gateway) takeQuota(j *job) *answer.Refusal {
-	o := j.organisation
-	if o == nil || o.QuotaPerSecond <= 0 {
-		return nil
-	}
-	limit := quota.Limit{PerSecond: o.QuotaPerSecond, Burst: o.QuotaBurst}
-	ok, after := g.quota.Take(j.arrived, o.Name, limit, j.quotaCost(), g.members.Load().live)
-	if ok {
-		return nil
-	}
-	return &answer.Refusal{Code: "limit_rate", Ran: answer.RanNo, Reason: "the organisation's quota is used up",
-		Remedy: "send less, or ask an operator for a larger quota", RetryAfter: after}
-}
-
+// quotaCost is what the request counts against its organisation's quota.
 func (j *job) quotaCost() float64 {
 	switch {
 	case !j.organisation.QuotaInTokens:
@@ -169,7 +154,7 @@
 		MaxSends: uint32(j.route.MaxSends), Repeatable: j.route.Repeatable(),
 	}
 	if j.organisation != nil {
-		s.Organisation = j.organisation.Name
+		s.Organisation, s.QuotaCost = j.organisation.Name, j.quotaCost()
 	}
 	if engine := j.snapshot.engines[j.service]; engine != nil && j.route.ModelCall {
 		s.Model = ingress.AnyModel
--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -125,7 +125,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	spec.Concurrency, spec.MaxConcurrency = uint32(slots), uint32(slots)
+	spec.Concurrency, spec.MaxConcurrency, spec.FixedLimit = uint32(slots), uint32(slots), true
 	b.add(configstate.KindUpstream, u.Name(), map[string]string{LabelService: u.Service, labelVersion: u.Version},
 		&pb.Object{Spec: &pb.Object_Upstream{Upstream: spec}})
 }
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -68,9 +68,10 @@
 }
 
 // useConfiguration puts a set in force that was accepted outside the node.
-func (n *Node) useConfiguration(set *configstate.Set) {
-	if n.cfg.ExternalConfig && set.Revision > n.revision() {
-		n.useSet(set)
+func (n *Node) useConfiguration(e UseConfiguration) {
+	if n.cfg.ExternalConfig && e.Set.Revision > n.revision() {
+		n.setQuotas(e.Quotas)
+		n.useSet(e.Set)
 	}
 }
 
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/quota"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -53,6 +54,8 @@
 	// StartWithin is the time within which a start is useful, since the caller
 	// leaves without a first token; 0 if only the deadline counts.
 	StartWithin time.Duration
+	// QuotaCost is what the request counts against its organisation's quota.
+	QuotaCost float64
 }
 
 // CallerGone reports that the caller's connection closed before the answer ended.
@@ -181,7 +184,11 @@
 // UseConfiguration puts a configuration set in force that another component
 // has accepted. It is for nodes with Config.ExternalConfig; a set whose revision
 // is not above the one in force is ignored.
-type UseConfiguration struct{ Set *configstate.Set }
+type UseConfiguration struct {
+	Set *configstate.Set
+	// Quotas holds the quotas of organisations over all instances.
+	Quotas map[string]quota.Limit
+}
 
 // Drain starts a planned stop.
 type Drain struct{}
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -138,7 +138,7 @@
 func (n *Node) upstreamOf(u routing.Upstream) scheduler.Upstream {
 	return scheduler.Upstream{
 		Name: u.Name, Service: u.Spec.GetType() == "service",
-		Concurrency: u.Spec.GetConcurrency(), MaxConcurrency: u.Spec.GetMaxConcurrency(),
+		Concurrency: u.Spec.GetConcurrency(), MaxConcurrency: u.Spec.GetMaxConcurrency(), FixedLimit: u.Spec.GetFixedLimit(),
 		PrefillTokensPerSecond: u.Spec.GetPrefillTokensPerSecond(),
 		DecodePerToken:         time.Duration(u.Spec.GetDecodeMsPerToken() * float64(time.Millisecond)),
 		Leaving:                n.view.UpstreamLeaving(u.Name),
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -60,6 +60,7 @@
 	calls  callSet
 	leases *lease.Manager
 	orders map[uint64]sentOrder
+	quotas quotaState
 
 	drain     drainState
 	decisions []scheduler.Decision
@@ -87,6 +88,7 @@
 		pools:    newPoolSet(),
 		calls:    newCallSet(),
 		lengths:  newLengths(),
+		quotas:   newQuotaState(),
 		view: membership.New(membership.Config{
 			Self: membership.Member{
 				Incarnation: self, PeerAddress: cfg.PeerAddress, CallerAddress: cfg.CallerAddress,
@@ -156,7 +158,7 @@
 	case ApplyChange:
 		n.applyChange(e)
 	case UseConfiguration:
-		n.useConfiguration(e.Set)
+		n.useConfiguration(e)
 	case Drain:
 		n.startDrain()
 	case Tick:
@@ -206,6 +208,7 @@
 	n.tickDigests()
 	n.tickConfig()
 	n.tickCalls()
+	n.tickQuotas()
 	n.home.Step(n.now)
 	n.claims.Step(n.now, n.unixSeconds())
 	n.leases.Step(n.now)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -47,6 +47,10 @@
 		n.configs.OnPush(n.now, from, m.ConfigPush)
 	case *pb.PeerMessage_BindingCall:
 		n.onBindingCall(from, m.BindingCall)
+	case *pb.PeerMessage_QuotaRequest:
+		n.onQuotaRequest(from, m.QuotaRequest)
+	case *pb.PeerMessage_QuotaTransfer:
+		n.onQuotaTransfer(m.QuotaTransfer)
 	case *pb.PeerMessage_BindingReply:
 		n.onBindingReply(from, m.BindingReply)
 	default:
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -41,7 +41,9 @@
 		n.submitCall(id, r, 0)
 		return
 	}
-	n.enqueue(id, r)
+	if n.takeQuota(id, r) {
+		n.enqueue(id, r)
+	}
 }
 
 // admission returns a refusal if the instance takes no new requests.
@@ -162,6 +164,9 @@
 		return
 	}
 	n.callGone(id)
+	if r := n.requests[id]; r != nil && r.QuotaCost > 0 {
+		delete(n.requests, id) // it waited for quota
+	}
 }
 
 var results = map[UpstreamResult]dispatch.Result{
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -122,12 +122,15 @@
 
 // bound applies the configured bounds after the configuration changed.
 func (u *upstream) bound() {
-	if u.Service && u.Concurrency > 0 {
+	if u.fixed() && u.Concurrency > 0 {
 		u.limit = float64(u.Concurrency)
 	}
 	u.limit = max(1, min(u.limit, u.maximum()))
 }
 
+// fixed reports whether the limit is configured and not learned.
+func (u *upstream) fixed() bool { return u.Service || u.FixedLimit }
+
 func (u *upstream) maximum() float64 {
 	if u.MaxConcurrency > 0 {
 		return float64(u.MaxConcurrency)
@@ -194,7 +197,7 @@
 // sampleLimit adds one observation of a target to the window of an upstream
 // and moves its limit at the end of the window.
 func (p *Pool) sampleLimit(now time.Duration, u *upstream, count *targetCount, value, target float64) {
-	if u.Service || u.quarantined {
+	if u.fixed() || u.quarantined {
 		return
 	}
 	p.notePressure(u)
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -101,7 +101,7 @@
 		p.quarantine(now, u)
 		return
 	}
-	if !u.Service { // the limit of a service is configured
+	if !u.fixed() { // else the limit is configured
 		u.limit = max(1, u.limit/2)
 	}
 	u.resetWindow(now)
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -72,6 +72,9 @@
 	Service bool
 	// Concurrency is the limit to start from; MaxConcurrency bounds learning.
 	Concurrency, MaxConcurrency uint32
+	// FixedLimit is true for an engine that is known to run Concurrency requests
+	// at once, so that its limit is not learned.
+	FixedLimit bool
 	// PrefillTokensPerSecond and DecodePerToken are priors; 0 takes a default.
 	PrefillTokensPerSecond float64
 	DecodePerToken         time.Duration
