scheduler: a configured limit outlives a quarantine; targets from the routes

Engines that left a quarantine kept a quarter of their limit for ever, since configured limits are not learned back, and long prompts put engines into quarantine, since the target between tokens (54 ms) was applied to events of five tokens. Change: recover keeps a configured limit; the targets for the first event and between events follow the routes; buckets of quotas are empty at the start of a run; a line per answered request at debug level.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,6 +34,7 @@
 	mailbox *nodeloop.Mailbox
 	relay   forward.Relay
 	sent    time.Duration
+	first   time.Duration
 	told    time.Duration
 }
 
@@ -146,6 +147,9 @@
 	}
 	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.Events})
 	if result.Status == forward.Complete {
+		c.g.log.Debug().Str("request_id", c.head.ID).Str("route", c.route.Name).Str("upstream", d.Upstream).
+			Dur("queued", c.sent-c.arrived).Dur("first", max(0, c.first-c.sent)).Dur("total", boottime.Now()-c.arrived).
+			Uint32("prompt", c.head.PromptTokens).Uint32("events", result.Events).Msg("request answered")
 		return true
 	}
 	c.logExchange(d, result)
@@ -173,6 +177,7 @@
 // FirstByte reports the first event to the node.
 func (c *call) FirstByte() {
 	c.told = boottime.Now()
+	c.first = c.told
 	c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -21,7 +21,7 @@
 	// way to its upstream.
 	confirmMargin = 500 * time.Millisecond
 	// toleranceShare is the part of the tolerance of quotas that is used.
-	toleranceShare = 0.4
+	toleranceShare = 0.6
 	// faultLogInterval is the least time between two log lines on faulty entries.
 	faultLogInterval = 10 * time.Second
 )
@@ -130,7 +130,9 @@
 	g.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Int("upstreams", len(upstreams)).
 		Int("organisations", len(config.Organisations)).Msg("configuration in force")
 	g.loop.Post(g.lines.setUpstreams(upstreams))
+	first, gap := config.Targets()
 	g.loop.Post(node.UseConfiguration{
+		TargetTTFT: first, TargetInterToken: gap,
 		Set: ingress.Objects(c.revision, config, upstreams), Quotas: g.quotas(config)})
 	c.current.Store(next)
 }
--- a/pkg/ingress/table.go
+++ b/pkg/ingress/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table is the compiled form of one Config for the path of a request. It is
@@ -73,6 +74,23 @@
 // OrganisationNamed returns an organisation by its name, or nil.
 func (t *Table) OrganisationNamed(name string) *Organisation { return t.byOrg[name] }
 
+// Targets returns the latency targets of the stream routes: the largest time to
+// the first event and the smallest time between events, 0 without stream routes.
+// Requests whose own goal is shorter go first where their tier allows it.
+func (c *Config) Targets() (first, gap time.Duration) {
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != Stream || r.Goal <= 0 {
+			continue
+		}
+		first = max(first, r.Goal)
+		if r.GapGoal > 0 && (gap == 0 || r.GapGoal < gap) {
+			gap = r.GapGoal
+		}
+	}
+	return first, gap
+}
+
 // PickBackend chooses a service of the route by weight. draw is uniform in [0, 1).
 func (r *Route) PickBackend(draw float64) string {
 	total := 0.0
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -71,10 +71,24 @@
 func (n *Node) useConfiguration(e UseConfiguration) {
 	if n.cfg.ExternalConfig && e.Set.Revision > n.revision() {
 		n.setQuotas(e.Quotas)
+		n.setTargets(e.TargetTTFT, e.TargetInterToken)
 		n.useSet(e.Set)
 	}
 }
 
+// setTargets changes the latency targets of all pools.
+func (n *Node) setTargets(ttft, interToken time.Duration) {
+	if ttft > 0 {
+		n.cfg.TargetTTFT = ttft
+	}
+	if interToken > 0 {
+		n.cfg.TargetInterToken = interToken
+	}
+	for _, h := range n.pools.list {
+		h.sched.SetTargets(ttft, interToken)
+	}
+}
+
 // reroute resolves all requests again: labels or selectors may have changed.
 // Waiting requests move to their new class and pool; the permits of dispatched
 // ones count in the pool that their upstream belongs to now. It returns the
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -188,6 +188,8 @@
 	Set *configstate.Set
 	// Quotas holds the quotas of organisations over all instances.
 	Quotas map[string]quota.Limit
+	// TargetTTFT and TargetInterToken replace those of Config if they are positive.
+	TargetTTFT, TargetInterToken time.Duration
 }
 
 // Drain starts a planned stop.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -6,7 +6,8 @@
 // Invariants:
 //   - over any span, an instance grants at most its share of rate times span
 //     plus burst, plus what others gave it, plus one request;
-//   - what one instance gives, another gets at most once.
+//   - what one instance gives, another gets at most once;
+//   - a bucket is empty at the start of a run.
 package quota
 
 import "time"
@@ -24,6 +25,9 @@
 // giver does not have to ask for it back at once.
 const reserveShare = 0.25
 
+// epsilon absorbs the rounding of sums of costs.
+const epsilon = 1e-6
+
 // bucket is what one organisation has left at this instance.
 type bucket struct {
 	left     float64
@@ -33,14 +37,16 @@
 // Ledger holds the buckets of one instance. It is not safe for concurrent use.
 type Ledger struct{ buckets map[string]*bucket }
 
-// NewLedger returns a ledger without buckets.
+// NewLedger returns the ledger of a run that starts at time 0.
 func NewLedger() *Ledger { return &Ledger{buckets: map[string]*bucket{}} }
 
 // refill brings an organisation's bucket up to date.
 func (l *Ledger) refill(now time.Duration, organisation string, share Limit) *bucket {
 	b := l.buckets[organisation]
 	if b == nil {
-		b = &bucket{left: share.Burst, refilled: now}
+		// Filled since the start of this run, which does not know what the one
+		// before it granted.
+		b = &bucket{}
 		l.buckets[organisation] = b
 	}
 	if grown := min(share.Burst, b.left+share.PerSecond*max(0, now-b.refilled).Seconds()); grown > b.left {
@@ -60,7 +66,7 @@
 	share := limit.share(instances)
 	b := l.refill(now, organisation, share)
 	needed := min(cost, max(share.Burst, 1))
-	if b.left >= needed {
+	if b.left >= needed-epsilon {
 		b.left -= cost
 		return true, 0, 0
 	}
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -197,6 +197,18 @@
 	p.refreshAll()
 }
 
+// SetTargets changes Config.TargetTTFT and Config.TargetInterToken; a target
+// that is not positive stays.
+func (p *Pool) SetTargets(ttft, interToken time.Duration) {
+	if ttft > 0 {
+		p.config.TargetTTFT = ttft
+	}
+	if interToken > 0 {
+		p.config.TargetInterToken = interToken
+	}
+	p.refreshAll()
+}
+
 // SetShare changes Config.Share.
 func (p *Pool) SetShare(_ time.Duration, share int) {
 	p.config.Share = max(1, share)
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -213,8 +213,10 @@
 	u.quarantined = false
 	u.broken, u.probing = 0, nil
 	u.lastSign = now
-	if !u.Service {
+	if !u.fixed() {
 		u.limit = max(1, u.limit*recoveredLimit)
+	}
+	if !u.Service {
 		u.interToken = 0
 	}
 	p.quarantined--
