ingress, scheduler: a request waits as long as its start is worth while

Cause: in lasting overload the top tier was refused at once while lower tiers filled the slots that became free, since only these still waited. Change: requests with a useful start time are admitted if they are expected to start by then; for streams that is 0.6 of the goal.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -97,8 +97,8 @@
 // end answers without a whole answer of an upstream. A part that was passed on
 // must not look complete, so its connection is closed.
 func (c *call) end(refusal answer.Refusal) {
-	c.g.log.Info().Str("request_id", c.head.ID).Str("route", c.route.Name).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).
-		Dur("waited", boottime.Now()-c.arrived).Bool("started", c.relay.Started()).Msg("request refused")
+	c.g.log.Info().Str("request_id", c.head.ID).Str("organisation", c.organisationName()).Str("route", c.route.Name).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).
+		Dur("waited", boottime.Now()-c.arrived).Bool("started", c.relay.Started()).Float64("cost", c.quotaCost()).Msg("request refused")
 	if c.relay.Started() {
 		httpfront.Abort(c.w)
 		return
@@ -147,9 +147,9 @@
 	}
 	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.Events})
 	if result.Status == forward.Complete {
-		c.g.log.Debug().Str("request_id", c.head.ID).Str("route", c.route.Name).Str("upstream", d.Upstream).
+		c.g.log.Debug().Str("request_id", c.head.ID).Str("organisation", c.organisationName()).Str("route", c.route.Name).Str("upstream", d.Upstream).
 			Dur("queued", c.sent-c.arrived).Dur("first", max(0, c.first-c.sent)).Dur("total", boottime.Now()-c.arrived).
-			Uint32("prompt", c.head.PromptTokens).Uint32("events", result.Events).Msg("request answered")
+			Uint32("prompt", c.head.PromptTokens).Float64("cost", c.quotaCost()).Uint32("events", result.Events).Msg("request answered")
 		return true
 	}
 	c.logExchange(d, result)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -150,6 +150,7 @@
 			continue
 		}
 		tolerance := gateway.GetQuotaOver()*(o.QuotaPerSecond*window+o.QuotaBurst) + gateway.GetQuotaSlack()
+		g.log.Debug().Str("organisation", o.Name).Float64("per_second", o.QuotaPerSecond).Float64("burst", o.QuotaBurst).Msg("quota in force")
 		limits[o.Name] = quota.Limit{PerSecond: o.QuotaPerSecond, Burst: o.QuotaBurst + toleranceShare*tolerance}
 	}
 	return limits
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -134,9 +134,19 @@
 	return limit
 }
 
+// organisationName is the name for logs, and the organisation that the node counts for.
+func (j *job) organisationName() string {
+	if j.organisation == nil {
+		return ingress.NoOrganisation
+	}
+	return j.organisation.Name
+}
+
 // quotaCost is what the request counts against its organisation's quota.
 func (j *job) quotaCost() float64 {
 	switch {
+	case j.organisation == nil:
+		return 0
 	case !j.organisation.QuotaInTokens:
 		return 1
 	case j.head.HasTokens:
@@ -148,14 +158,11 @@
 // submission is the request as the node sees it.
 func (j *job) submission(id node.RequestID, now time.Duration) node.SubmitRequest {
 	s := node.SubmitRequest{
-		ID: id, Organisation: ingress.NoOrganisation, Kind: ingress.KindName(j.route, ingress.PriorityOf(j.route, j.organisation)),
+		ID: id, Organisation: j.organisationName(), QuotaCost: j.quotaCost(), Kind: ingress.KindName(j.route, ingress.PriorityOf(j.route, j.organisation)),
 		Labels:    map[string]string{ingress.LabelService: j.service},
 		Remaining: j.deadline - now, Prefix: j.head.Prefix,
 		MaxSends: uint32(j.route.MaxSends), Repeatable: j.route.Repeatable(),
 	}
-	if j.organisation != nil {
-		s.Organisation, s.QuotaCost = j.organisation.Name, j.quotaCost()
-	}
 	if engine := j.snapshot.engines[j.service]; engine != nil && j.route.ModelCall {
 		s.Model = ingress.AnyModel
 		s.PromptTokens = max(1, j.head.PromptTokens)
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -74,7 +74,7 @@
 // StartWithin is the time within which a stream has to be sent to an upstream,
 // so that its first event comes before the caller leaves.
 func (r *Route) StartWithin() time.Duration {
-	return time.Duration(float64(r.Patience()) * startShare)
+	return time.Duration(float64(r.Goal) * startShare)
 }
 
 // startShare is the part of a caller's patience that a request may wait.
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -15,9 +15,9 @@
 	quotaDry = 100 * time.Millisecond
 	// quotaFanout is the number of instances that are asked at once.
 	quotaFanout = 4
-	// quotaAhead is the ratio of what is asked for to what is missing, so that
-	// the next request does not have to ask again.
-	quotaAhead = 2
+	// quotaAhead is the ratio of what is asked for in all to what is missing,
+	// since not all of those asked have their part.
+	quotaAhead = 3
 )
 
 // quotaState enforces the quotas of organisations over all instances.
@@ -80,9 +80,13 @@
 	if n.now < n.quotas.dryUntil[organisation] {
 		return false
 	}
-	for _, to := range n.view.Sample(quotaFanout) {
+	others := n.view.Sample(quotaFanout)
+	// What comes above the own burst does not grow, so no more than is needed
+	// soon is asked for in all.
+	amount := missing * quotaAhead / float64(max(1, len(others)))
+	for _, to := range others {
 		message := &pb.PeerMessage{Body: &pb.PeerMessage_QuotaRequest{QuotaRequest: &pb.QuotaRequest{
-			Organisation: organisation, Amount: missing * quotaAhead}}}
+			Organisation: organisation, Amount: amount}}}
 		if n.send(to, message) {
 			n.quotas.asked[organisation]++
 		}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -23,7 +23,7 @@
 
 // reserveShare is the part of a full bucket that is not given away, so that the
 // giver does not have to ask for it back at once.
-const reserveShare = 0.25
+const reserveShare = 0.1
 
 // epsilon absorbs the rounding of sums of costs.
 const epsilon = 1e-6
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -64,6 +64,10 @@
 		margin = Never // urgent work does not queue in lasting overload
 	}
 	allowed := p.tiers[d.Tier].lines[d.Class].allowedWait(now, latest-now, margin, wait > 0)
+	if d.StartBy > 0 {
+		// The caller says how long a wait is worth while, and the queue is as long.
+		allowed = latest - now
+	}
 	if wait > allowed || p.higherJustShed(now, &d, c) ||
 		p.waiting >= p.config.MaxQueue && !p.makeRoom(now, d) {
 		p.overloaded = append(p.overloaded, refusal{d, wait})
