--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,268 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// upstream answers each request on a connection with the next raw text of its
+// script; an empty text closes the connection.
+func upstream(t *testing.T, script ...string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	next := make(chan string, len(script))
+	for _, s := range script {
+		next <- s
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, next)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serve(c net.Conn, next <-chan string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		text, ok := <-next
+		if !ok || text == "" {
+			return
+		}
+		if text == "early" {
+			// Answers before the body has been read, and reads on later.
+			_, _ = fmt.Fprint(c, plain("a", "early"))
+		}
+		buffer := make([]byte, 64<<10)
+		for err == nil {
+			_, err = request.Body.Read(buffer)
+		}
+		if text != "early" {
+			_, _ = c.Write([]byte(text))
+		}
+		if strings.Contains(text, "cut here") {
+			return
+		}
+	}
+}
+
+func plain(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func readHead(code int, h http.Header) AnswerHead {
+	return AnswerHead{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
+}
+
+func newClient(t *testing.T) *Client {
+	c := NewClient(Options{DialTimeout: time.Second, MaxIdle: 4, ReadHead: readHead})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// caller records what was relayed.
+type caller struct {
+	starts int
+	code   int
+	body   strings.Builder
+	first  int
+	refuse bool
+}
+
+func (c *caller) Start(code int, _ http.Header, _ int64) error { c.starts++; c.code = code; return nil }
+func (c *caller) FirstByte()                                   { c.first++ }
+func (c *caller) Events(uint32)                                {}
+func (c *caller) Write(p []byte) error {
+	if c.refuse {
+		return errors.New("gone")
+	}
+	c.body.Write(p)
+	return nil
+}
+
+func (c *caller) relay() *Relay { return &Relay{Sink: c, Progress: c} }
+
+func request(address, id string) *Request {
+	return &Request{Address: address, Method: "POST", URI: "/p?q=1", Host: "h", Header: http.Header{"User-Agent": {""}}, Body: []byte("body"), ID: id, Repeatable: true}
+}
+
+// TestStatuses guards how each kind of answer ends an exchange and whether any
+// of it reaches the caller.
+func TestStatuses(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		status Status
+		body   string
+	}{
+		"whole":                     {plain("a", "hello"), Complete, "hello"},
+		"failure with seal":         {"HTTP/1.1 500 E\r\nId: a\r\nSeal: x\r\nContent-Length: 2\r\n\r\nno", Complete, "no"},
+		"not run":                   {"HTTP/1.1 503 E\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", NotRun, ""},
+		"503 that may have run":     {"HTTP/1.1 503 E\r\nId: a\r\nContent-Length: 0\r\n\r\n", Broken, ""},
+		"success without seal":      {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nno", Mismatched, ""},
+		"encoded":                   {"HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno", Mismatched, ""},
+		"another request's":         {plain("b", "no"), Mismatched, ""},
+		"closed":                    {"", Broken, ""},
+		"not HTTP":                  {"cut here: garbage\r\n\r\n", Broken, ""},
+		"short":                     {"HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 99\r\n\r\ncut here", Broken, "cut here"},
+		"chunks without their end":  {"HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\ncut here\r\n", Broken, "cut here"},
+		"until the connection ends": {"HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\n\r\ncut here", Complete, "cut here"},
+		"interim answer first":      {"HTTP/1.1 103 Early\r\n\r\n" + plain("a", "hello"), Complete, "hello"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(t)
+			got := &caller{}
+			result := client.Do(context.Background(), request(upstream(t, c.answer), "a"), got.relay())
+			require.Equal(t, c.status, result.Status, result.Detail)
+			require.Equal(t, c.body, got.body.String())
+		})
+	}
+}
+
+// TestNotSent guards against counting a request as sent that met no connection.
+func TestNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	result := newClient(t).Do(context.Background(), request(address, "a"), (&caller{}).relay())
+	require.Equal(t, NotSent, result.Status)
+}
+
+// TestReuse guards the reuse of connections: bytes after an answer, and a late
+// second answer, belong to no other request.
+func TestReuse(t *testing.T) {
+	client := newClient(t)
+	address := upstream(t, plain("a", "one"), plain("b", "two")+"extra bytes", plain("c", "three"),
+		plain("c", "again")+plain("d", "four"), plain("e", "five"))
+	for i, id := range []string{"a", "b", "c"} {
+		got := &caller{}
+		result := client.Do(context.Background(), request(address, id), got.relay())
+		require.Equal(t, Complete, result.Status, result.Detail)
+		require.Equal(t, []string{"one", "two", "three"}[i], got.body.String())
+		if id == "b" {
+			require.Eventually(t, func() bool {
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				for _, kept := range client.idle[address] {
+					return !kept.quiet()
+				}
+				return true
+			}, 10*time.Second, time.Millisecond)
+		}
+	}
+	got := &caller{}
+	result := client.Do(context.Background(), request(address, "d"), got.relay())
+	require.Equal(t, Complete, result.Status, result.Detail)
+	require.Equal(t, "four", got.body.String())
+}
+
+// TestEarlyAnswer guards against reusing a connection on which the rest of a
+// long body is still due.
+func TestEarlyAnswer(t *testing.T) {
+	client := newClient(t)
+	address := upstream(t, "early", plain("b", "second"))
+	long := request(address, "a")
+	long.Body = make([]byte, 8<<20)
+	got := &caller{}
+	result := client.Do(context.Background(), long, got.relay())
+	require.Equal(t, Complete, result.Status, result.Detail)
+	require.Equal(t, "early", got.body.String())
+	got = &caller{}
+	result = client.Do(context.Background(), request(address, "b"), got.relay())
+	require.Equal(t, Complete, result.Status, result.Detail)
+	require.Equal(t, "second", got.body.String())
+}
+
+func streamAnswer(body string) string {
+	return "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const streamEnd = "0\r\n\r\n"
+
+// TestContinuedStream guards a stream that breaks in the middle of an event:
+// only whole events are relayed, and another exchange goes on after the last.
+func TestContinuedStream(t *testing.T) {
+	client := newClient(t)
+	broken := upstream(t, streamAnswer(chunk("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\nda")+"cut here"))
+	got := &caller{}
+	relay := got.relay()
+	first := request(broken, "a")
+	first.Stream = true
+	result := client.Do(context.Background(), first, relay)
+	require.Equal(t, Broken, result.Status)
+	require.Equal(t, "2", relay.LastEvent())
+	require.Equal(t, uint32(2), result.Events)
+
+	repeats := request(upstream(t, streamAnswer(chunk("id: 2\ndata: y\n\n")+streamEnd)), "a")
+	repeats.Stream = true
+	require.Equal(t, Broken, client.Do(context.Background(), repeats, relay).Status, "an event comes twice")
+
+	rest := request(upstream(t, streamAnswer(chunk("id: 3\ndata: z\n\n")+streamEnd)), "a")
+	rest.Stream = true
+	result = client.Do(context.Background(), rest, relay)
+	require.Equal(t, Complete, result.Status, result.Detail)
+	require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n", got.body.String())
+	require.Equal(t, 1, got.starts, "the caller keeps the first headers")
+	require.Equal(t, 1, got.first)
+}
+
+// TestCallerGone guards against an upstream that works on for a caller that left.
+func TestCallerGone(t *testing.T) {
+	client := newClient(t)
+	stopped := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(stopped)
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		cancel()
+		buffer := make([]byte, 4096)
+		for err == nil {
+			_, err = c.Read(buffer)
+		}
+	}()
+	result := client.Do(ctx, request(listener.Addr().String(), "a"), (&caller{}).relay())
+	require.Equal(t, Canceled, result.Status)
+	<-stopped
+
+	got := &caller{refuse: true}
+	result = client.Do(context.Background(), request(upstream(t, plain("a", "hello")), "a"), got.relay())
+	require.Equal(t, Canceled, result.Status)
+}
+
+// TestDeadline guards the end of an exchange whose upstream is silent.
+func TestDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	result := newClient(t).Do(ctx, request(listener.Addr().String(), "a"), (&caller{}).relay())
+	require.Equal(t, Expired, result.Status)
+}
--- /dev/null
+++ b/pkg/ingress/ingress_test.go
@@ -0,0 +1,143 @@
+package ingress_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/pkg/ingress"
+	"github.com/citrongate/citrongate/pkg/routing"
+)
+
+func config(version uint64) *ingress.Config {
+	return &ingress.Config{
+		Version: version, KeysRequired: true,
+		Routes: []ingress.Route{
+			{Name: "all", Host: "h.example", PathPrefix: "/", Kind: ingress.Idempotent, Priority: 2, Backends: []ingress.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "deep", Host: "h.example", PathPrefix: "/a/b/", Kind: ingress.Stream, Priority: 1, ModelCall: true, Backends: []ingress.Backend{{Service: "models", Weight: 1}}},
+			{Name: "mid", Host: "h.example", PathPrefix: "/a/", Kind: ingress.NonIdempotent, Priority: 40, Backends: []ingress.Backend{{Service: "plain", Weight: 3}, {Service: "models", Weight: 1}}},
+		},
+		Services:      []ingress.Service{{Name: "plain"}, {Name: "models", Slots: 10}},
+		Organisations: []ingress.Organisation{{Name: "o", Keys: []string{"k1", "k2"}, Priority: 0, HasPriority: true}},
+	}
+}
+
+// TestLongestPrefix guards the choice among overlapping routes.
+func TestLongestPrefix(t *testing.T) {
+	table := ingress.NewTable(config(1))
+	for path, want := range map[string]string{"/a/b/c": "deep", "/a/b": "mid", "/a/x": "mid", "/z": "all"} {
+		require.Equal(t, want, table.Route("H.example", path).Name, path)
+	}
+	require.Equal(t, "all", table.Route("h.example:8080", "/z").Name)
+	require.Nil(t, table.Route("other.example", "/z"))
+	require.Equal(t, "o", table.Organisation("k2").Name)
+	require.Nil(t, table.Organisation(""))
+}
+
+// TestPickBackend guards the weights, also of a backend that gets nothing.
+func TestPickBackend(t *testing.T) {
+	r := ingress.Route{Backends: []ingress.Backend{{Service: "a", Weight: 3}, {Service: "off", Weight: 0}, {Service: "b", Weight: 1}}}
+	require.Equal(t, "a", r.PickBackend(0))
+	require.Equal(t, "a", r.PickBackend(0.74))
+	require.Equal(t, "b", r.PickBackend(0.76))
+	require.Equal(t, "b", r.PickBackend(0.9999))
+	require.Empty(t, (&ingress.Route{}).PickBackend(0.5))
+}
+
+// TestTrackerNeverGoesBack guards against an older configuration, which a stale
+// source may show, and against a confirmation by it.
+func TestTrackerNeverGoesBack(t *testing.T) {
+	var tracker ingress.Tracker
+	require.NotNil(t, tracker.Observe(time.Second, config(5)))
+	require.Nil(t, tracker.Observe(2*time.Second, config(4)))
+	require.Equal(t, uint64(5), tracker.Table().Config().Version)
+	at, ok := tracker.ConfirmedAt()
+	require.True(t, ok)
+	require.Equal(t, time.Second, at, "an older version confirms nothing")
+	require.Nil(t, tracker.Observe(3*time.Second, config(5)))
+	at, _ = tracker.ConfirmedAt()
+	require.Equal(t, 3*time.Second, at)
+	require.Nil(t, tracker.Observe(2*time.Second, config(5)))
+	at, _ = tracker.ConfirmedAt()
+	require.Equal(t, 3*time.Second, at, "a slow read does not make the confirmation older")
+}
+
+func upstream(id, incarnation string, leaving bool) ingress.Upstream {
+	return ingress.Upstream{ID: id, Incarnation: incarnation, Service: "plain", Address: "10.0.0.1:1", Leaving: leaving}
+}
+
+func names(r *ingress.Registry) (out []string) {
+	for _, u := range r.Upstreams() {
+		name := u.Name()
+		if u.Leaving {
+			name += " leaving"
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// TestRegistry guards which servers may be used: one that drains or whose entry
+// is gone is not, also after a listing that shows it as ready again.
+func TestRegistry(t *testing.T) {
+	r := ingress.NewRegistry()
+	at := time.Second
+	see := func(list ...ingress.Upstream) bool {
+		at += 600 * time.Millisecond
+		return r.Observe(at, at, list)
+	}
+	require.True(t, see(upstream("a", "1", false), upstream("b", "1", false)))
+	require.False(t, see(upstream("a", "1", false), upstream("b", "1", false)))
+	require.True(t, see(upstream("a", "1", true), upstream("b", "1", false)))
+	require.False(t, see(upstream("a", "1", false), upstream("b", "1", false)), "a leave is not undone")
+	require.Equal(t, []string{"a/1 leaving", "b/1"}, names(r))
+	require.True(t, see(upstream("b", "2", false)))
+	require.Equal(t, []string{"b/2"}, names(r), "a new start replaces the one before")
+	require.False(t, r.Observe(at-time.Second, at, nil), "an older listing is ignored")
+}
+
+// TestRegistryKeepsLapsedEntries guards against taking all servers for gone when
+// their entries lapsed while the store was away.
+func TestRegistryKeepsLapsedEntries(t *testing.T) {
+	r := ingress.NewRegistry()
+	r.Observe(time.Second, time.Second, []ingress.Upstream{upstream("a", "1", false), upstream("b", "1", false), upstream("c", "1", false)})
+	back := 20 * time.Second
+	r.Observe(back, back, []ingress.Upstream{upstream("c", "2", false)})
+	require.Equal(t, []string{"a/1", "b/1", "c/2"}, names(r), "but a server that has started anew is another one")
+	r.Observe(back+time.Second, back+time.Second, []ingress.Upstream{upstream("a", "1", false), upstream("c", "2", false)})
+	require.Equal(t, []string{"a/1", "b/1", "c/2"}, names(r))
+	r.Observe(back+2100*time.Millisecond, back+2100*time.Millisecond, []ingress.Upstream{upstream("a", "1", false), upstream("c", "2", false)})
+	require.Equal(t, []string{"a/1", "c/2"}, names(r))
+}
+
+// TestObjects guards the translation into what the scheduler routes by: each
+// service's requests reach its upstreams at the organisation's priority, and the
+// ids of pools and classes do not depend on which upstreams are known.
+func TestObjects(t *testing.T) {
+	c := config(1)
+	list := []ingress.Upstream{
+		{ID: "i/1", Incarnation: "x", Service: "plain", Address: "10.0.0.1:1", Slots: 6},
+		{ID: "e", Incarnation: "x", Service: "models", Address: "10.0.0.2:1", Slots: 3},
+		{ID: "u", Incarnation: "x", Service: "unknown", Address: "10.0.0.3:1"},
+	}
+	set := ingress.Objects(1, c, list)
+	require.Len(t, set.Upstreams, 2)
+	require.Equal(t, uint32(10), set.Upstreams["e/x"].GetUpstream().GetConcurrency(), "a model engine has the slots of its service")
+	require.Equal(t, "i/1", ingress.IDOf("i/1/x"))
+	table, err := routing.BuildWith(set, routing.Options{IDsBySelector: true})
+	require.NoError(t, err)
+	route := &c.Routes[1]
+	request := routing.Request{Kind: ingress.KindName(route, ingress.PriorityOf(route, &c.Organisations[0])), Organisation: "o",
+		Model: ingress.AnyModel, Labels: map[string]string{ingress.LabelService: "models"}}
+	target, err := table.Resolve(request)
+	require.NoError(t, err)
+	require.Equal(t, uint8(0), target.Tier, "the organisation's priority takes precedence")
+	more := append(list, ingress.Upstream{ID: "a", Incarnation: "x", Service: "models", Address: "10.0.0.4:1"})
+	other, err := routing.BuildWith(ingress.Objects(2, c, more), routing.Options{IDsBySelector: true})
+	require.NoError(t, err)
+	same, err := other.Resolve(request)
+	require.NoError(t, err)
+	require.Equal(t, target.Pool, same.Pool)
+	require.Equal(t, target.Class, same.Class)
+}
