--- a/pkg/scheduler/stragglers_test.go
+++ b/pkg/scheduler/stragglers_test.go
@@ -84,3 +84,38 @@
 	}
 	require.Equal(t, uint32(4), p.limitOf(p.upstreams[0]))
 }
+
+// TestConfiguredLimitOutlivesQuarantine guards against an engine with a
+// configured limit that keeps a part of it for ever after a quarantine, since
+// such limits are not learned back.
+func TestConfiguredLimitOutlivesQuarantine(t *testing.T) {
+	engine := func(name string) Upstream {
+		return Upstream{Name: name, Concurrency: 10, MaxConcurrency: 10, FixedLimit: true}
+	}
+	p := poolWith(Config{}, engine("a"), engine("b"), engine("c"))
+	u := p.upstreams[0]
+	p.quarantine(0, u)
+	require.True(t, u.quarantined)
+	p.recover(time.Second, u)
+	require.Equal(t, uint32(10), p.limitOf(u))
+	p.slowDown(2*time.Second, u)
+	p.recover(3*time.Second, u)
+	require.Equal(t, uint32(10), p.limitOf(u))
+}
+
+// TestUsefulStart guards the wait of requests whose caller leaves early: they
+// are admitted while they can start in time, in the top tier too, and end as
+// soon as a start is of no use any more.
+func TestUsefulStart(t *testing.T) {
+	p := poolWith(Config{}, Upstream{Name: "a", Concurrency: 1, MaxConcurrency: 1, FixedLimit: true})
+	for i := uint64(1); i <= 2; i++ {
+		p.Submit(0, Descriptor{ID: GlobalID{1, i}, Attempt: 1, OutMean: 10, OutHigh: 10, Deadline: time.Minute, StartBy: 400 * time.Millisecond})
+	}
+	decisions := p.Step(0, nil)
+	require.Len(t, decisions, 1, "one starts, the other waits")
+	require.Zero(t, decisions[0].Reason)
+	require.Empty(t, p.Step(399*time.Millisecond, nil))
+	decisions = p.Step(401*time.Millisecond, nil)
+	require.Len(t, decisions, 1)
+	require.Equal(t, Expired, decisions[0].Reason)
+}
