--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -36,6 +36,13 @@
 	return listener.Addr().String()
 }
 
+// lateBytes separates what an upstream sends at once from what it sends lateBy
+// later, when the answer has been taken for whole.
+const (
+	lateBytes = "|late|"
+	lateBy    = 20 * time.Millisecond
+)
+
 func serve(c net.Conn, next <-chan string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
@@ -57,7 +64,10 @@
 			_, err = request.Body.Read(buffer)
 		}
 		if text != "early" {
-			_, _ = c.Write([]byte(text))
+			now, later, _ := strings.Cut(text, lateBytes)
+			_, _ = c.Write([]byte(now))
+			time.Sleep(lateBy)
+			_, _ = c.Write([]byte(later))
 		}
 		if strings.Contains(text, "cut here") {
 			return
@@ -151,7 +161,7 @@
 // second answer, belong to no other request.
 func TestReuse(t *testing.T) {
 	client := newClient(t)
-	address := upstream(t, plain("a", "one"), plain("b", "two")+"extra bytes", plain("c", "three"),
+	address := upstream(t, plain("a", "one"), plain("b", "two")+lateBytes+"extra bytes", plain("c", "three"),
 		plain("c", "again")+plain("d", "four"), plain("e", "five"))
 	for i, id := range []string{"a", "b", "c"} {
 		got := &caller{}
@@ -159,14 +169,10 @@
 		require.Equal(t, Complete, result.Status, result.Detail)
 		require.Equal(t, []string{"one", "two", "three"}[i], got.body.String())
 		if id == "b" {
-			require.Eventually(t, func() bool {
-				client.mu.Lock()
-				defer client.mu.Unlock()
-				for _, kept := range client.idle[address] {
-					return !kept.quiet()
-				}
-				return true
-			}, 10*time.Second, time.Millisecond)
+			client.mu.Lock()
+			kept := client.idle[address][0]
+			client.mu.Unlock()
+			require.Eventually(t, func() bool { return !kept.quiet() }, 10*time.Second, time.Millisecond)
 		}
 	}
 	got := &caller{}
