forward, dispatch: idempotent requests are sent again after an upstream's failure

Cause: servers that fail a part of their requests while their health is good cost the idempotent kinds their answers, although another server was free. Change: such a failure is held back; the decisions send the request again within the route's bound and the retry budget, else the failure is passed on as it is. Its permit ends as complete, so that failures of the application do not put a service into quarantine.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,6 +20,8 @@
 	// connection, and maxForeignBytes the size of each.
 	maxForeign      = 2
 	maxForeignBytes = 1 << 20
+	// maxFailureBytes bounds a failure that is held back.
+	maxFailureBytes = 64 << 10
 )
 
 // exchange is one request on one connection.
@@ -139,6 +141,9 @@
 	if result, ok := x.unusable(response, head); ok {
 		return result, response.Header, false
 	}
+	if result, ok := x.hold(response); ok {
+		return result, response.Header, keeps && result.Status == Failed
+	}
 	result = x.pass(response)
 	return result, response.Header, keeps && result.Status == Complete
 }
@@ -201,6 +206,21 @@
 	return Result{}, false
 }
 
+// hold keeps a failure of the upstream back, if the request may be sent again.
+// A failure that is too large is relayed.
+func (x *exchange) hold(response *http.Response) (Result, bool) {
+	if !x.request.HoldFailure || x.relay.started || response.StatusCode < http.StatusInternalServerError ||
+		response.ContentLength < 0 || response.ContentLength > maxFailureBytes {
+		return Result{}, false
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return x.failed(Broken, err), true
+	}
+	x.relay.Failure = &Failure{Code: response.StatusCode, Header: response.Header, Body: body}
+	return Result{Status: Failed, Code: response.StatusCode, Detail: "the upstream failed"}, true
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the
 // request has not run.
 func promisesNotRun(code int) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,9 @@
 	Complete
 	// Broken means that the answer did not come, or not whole.
 	Broken
+	// Failed means that the upstream answered with a failure of its own, which is
+	// held back in Relay.Failure since the request may be sent again.
+	Failed
 	// Mismatched means that what came is not the answer to this request.
 	Mismatched
 	// Expired means that the time for the exchange passed.
@@ -73,6 +76,8 @@
 	// Repeatable is true if the request may be sent again after it may have
 	// run. Others use kept connections only where these are surely open.
 	Repeatable bool
+	// HoldFailure keeps a failure of the upstream back in place of relaying it.
+	HoldFailure bool
 	// Stream is true if the answer is a stream of events.
 	Stream bool
 }
@@ -94,13 +99,22 @@
 	Events(total uint32)
 }
 
+// Failure is an upstream's own answer that the request failed.
+type Failure struct {
+	Code   int
+	Header http.Header
+	Body   []byte
+}
+
 // Relay is the caller's side of a request. It lasts over several exchanges, so
 // that a stream that broke can be continued.
 type Relay struct {
 	Sink     Sink
 	Progress Progress
-	started  bool
-	events   uint32
+	// Failure is the newest failure that was held back, or nil.
+	Failure *Failure
+	started bool
+	events  uint32
 	// lastEvent is the id of the last whole event that was relayed.
 	lastEvent string
 	splitter  splitter
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// TestHeldFailure guards a failure that is kept back while the request may be
+// sent again: nothing reaches the caller, and the connection stays usable.
+func TestHeldFailure(t *testing.T) {
+	client := newClient(t)
+	address := upstream(t, "HTTP/1.1 500 E\r\nId: a\r\nSeal: x\r\nContent-Length: 2\r\n\r\nno", plain("a", "yes"))
+	got := &caller{}
+	relay := got.relay()
+	r := request(address, "a")
+	r.HoldFailure = true
+	result := client.Do(context.Background(), r, relay)
+	require.Equal(t, Failed, result.Status)
+	require.Equal(t, &Failure{Code: 500, Header: relay.Failure.Header, Body: []byte("no")}, relay.Failure)
+	require.Zero(t, got.starts)
+	require.Equal(t, Complete, client.Do(context.Background(), r, relay).Status)
+	require.Equal(t, "yes", got.body.String())
+}
+
 // TestNotSent guards against counting a request as sent that met no connection.
 func TestNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -103,13 +103,26 @@
 		httpfront.Abort(c.w)
 		return
 	}
+	if failure := c.relay.Failure; failure != nil && refusal.Ran != answer.RanNo {
+		c.answerFailure(failure)
+		return
+	}
 	c.g.writeRefusal(c.w, refusal)
 }
 
+// answerFailure passes on an upstream's failure that was held back.
+func (c *call) answerFailure(failure *forward.Failure) {
+	if err := c.relay.Sink.Start(failure.Code, failure.Header, int64(len(failure.Body))); err != nil {
+		return // the caller is gone
+	}
+	_ = c.relay.Sink.Write(failure.Body) // a failed write means that the caller is gone
+}
+
 var results = map[forward.Status]node.UpstreamResult{
 	forward.NotRun:     node.ResultRefused,
 	forward.Complete:   node.ResultComplete,
 	forward.Broken:     node.ResultBroken,
+	forward.Failed:     node.ResultFailed,
 	forward.Mismatched: node.ResultMismatched,
 	forward.Expired:    node.ResultDeadline,
 	forward.Canceled:   node.ResultBroken,
@@ -170,7 +183,7 @@
 	return &forward.Request{
 		Address: d.Address, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: c.g.codec.UpstreamHeader(c.http.Header, send), Body: c.body, ID: c.head.ID,
-		Repeatable: c.route.Repeatable(), Stream: c.route.Kind == ingress.Stream,
+		Repeatable: c.route.Repeatable(), HoldFailure: c.route.Kind == ingress.Idempotent && c.route.MaxSends > 1, Stream: c.route.Kind == ingress.Stream,
 	}
 }
 
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -174,6 +174,8 @@
 	AnsweredWhole Result = iota + 1
 	UpstreamRefused
 	AnswerBroken
+	// UpstreamFailed is a whole answer that says that the request failed.
+	UpstreamFailed
 	AnswerMismatched
 	DeadlinePassed
 )
@@ -204,7 +206,7 @@
 	case r.gone || r.sends >= max(r.MaxSends, 1) || now >= r.Deadline:
 		return false
 	case result == UpstreamRefused:
-	case r.Repeatable && (result == AnswerBroken || result == AnswerMismatched):
+	case r.Repeatable && (result == AnswerBroken || result == AnswerMismatched || result == UpstreamFailed):
 		reason = Repeated
 		r.ranBefore = true
 	default:
@@ -231,6 +233,9 @@
 	case UpstreamRefused:
 		return Refused, Refusal{Code: "upstream_refused", Ran: RanNo,
 			Reason: "the upstream refused the request before it started", Remedy: "retry later", RetryAfter: time.Second}
+	case UpstreamFailed:
+		return Complete, Refusal{Code: "upstream_failed", Ran: RanYes,
+			Reason: "the upstream ran the request and it failed", Remedy: "see the upstream's answer"}
 	case AnswerMismatched:
 		return Broken, Refusal{Code: "answer_mismatched", Ran: RanUnknown,
 			Reason: "the upstream answered with another request's id", Remedy: "report the upstream to an operator"}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -87,6 +87,8 @@
 	ResultRefused
 	// ResultBroken means that the connection broke and the stream could not be resumed.
 	ResultBroken
+	// ResultFailed means that the upstream ran the request and says that it failed.
+	ResultFailed
 	// ResultMismatched means that the answer carried another request's id.
 	ResultMismatched
 	// ResultDeadline means that the deadline passed during the answer.
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -156,6 +156,7 @@
 		"refused, then sent again":       {2, false, []node.UpstreamResult{node.ResultRefused, node.ResultRefused}, 2, "upstream_refused no"},
 		"lost and not repeatable":        {2, false, []node.UpstreamResult{node.ResultBroken}, 1, "upstream_broke unknown"},
 		"lost and repeatable":            {2, true, []node.UpstreamResult{node.ResultBroken, node.ResultBroken}, 2, "upstream_broke unknown"},
+		"failed twice":                   {2, true, []node.UpstreamResult{node.ResultFailed, node.ResultFailed}, 2, "upstream_failed yes"},
 		"lost, then refused":             {2, true, []node.UpstreamResult{node.ResultBroken, node.ResultRefused}, 2, "upstream_refused unknown"},
 		"another's answer, then no more": {2, true, []node.UpstreamResult{node.ResultMismatched, node.ResultMismatched}, 2, "answer_mismatched unknown"},
 	} {
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -173,6 +173,7 @@
 	ResultComplete:   dispatch.AnsweredWhole,
 	ResultRefused:    dispatch.UpstreamRefused,
 	ResultBroken:     dispatch.AnswerBroken,
+	ResultFailed:     dispatch.UpstreamFailed,
 	ResultMismatched: dispatch.AnswerMismatched,
 	ResultDeadline:   dispatch.DeadlinePassed,
 }
