httpconn: one client for calls to object stores

Cause: the platform's store client repeated the exchange of the existing one. Measured: go test ./platform ./internal/platform ./internal/daemon pass.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// errTooLarge means that an answer is larger than its caller allows.
+var errTooLarge = errors.New("the answer is larger than allowed")
+
 // errSealed is returned by a write that must not happen any more.
 var errSealed = errors.New("the request was given up, is too late or was already sent on another connection; it is not sent")
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,11 +4,9 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -30,60 +28,30 @@
 )
 
 // Client calls the platform. It is safe for concurrent use.
-type Client struct {
-	base    string
-	timeout time.Duration
-	// reads reuses connections; its transport repeats a read that meets a
-	// connection that was just closed.
-	reads *http.Transport
-	// writes has a fresh connection per call, so that the closing of an idle
-	// connection never leaves it unknown whether a write took effect.
-	writes *http.Transport
-}
+type Client struct{ caller *httpconn.Caller }
 
 // NewClient returns a client of the platform at address. A call counts as
 // unanswered after timeout.
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{
-		base:    "http://" + address,
-		timeout: timeout,
-		reads:   httpconn.NewTransport(httpconn.Options{MaxPerHost: connections, DialTimeout: timeout, Reuse: true}),
-		writes:  httpconn.NewTransport(httpconn.Options{MaxPerHost: connections, DialTimeout: timeout}),
-	}
+	return &Client{caller: httpconn.NewCaller(address, connections, timeout)}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() {
-	c.reads.CloseIdleConnections()
-	c.writes.CloseIdleConnections()
-}
-
-// answer is one HTTP answer or what is known without it.
-type answer struct {
-	status int
-	etag   string
-	body   []byte
-	// lost is true if the request may have been received but no whole answer arrived.
-	lost bool
-	// unsent is true if no byte of the request reached the connection.
-	unsent bool
-}
+func (c *Client) Close() { c.caller.Close() }
 
 // Do performs one operation.
 func (c *Client) Do(ctx context.Context, op store.Op) store.Result {
-	ctx, stop := context.WithTimeout(ctx, c.timeout)
-	defer stop()
 	switch op.Kind {
 	case store.Get:
-		return readResult(c.exchange(ctx, http.MethodGet, objectPath(op.Key), nil, nil, maxValueBytes))
+		return readResult(c.caller.Call(ctx, http.MethodGet, objectPath(op.Key), nil, nil, maxValueBytes))
 	case store.List:
-		return listResult(c.exchange(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(op.Key), nil, nil, maxListBytes))
+		return listResult(c.caller.Call(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(op.Key), nil, nil, maxListBytes))
 	case store.Create:
-		return writeResult(c.exchange(ctx, http.MethodPut, objectPath(op.Key), http.Header{"If-None-Match": {"*"}}, op.Value, maxValueBytes), true)
+		return writeResult(c.caller.Call(ctx, http.MethodPut, objectPath(op.Key), http.Header{"If-None-Match": {"*"}}, op.Value, maxValueBytes), true)
 	case store.Update:
-		return writeResult(c.exchange(ctx, http.MethodPut, objectPath(op.Key), ifMatch(op.Version), op.Value, maxValueBytes), true)
+		return writeResult(c.caller.Call(ctx, http.MethodPut, objectPath(op.Key), ifMatch(op.Version), op.Value, maxValueBytes), true)
 	case store.Delete:
-		return writeResult(c.exchange(ctx, http.MethodDelete, objectPath(op.Key), ifMatch(op.Version), nil, maxValueBytes), false)
+		return writeResult(c.caller.Call(ctx, http.MethodDelete, objectPath(op.Key), ifMatch(op.Version), nil, maxValueBytes), false)
 	}
 	return store.Result{Status: store.Unavailable}
 }
@@ -100,53 +68,22 @@
 	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(version, 10))}}
 }
 
-// exchange sends one request and reads its whole answer.
-func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) answer {
-	transport, sealed := c.reads, func() bool { return true }
-	if method != http.MethodGet {
-		tracked, guard := httpconn.Track(ctx)
-		ctx, transport, sealed = tracked, c.writes, guard.Seal
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
-	if err != nil {
-		return answer{unsent: true}
-	}
-	for name, values := range header {
-		req.Header[name] = values
-	}
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		req.ContentLength = int64(len(body))
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		sent := sealed()
-		return answer{lost: sent, unsent: !sent}
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil || int64(len(text)) > limit {
-		return answer{status: resp.StatusCode, lost: true}
-	}
-	return answer{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: text}
-}
-
 // refusalStatus maps answers that say that nothing was done.
-func refusalStatus(a answer) (store.Status, bool) {
+func refusalStatus(a httpconn.Answer) (store.Status, bool) {
 	switch {
-	case a.unsent:
+	case a.Unsent:
 		return store.Unavailable, true
-	case a.status == http.StatusTooManyRequests:
+	case a.Status == http.StatusTooManyRequests:
 		return store.Throttled, true
-	case a.status == http.StatusServiceUnavailable:
+	case a.Status == http.StatusServiceUnavailable:
 		return store.Unavailable, true
-	case a.lost:
+	case a.Lost:
 		return 0, false
-	case a.status == http.StatusNotFound:
+	case a.Status == http.StatusNotFound:
 		return store.NotFound, true
-	case a.status == http.StatusPreconditionFailed || a.status == http.StatusConflict:
+	case a.Status == http.StatusPreconditionFailed || a.Status == http.StatusConflict:
 		return store.Conflict, true
-	case a.status >= 400 && a.status < 500:
+	case a.Status >= 400 && a.Status < 500:
 		return store.Unavailable, true
 	}
 	return 0, false
@@ -154,29 +91,29 @@
 
 // readResult maps the answer of a read. A lost answer of a read has no effect
 // to be uncertain about.
-func readResult(a answer) store.Result {
+func readResult(a httpconn.Answer) store.Result {
 	if status, ok := refusalStatus(a); ok {
 		return store.Result{Status: status}
 	}
-	version, err := parseETag(a.etag)
-	if a.lost || a.status != http.StatusOK || err != nil {
+	version, err := parseETag(a.Header.Get("ETag"))
+	if a.Lost || a.Status != http.StatusOK || err != nil {
 		return store.Result{Status: store.Unavailable}
 	}
-	return store.Result{Status: store.OK, Value: a.body, Version: version}
+	return store.Result{Status: store.OK, Value: a.Body, Version: version}
 }
 
 // writeResult maps the answer of a write; versioned is false for deletions.
-func writeResult(a answer, versioned bool) store.Result {
+func writeResult(a httpconn.Answer, versioned bool) store.Result {
 	if status, ok := refusalStatus(a); ok {
 		return store.Result{Status: status}
 	}
-	if a.lost || a.status < 200 || a.status >= 300 {
+	if a.Lost || a.Status < 200 || a.Status >= 300 {
 		return store.Result{Status: store.Unknown}
 	}
 	if !versioned {
 		return store.Result{Status: store.OK}
 	}
-	version, err := parseETag(a.etag)
+	version, err := parseETag(a.Header.Get("ETag"))
 	if err != nil {
 		return store.Result{Status: store.Unknown}
 	}
@@ -199,12 +136,12 @@
 	} `json:"objects"`
 }
 
-func listResult(a answer) store.Result {
+func listResult(a httpconn.Answer) store.Result {
 	if status, ok := refusalStatus(a); ok {
 		return store.Result{Status: status}
 	}
 	var l listing
-	if a.lost || a.status != http.StatusOK || json.Unmarshal(a.body, &l) != nil {
+	if a.Lost || a.Status != http.StatusOK || json.Unmarshal(a.Body, &l) != nil {
 		return store.Result{Status: store.Unavailable}
 	}
 	result := store.Result{Status: store.OK}
@@ -227,11 +164,9 @@
 
 // Instances reads the instance list.
 func (c *Client) Instances(ctx context.Context) node.InstanceList {
-	ctx, stop := context.WithTimeout(ctx, c.timeout)
-	defer stop()
-	a := c.exchange(ctx, http.MethodGet, "/v1/instances", nil, nil, maxListBytes)
+	a := c.caller.Call(ctx, http.MethodGet, "/v1/instances", nil, nil, maxListBytes)
 	var l instanceList
-	if a.lost || a.status != http.StatusOK || json.Unmarshal(a.body, &l) != nil {
+	if a.Lost || a.Status != http.StatusOK || json.Unmarshal(a.Body, &l) != nil {
 		return node.InstanceList{}
 	}
 	out := node.InstanceList{OK: true}
@@ -258,12 +193,10 @@
 // Register keeps the instance on the instance list for a few seconds. It
 // returns false if the platform did not accept the registration.
 func (c *Client) Register(ctx context.Context, r Registration) bool {
-	ctx, stop := context.WithTimeout(ctx, c.timeout)
-	defer stop()
 	text, err := json.Marshal(r)
 	if err != nil {
 		return false
 	}
-	a := c.exchange(ctx, http.MethodPost, "/v1/instances", http.Header{"Content-Type": {"application/json"}}, text, maxValueBytes)
-	return !a.lost && a.status >= 200 && a.status < 300
+	a := c.caller.Call(ctx, http.MethodPost, "/v1/instances", http.Header{"Content-Type": {"application/json"}}, text, maxValueBytes)
+	return !a.Lost && a.Status >= 200 && a.Status < 300
 }
