dispatch, gateway: a budget of repeated sends for each pool; limits from the settings

Cause: the retry budget counted retries of permits and sends together and had a burst of ten at each instance, above what nine instances may use; memory, descriptors and bodies were not bounded by what the platform names. Change: SendBudget holds ratio and allowance over all instances and any window. The garbage collector has a memory limit, callers' connections leave descriptors for upstreams, bodies above the operator's limit get 413. A connection that is opened ahead and stays silent is closed without an answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/citrongate/citrongate/internal/peer"
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -43,6 +45,14 @@
 	// acceptShare is the part of the time for a planned stop during which
 	// callers with an old discovery answer are still served.
 	acceptShare = 0.35
+	// retryExtraShare is the part of the fixed allowance for repeated sends that
+	// is used, since instances that start anew have their part again.
+	retryExtraShare = 0.6
+	// connectionShare is the part of the descriptors for callers' connections.
+	connectionShare = 0.7
+	// heapShare is the part of the machine's memory from which the garbage
+	// collector works harder.
+	heapShare = 0.7
 	// bodyShare is the part of the machine's memory for request bodies.
 	bodyShare  = 0.25
 	bytesPerMB = 1 << 20
@@ -130,7 +140,11 @@
 		MaxRequests:        int(s.GetLimits().GetMaxRequests()),
 		MaxDeadline:        settings.Duration(s.GetLimits().GetMaxDeadline()),
 		RetryBudgetPercent: int(s.GetLimits().GetRetryBudgetPercent()),
-		TicketSecret:       g.identity.TicketSecret,
+		Sends: dispatch.SendBudget{
+			Ratio: s.GetGateway().GetRetryRatio(), Extra: retryExtraShare * float64(s.GetGateway().GetRetryExtra()),
+			Window: settings.Duration(s.GetGateway().GetRetryWindow()),
+		},
+		TicketSecret: g.identity.TicketSecret,
 	}
 }
 
@@ -177,10 +191,11 @@
 		return fmt.Errorf("cannot listen on [listen] peer %s: %w", s.GetListen().GetPeer(), err)
 	}
 	memory := float64(s.GetGateway().GetMemoryMb()) * bytesPerMB
+	debug.SetMemoryLimit(int64(memory * heapShare))
 	config := httpfront.ServerConfig{
 		Address: s.GetListen().GetCaller(), MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		MaxBufferedBytes: int64(memory * bodyShare),
-		MaxConnections:   int(s.GetLimits().GetMaxConnections()), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxConnections:   g.maxConnections(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Handler: callers{g}, BadInput: g.badInput, Log: g.log,
 	}
 	if err := g.addServer(config); err != nil {
@@ -197,6 +212,14 @@
 	return nil
 }
 
+// maxConnections bounds the callers' connections, so that descriptors are left
+// for upstreams.
+func (g *Gateway) maxConnections() int {
+	gateway := g.settings.GetGateway()
+	available := float64(gateway.GetMaxFiles() - gateway.GetReservedFiles())
+	return max(1, min(int(g.settings.GetLimits().GetMaxConnections()), int(available*connectionShare)))
+}
+
 func (g *Gateway) addServer(config httpfront.ServerConfig) error {
 	s, err := httpfront.NewServer(config)
 	if err == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -77,6 +78,9 @@
 	if j.body, err = io.ReadAll(r.Body); err != nil {
 		return nil, &answer.Refusal{Code: "bad_request", Ran: answer.RanNo, Reason: "the body can not be read: " + err.Error(), Remedy: "send the whole body"}
 	}
+	if limit := current.table.Config().Limits.BodyBytes; limit > 0 && len(j.body) > limit {
+		return nil, &answer.Refusal{Code: "too_large", Ran: answer.RanNo, Reason: fmt.Sprintf("the body is larger than %d bytes", limit), Remedy: "send a smaller body"}
+	}
 	j.deadline = arrived + j.timeLimit()
 	return j, nil
 }
@@ -209,6 +213,8 @@
 	switch r.Code {
 	case "bad_request":
 		return http.StatusBadRequest
+	case "too_large":
+		return http.StatusRequestEntityTooLarge
 	case "unauthenticated":
 		return http.StatusUnauthorized
 	case "unknown_kind":
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -39,6 +39,10 @@
 	refused   bool
 	gone      bool
 	onGone    func()
+	// received is true once a byte has come. A connection that is opened ahead of
+	// its first request is closed without an answer, which would be taken for
+	// that of a request.
+	received bool
 	// awaiting is true while the rest of a request is due before the timer fires.
 	awaiting bool
 	timer    *time.Timer
@@ -100,6 +104,7 @@
 	defer func() { c.server.buffered.Add(-c.proc.receiving) }()
 	for {
 		n, err := c.Conn.Read(buffer)
+		c.noteReceived(n)
 		if n > 0 && !c.discarding() {
 			c.proc.checkInput(parser.Parse(buffer[:n]), n)
 		}
@@ -299,14 +304,26 @@
 	return bodyTooLarge(c.server.config.MaxBodyBytes)
 }
 
+func (c *connection) noteReceived(n int) {
+	if n > 0 && !c.received {
+		c.mu.Lock()
+		c.received = true
+		c.mu.Unlock()
+	}
+}
+
 // tooSlow refuses a request that was not received in time.
 func (c *connection) tooSlow() {
 	c.mu.Lock()
-	late := c.awaiting
+	late, silent := c.awaiting, !c.received
 	c.mu.Unlock()
 	if !late {
 		return
 	}
+	if silent {
+		_ = c.Conn.Close()
+		return
+	}
 	c.refuse(InputError{
 		Status: http.StatusRequestTimeout, Code: "bad_request",
 		Reason: fmt.Sprintf("no whole request arrived within %v", c.server.config.ReadTimeout),
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -212,7 +212,7 @@
 	default:
 		return false
 	}
-	if !t.budget.take() {
+	if !t.route(r.Pool).sends.take(now, t.cfg.Sends, t.Entries) {
 		t.count("retries_denied", reason)
 		return false
 	}
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -133,15 +133,15 @@
 			t.tickRecord(now, r)
 		}
 	}
-	t.forgetIdle()
+	t.forgetIdle(now)
 }
 
 // forgetIdle drops pools without requests, since the pools of a configuration
 // come and go.
-func (t *Table) forgetIdle() {
+func (t *Table) forgetIdle(now time.Duration) {
 	t.poolIDs = slices.DeleteFunc(t.poolIDs, func(id uint64) bool {
 		p := t.pools[id]
-		if len(p.records) > 0 || p.local {
+		if len(p.records) > 0 || p.local || now-p.sends.at < t.cfg.Sends.Window {
 			return false
 		}
 		delete(t.pools, id)
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -14,6 +14,8 @@
 	OwnerTimeout time.Duration
 	// RetryBudgetPercent allows retries as a share of first attempts; none if negative.
 	RetryBudgetPercent int
+	// Sends bounds repeated sends for each pool.
+	Sends SendBudget
 	// MaxRequests bounds the records.
 	MaxRequests int
 	// Seed makes jitter repeatable.
@@ -52,6 +54,8 @@
 	// records of the pool in order of submission.
 	records []*Record
 	waiting int
+	// sends is the budget of repeated sends to the pool's upstreams.
+	sends sendBudget
 }
 
 // Table holds the records of an instance. It is not safe for concurrent use.
@@ -103,7 +107,7 @@
 func (t *Table) route(pool uint64) *poolRoute {
 	p, ok := t.pools[pool]
 	if !ok {
-		p = &poolRoute{owner: t.cfg.Self}
+		p = &poolRoute{owner: t.cfg.Self, sends: sendBudget{tokens: t.cfg.Sends.Extra / float64(max(1, t.Entries))}}
 		t.pools[pool] = p
 		t.poolIDs = append(t.poolIDs, pool)
 	}
@@ -138,6 +142,7 @@
 		return
 	}
 	t.budget.firstAttempt()
+	t.route(r.Pool).sends.firstAttempt(now, t.cfg.Sends, t.Entries)
 	t.records[r.ID] = r
 	t.waiting.add(r, t.cfg.MaxRequests)
 	p := t.route(r.Pool)
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -420,3 +420,41 @@
 	table.Shed(0, d, dispatch.Refusal{Code: "shed_overload"})
 	require.Equal(t, []string{"shed_overload"}, endCodes(table.Take()))
 }
+
+// TestSendBudget guards the bound on repeated sends over any window when all
+// upstreams refuse: instances together send at most the ratio of the requests of
+// the window or the one before, and the fixed allowance, again.
+func TestSendBudget(t *testing.T) {
+	const entries, perSecond, window = 3, 40, 10 * time.Second
+	total := dispatch.SendBudget{Ratio: 0.2, Extra: 30, Window: window}
+	var repeats []time.Duration
+	for entry := range entries {
+		table := dispatch.NewTable(dispatch.Config{Self: self, MaxRequests: 100_000, Sends: total, Seed: uint64(entry)})
+		table.Entries = entries
+		id := dispatch.ID(0)
+		for now := time.Duration(0); now < 40*time.Second; now += time.Second / perSecond {
+			id++
+			table.Submit(now, dispatch.Request{ID: id, Kind: "k", Organisation: "o", Pool: pool, MaxSends: 3,
+				Deadline: now + time.Minute}, dispatch.Limits{}, dispatch.Limits{})
+			for r := table.Record(id); r != nil && r.State == dispatch.Waiting; r = table.Record(id) {
+				if r.Attempt > 1 {
+					repeats = append(repeats, now)
+				}
+				table.Grant(now, dispatch.Decision{ID: id, Pool: pool, Attempt: r.Attempt, From: r.Holder}, "u", dispatch.Usable)
+				table.Finish(now, id, dispatch.UpstreamRefused, 0, 0)
+			}
+			table.Take()
+		}
+	}
+	requests := float64(entries * perSecond * int(window/time.Second))
+	for from := time.Duration(0); from < 30*time.Second; from += time.Second {
+		count := 0.0
+		for _, at := range repeats {
+			if at >= from && at < from+window {
+				count++
+			}
+		}
+		require.LessOrEqual(t, count, total.Ratio*requests+total.Extra, "from %v", from)
+	}
+	require.Greater(t, len(repeats), int(total.Ratio*requests/2), "the budget is used")
+}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/dispatch"
 )
 
 // Config holds the constants of one instance. Zero durations and counts take
@@ -56,6 +57,9 @@
 	// RetryBudgetPercent allows retries as a share of first attempts; 10. A
 	// negative value allows none.
 	RetryBudgetPercent int
+	// Sends bounds the repeated sends to the upstreams of each pool, over all
+	// instances; none by default.
+	Sends dispatch.SendBudget
 
 	// TicketTTL, RecordTTL and ClaimRetention bound the records of
 	// non-idempotent calls; 600 s, 3600 s and 168 h.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -98,7 +98,7 @@
 			Seeds: cfg.Seeds, Seed: seed, IgnoreLeaving: cfg.Mutations.IgnoreLeaving,
 		}),
 		table: dispatch.NewTable(dispatch.Config{
-			Self: self, OwnerTimeout: cfg.OwnerTimeout, RetryBudgetPercent: cfg.RetryBudgetPercent,
+			Self: self, OwnerTimeout: cfg.OwnerTimeout, RetryBudgetPercent: cfg.RetryBudgetPercent, Sends: cfg.Sends,
 			MaxRequests: cfg.MaxRequests, Seed: seed,
 			DispatchTwice: cfg.Mutations.DispatchTwice, CancelOnDrain: cfg.Mutations.DrainCuts, DenyRun: cfg.Mutations.DenyRun,
 		}),
