membership: a predecessor's leaving entry is not the restarted instance's own

The list showed the entry of the process before at the same address, not yet replaced; a line whose incarnation is not known was bound to the member at its address, here the instance itself. Ruled out: the grace (stops ended in time), the store (lists were answered). Change: a line with an incarnation in the form that instances announce counts for that incarnation only. A change of readiness is logged with its reason.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -32,7 +32,7 @@
 	ticker := time.NewTicker(memberInterval)
 	defer ticker.Stop()
 	for {
-		g.loop.Query(g.ctx, func(time.Duration) { g.members.Store(g.readMembers()) })
+		g.loop.Query(g.ctx, func(time.Duration) { g.setMembers(g.readMembers()) })
 		select {
 		case <-ticker.C:
 		case <-g.ctx.Done():
@@ -41,6 +41,13 @@
 	}
 }
 
+// setMembers publishes a view and logs a change of readiness.
+func (g *Gateway) setMembers(next *membersView) {
+	if before := g.members.Swap(next); before.notReady != next.notReady {
+		g.log.Info().Str("reason", next.notReady).Bool("ready", next.notReady == "").Int("instances", len(next.addresses)).Msg("readiness changed")
+	}
+}
+
 func (g *Gateway) readMembers() *membersView {
 	view := &membersView{notReady: g.loop.Machine.NotReadyReason()}
 	for _, m := range g.loop.Machine.Members() {
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -28,6 +28,10 @@
 // listTimeout is after how long an unanswered read is repeated.
 const listTimeout = time.Second
 
+// incarnationDigits is the number of hexadecimal digits with which instances
+// announce their incarnations.
+const incarnationDigits = 16
+
 // listReader decides when to read the platform's list.
 type listReader struct {
 	// heardAt is when fresh list content last arrived, read or announced.
@@ -126,6 +130,11 @@
 		if m := v.memberOrSelf(incarnation); m != nil {
 			return m
 		}
+		if len(line.Incarnation) == incarnationDigits {
+			// One of ours that is not known, perhaps of the process that ran at
+			// this address before.
+			return nil
+		}
 	}
 	if v.list.bound == nil {
 		v.list.bound = map[string]uint64{}
