--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export GOFLAGS ?= -buildvcs=false
 
-.PHONY: setup build demo test soak lint measure invariants scale generate fuzz
+.PHONY: setup build demo test soak lint measure invariants scale fleet generate fuzz
 
 setup: ## download modules and build the tools
 	$(GO) mod download
@@ -44,5 +44,8 @@
 invariants: ## run the fault schedules of each promise
 	$(GO) run ./internal/simtest/cmd/invariants -seed $(SEED)
 
+fleet: ## play the calm days of the users' sites, where their bench is at hand
+	bash scripts/fleet.sh
+
 scale: ## measure the slopes of docs/CAPACITY.md
 	$(GO) run ./internal/simtest/cmd/scale -seed $(SEED)
