daemon, gateway: one copy of delivery to requests and of waiting for the end

Cause: the gateway repeated two pieces of the entry daemon. Change: both are in internal/nodeloop. A loop in forward that ended at once is straightened (staticcheck SA4004).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -277,15 +277,7 @@
 	d.front.CloseConnections()
 	ctx, stop := context.WithTimeout(ctx, flushTimeout)
 	defer stop()
-	ticker := time.NewTicker(nodeloop.TickInterval)
-	defer ticker.Stop()
-	for d.held.Load() > 0 || d.callers.Busy() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	nodeloop.WaitWhile(ctx, func() bool { return d.held.Load() > 0 || d.callers.Busy() })
 }
 
 // Close stops at once and releases everything. The administration address is
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -13,15 +13,15 @@
 func (d *Daemon) execute(action node.Action) {
 	switch a := action.(type) {
 	case node.Dispatch:
-		if !d.deliver(a.ID, a) {
+		if !d.requests.Deliver(a.ID, a) {
 			d.loop.PostLocal(node.DispatchFailed{ID: a.ID})
 		}
 	case node.Refuse:
-		d.deliver(a.ID, a)
+		d.requests.Deliver(a.ID, a)
 	case node.ReplyRecorded:
-		d.deliver(a.ID, a)
+		d.requests.Deliver(a.ID, a)
 	case node.CancelUpstream:
-		d.deliver(a.ID, a)
+		d.requests.Deliver(a.ID, a)
 	case node.RunForwarded:
 		d.runForwarded(a)
 	case node.SendFrame:
@@ -45,17 +45,6 @@
 	}
 }
 
-// deliver hands an action to the goroutine that serves the request. It returns
-// false if the request has ended.
-func (d *Daemon) deliver(id node.RequestID, a node.Action) bool {
-	m := d.requests.Find(id)
-	if m == nil {
-		return false
-	}
-	m.Deliver(a)
-	return true
-}
-
 // callStore performs a call to the object API in the background.
 func (d *Daemon) callStore(a node.StoreCall) {
 	select {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -121,25 +121,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[address]
-	for len(conns) > 0 {
-		last := conns[len(conns)-1]
-		if !now.Before(last.idleUntil) {
-			// Those below have been idle even longer.
-			for _, old := range conns {
-				_ = old.Close()
-			}
-			conns = nil
-			break
-		}
-		if !repeatable && now.Sub(last.idleSince) > safeIdle {
-			break
+	if len(conns) == 0 {
+		return nil
+	}
+	last := conns[len(conns)-1]
+	if !now.Before(last.idleUntil) {
+		// Those below have been idle even longer.
+		for _, old := range conns {
+			_ = old.Close()
 		}
-		conns = conns[:len(conns)-1]
-		c.keep(address, conns)
-		return last
+		c.keep(address, nil)
+		return nil
+	}
+	if !repeatable && now.Sub(last.idleSince) > safeIdle {
+		return nil
 	}
-	c.keep(address, conns)
-	return nil
+	c.keep(address, conns[:len(conns)-1])
+	return last
 }
 
 func (c *Client) keep(address string, conns []*conn) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,13 +254,13 @@
 func (g *Gateway) execute(action node.Action) {
 	switch a := action.(type) {
 	case node.Dispatch:
-		if !g.deliver(a.ID, a) {
+		if !g.mailboxes.Deliver(a.ID, a) {
 			g.loop.PostLocal(node.DispatchFailed{ID: a.ID})
 		}
 	case node.Refuse:
-		g.deliver(a.ID, a)
+		g.mailboxes.Deliver(a.ID, a)
 	case node.CancelUpstream:
-		g.deliver(a.ID, a)
+		g.mailboxes.Deliver(a.ID, a)
 	case node.SendFrame:
 		g.peers.Send(a.Address, a.Frame)
 	case node.ListInstances:
@@ -274,15 +274,6 @@
 	}
 }
 
-func (g *Gateway) deliver(id node.RequestID, a node.Action) bool {
-	m := g.mailboxes.Find(id)
-	if m == nil {
-		return false
-	}
-	m.Deliver(a)
-	return true
-}
-
 // Reload puts changed settings in force. Those that concern addresses or the
 // node need a restart.
 func (g *Gateway) Reload(next *pb.Settings) {
@@ -310,15 +301,7 @@
 	case <-limit.Done():
 		return
 	}
-	ticker := time.NewTicker(nodeloop.TickInterval)
-	defer ticker.Stop()
-	for g.held.Load() > 0 || g.servers[0].Busy() {
-		select {
-		case <-ticker.C:
-		case <-limit.Done():
-			return
-		}
-	}
+	nodeloop.WaitWhile(limit, func() bool { return g.held.Load() > 0 || g.servers[0].Busy() })
 }
 
 // Close stops at once and releases everything.
--- a/internal/nodeloop/loop.go
+++ b/internal/nodeloop/loop.go
@@ -126,3 +126,16 @@
 		return false
 	}
 }
+
+// WaitWhile waits until busy returns false or ctx ends.
+func WaitWhile(ctx context.Context, busy func() bool) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for busy() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/nodeloop/mailbox.go
+++ b/internal/nodeloop/mailbox.go
@@ -108,6 +108,17 @@
 	return r.open[id]
 }
 
+// Deliver adds an action to the mailbox of a request. It returns false if the
+// request has ended.
+func (r *Mailboxes) Deliver(id node.RequestID, a node.Action) bool {
+	m := r.Find(id)
+	if m == nil {
+		return false
+	}
+	m.Deliver(a)
+	return true
+}
+
 // Len returns the number of requests that have not ended.
 func (r *Mailboxes) Len() int {
 	r.mu.Lock()
