node, membership: an owner that cannot read the store gives up its pools

It went on granting servers that were gone, which entries returned, and never learned of their successors: 64 of 180 slots were used while 451 requests in two seconds were shed. Entries that had not read of a new server yet made the owner quarantine it. Ruled out: the limit on waiting prompts (engines were in quarantine or unknown). Change: an instance without a read of the store for 1.5 s says so to its peers, and those that read it are preferred as owners. A grant names the address of its upstream, so that an entry can use one that it has not read of; one that it has seen leave stays refused. A debug line shows the pools that an instance schedules.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,6 +20,9 @@
 	// confirmMargin is left of the time for revocations for a request on its
 	// way to its upstream.
 	confirmMargin = 500 * time.Millisecond
+	// behindAfter is the time without a read of the store after which others
+	// are preferred as owners. Short disturbances move no pool.
+	behindAfter = 1500 * time.Millisecond
 	// toleranceShare is the part of the tolerance of quotas that is used.
 	toleranceShare = 0.6
 	// faultLogInterval is the least time between two log lines on faulty entries.
@@ -43,6 +46,9 @@
 	revision  uint64
 	faultsAt  time.Duration
 	storeAway bool
+	// readAt is when the newest whole read began; behind is what the node was told.
+	readAt time.Duration
+	behind bool
 
 	current atomic.Pointer[snapshot]
 	// confirmedAt is the boot time of the start of the newest confirming read;
@@ -84,6 +90,7 @@
 	config, configErr = g.store.Config(g.ctx)
 	wait.Wait()
 	g.noteStore(configErr, listErr)
+	g.noteReach(started, configErr == nil && listErr == nil)
 	changed := false
 	if configErr == nil {
 		changed = g.config.tracker.Observe(started, config) != nil
@@ -156,6 +163,20 @@
 	return limits
 }
 
+// noteReach tells the node when this instance has not read the store for long
+// enough to know less than others.
+func (g *Gateway) noteReach(started time.Duration, read bool) {
+	c := &g.config
+	if read {
+		c.readAt = started
+	}
+	reached := started-c.readAt < behindAfter
+	if c.behind == reached {
+		c.behind = !reached
+		g.loop.Post(node.StoreReach{Reached: reached})
+	}
+}
+
 // noteStore logs when the store goes away and when it is back.
 func (g *Gateway) noteStore(errs ...error) {
 	for _, err := range errs {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/membership"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -31,8 +33,16 @@
 func (g *Gateway) refreshMembers() {
 	ticker := time.NewTicker(memberInterval)
 	defer ticker.Stop()
+	nextPools := time.Duration(0)
+	debug := g.log.GetLevel() <= zerolog.DebugLevel
 	for {
-		g.loop.Query(g.ctx, func(time.Duration) { g.setMembers(g.readMembers()) })
+		g.loop.Query(g.ctx, func(now time.Duration) {
+			g.setMembers(g.readMembers())
+			if debug && now >= nextPools {
+				nextPools = now + poolInterval
+				g.logPools(g.loop.Machine.PoolSummaries())
+			}
+		})
 		select {
 		case <-ticker.C:
 		case <-g.ctx.Done():
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -68,6 +68,7 @@
 		FailureDomain:  m.FailureDomain,
 		Cell:           m.Cell,
 		ConfigRevision: m.ConfigRevision,
+		Behind:         m.Behind,
 	}
 }
 
@@ -164,6 +165,7 @@
 	case pb.MemberState_MEMBER_STATE_ALIVE:
 		if u.Sequence > m.Sequence {
 			m.Sequence = u.Sequence
+			v.setBehind(m, u.Behind)
 			v.setState(now, m, Alive)
 		}
 	}
@@ -204,5 +206,6 @@
 		FailureDomain:  u.FailureDomain,
 		Cell:           u.Cell,
 		ConfigRevision: u.ConfigRevision,
+		Behind:         u.Behind,
 	}
 }
--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -16,10 +16,12 @@
 // Owner returns the instance that owns a key: the one with the highest
 // rendezvous score of the members that are alive, not leaving and have a
 // configuration. Suspect members do not own, since work would wait for them
-// until they are declared dead. If nobody else is left, members without a
-// known configuration, then suspect, then leaving ones are considered.
+// until they are declared dead. If nobody else is left, members that are behind,
+// then those without a known configuration, then suspect and then leaving ones
+// are considered.
 func (v *View) Owner(key uint64) uint64 {
 	for _, accept := range []func(*member) bool{
+		func(m *member) bool { return m.State == Alive && !m.Leaving && m.ConfigRevision > 0 && !m.Behind },
 		func(m *member) bool { return m.State == Alive && !m.Leaving && m.ConfigRevision > 0 },
 		func(m *member) bool { return m.State == Alive && !m.Leaving },
 		func(m *member) bool { return m.State != Dead && !m.Leaving },
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -55,6 +55,9 @@
 	FailureDomain, Cell                      string
 	// ConfigRevision is the configuration revision last reported by the member.
 	ConfigRevision uint64
+	// Behind is true while the member cannot read the store. It may then know
+	// fewer upstreams than others, so it owns pools only if all are behind.
+	Behind bool
 }
 
 // Config holds the constants of a View.
@@ -156,6 +159,26 @@
 	}
 }
 
+// SetBehind says whether this instance can read the store, and tells all
+// members when that changes, so that they agree on the owners.
+func (v *View) SetBehind(behind bool) {
+	if v.self.Behind == behind {
+		return
+	}
+	v.self.Sequence++
+	v.setBehind(v.self, behind)
+	v.broadcast(healthUpdate(v.self.Member))
+}
+
+func (v *View) setBehind(m *member, behind bool) {
+	if m.Behind == behind {
+		return
+	}
+	m.Behind = behind
+	v.changed()
+	v.gossip.add(healthUpdate(m.Member), v.LiveCount())
+}
+
 // noteRevision records the revision in force at a member.
 func (v *View) noteRevision(m *member, revision uint64) {
 	if m.ConfigRevision == 0 && revision > 0 {
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -39,6 +39,7 @@
 		n.count("config", "build_failed")
 		return
 	}
+	n.noteGone(set)
 	n.set, n.routes = set, routes
 	n.kinds.clear()
 	n.orgs.clear()
@@ -76,6 +77,47 @@
 	}
 }
 
+// goneMemory is how long an upstream that left the configuration is remembered.
+// Every other instance learns of the leave well within it.
+const goneMemory = time.Minute
+
+// noteGone remembers which upstreams leave with a new set.
+func (n *Node) noteGone(next *configstate.Set) {
+	if !n.cfg.ExternalConfig {
+		return
+	}
+	if n.set != nil {
+		for name := range n.set.Upstreams {
+			if next.Upstreams[name] == nil {
+				n.gone[name] = n.now
+			}
+		}
+	}
+	for name, at := range n.gone {
+		if next.Upstreams[name] != nil || n.now-at > goneMemory {
+			delete(n.gone, name)
+		}
+	}
+	for name := range n.learned {
+		if _, left := n.gone[name]; left || next.Upstreams[name] != nil {
+			delete(n.learned, name)
+		}
+	}
+}
+
+// maxLearned bounds the upstreams that only owners have named.
+const maxLearned = 4096
+
+// learnUpstream keeps the address of an upstream that an owner grants and that
+// this instance has not seen in the store yet.
+func (n *Node) learnUpstream(name, address string) {
+	_, left := n.gone[name]
+	if !n.cfg.ExternalConfig || address == "" || left || n.set == nil || n.set.Upstreams[name] != nil || len(n.learned) >= maxLearned {
+		return
+	}
+	n.learned[name] = address
+}
+
 // setTargets changes the latency targets of all pools.
 func (n *Node) setTargets(ttft, interToken time.Duration) {
 	if ttft > 0 {
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -132,7 +132,7 @@
 		return
 	}
 	sent := n.send(id.Entry, &pb.PeerMessage{Body: &pb.PeerMessage_Grant{Grant: &pb.Grant{
-		Sequence: id.Sequence, Pool: uint64(h.id), Upstream: name, Attempt: it.descriptor.Attempt}}})
+		Sequence: id.Sequence, Pool: uint64(h.id), Upstream: name, Attempt: it.descriptor.Attempt, Address: n.addressOf(name)}}})
 	if !sent {
 		h.drop(n.now, id, scheduler.Unused)
 	}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -194,6 +194,10 @@
 	TargetTTFT, TargetInterToken time.Duration
 }
 
+// StoreReach says whether this instance reads the store, for nodes with
+// Config.ExternalConfig. One that does not gives up its pools to one that does.
+type StoreReach struct{ Reached bool }
+
 // Drain starts a planned stop.
 type Drain struct{}
 
@@ -214,5 +218,6 @@
 func (CacheEvents) isEvent()        {}
 func (ApplyChange) isEvent()        {}
 func (UseConfiguration) isEvent()   {}
+func (StoreReach) isEvent()         {}
 func (Drain) isEvent()              {}
 func (Tick) isEvent()               {}
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -215,3 +215,37 @@
 		require.False(t, called, "the node reads no configuration itself")
 	}
 }
+
+// TestOwnerCutFromTheStore guards against an owner that no longer learns of new
+// upstreams: on a day on which the owner was cut off from the store, engines that
+// replaced others were not used for twelve seconds. An instance that can read the
+// store takes over, and an entry that cannot uses an upstream that the owner names.
+func TestOwnerCutFromTheStore(t *testing.T) {
+	p := newPair(t, "a", "b")
+	for _, at := range p.order {
+		p.configure(at, node.UseConfiguration{Set: configuration(1, "1")})
+	}
+	p.run(5 * time.Second)
+	for _, cut := range p.order {
+		other := map[string]string{"a": "b", "b": "a"}[cut]
+		p.step(cut, node.StoreReach{Reached: false})
+		p.step(other, node.StoreReach{Reached: true})
+		p.run(time.Second)
+		for _, at := range p.order {
+			for _, pool := range p.nodes[at].PoolSummaries() {
+				require.Equal(t, at == other, pool.Hosted, "%s owns while %s is cut off", at, cut)
+			}
+		}
+	}
+	// b is cut off; only a learns that 1 was replaced by 2.
+	p.configure("a", node.UseConfiguration{Set: configuration(2, "2")})
+	p.got["b"] = nil
+	p.step("b", submission(1))
+	p.run(200 * time.Millisecond)
+	require.Equal(t, []string{"2"}, p.dispatches("b"))
+	for _, action := range p.got["b"] {
+		if d, ok := action.(node.Dispatch); ok {
+			require.Equal(t, "10.0.0.1:2", d.Address)
+		}
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -61,6 +61,10 @@
 	leases *lease.Manager
 	orders map[uint64]sentOrder
 	quotas quotaState
+	// learned holds the addresses of upstreams that only owners have named so
+	// far, gone the upstreams that left the configuration and when.
+	learned map[string]string
+	gone    map[string]time.Duration
 
 	drain     drainState
 	decisions []scheduler.Decision
@@ -89,6 +93,8 @@
 		calls:    newCallSet(),
 		lengths:  newLengths(),
 		quotas:   newQuotaState(),
+		learned:  map[string]string{},
+		gone:     map[string]time.Duration{},
 		view: membership.New(membership.Config{
 			Self: membership.Member{
 				Incarnation: self, PeerAddress: cfg.PeerAddress, CallerAddress: cfg.CallerAddress,
@@ -159,6 +165,9 @@
 		n.applyChange(e)
 	case UseConfiguration:
 		n.useConfiguration(e)
+	case StoreReach:
+		n.view.SetBehind(!e.Reached)
+		n.updateOwnership()
 	case Drain:
 		n.startDrain()
 	case Tick:
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -135,6 +135,7 @@
 
 func (n *Node) onGrant(from uint64, m *pb.Grant) {
 	n.view.Answered(n.now, from)
+	n.learnUpstream(m.Upstream, m.Address)
 	n.table.Grant(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt), m.Upstream, n.usable(m.Upstream))
 }
 
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -200,11 +200,15 @@
 	delete(n.requests, id)
 }
 
+// addressOf returns the address of an upstream, or empty if it is not known.
 func (n *Node) addressOf(upstream string) string {
 	if n.set == nil {
 		return ""
 	}
-	return n.set.Upstreams[upstream].GetUpstream().GetAddress()
+	if known := n.set.Upstreams[upstream].GetUpstream(); known != nil {
+		return known.GetAddress()
+	}
+	return n.learned[upstream]
 }
 
 // flowTable interns the names of kinds or organisations and holds their limits.
