scheduler: long prompts spare engines whose streams would pause too long

Change: an engine that would miss the target between events while it reads gets prompts that are read within the target, while the class has others; after half of its wait a request takes any engine. The debug line of an answer has its longest pause.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,6 +36,9 @@
 	sent    time.Duration
 	first   time.Duration
 	told    time.Duration
+	// eventAt is when the newest event came, longestGap the longest pause.
+	eventAt    time.Duration
+	longestGap time.Duration
 }
 
 // run submits a request and serves it until its answer has ended.
@@ -161,7 +164,7 @@
 	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.Events})
 	if result.Status == forward.Complete {
 		c.g.log.Debug().Str("request_id", c.head.ID).Str("organisation", c.organisationName()).Str("route", c.route.Name).Str("upstream", d.Upstream).
-			Dur("queued", c.sent-c.arrived).Dur("first", max(0, c.first-c.sent)).Dur("total", boottime.Now()-c.arrived).
+			Dur("queued", c.sent-c.arrived).Dur("first", max(0, c.first-c.sent)).Dur("longest_gap", c.longestGap).Dur("total", boottime.Now()-c.arrived).
 			Uint32("prompt", c.head.PromptTokens).Float64("cost", c.quotaCost()).Uint32("events", result.Events).Msg("request answered")
 		return true
 	}
@@ -190,13 +193,15 @@
 // FirstByte reports the first event to the node.
 func (c *call) FirstByte() {
 	c.told = boottime.Now()
-	c.first = c.told
+	c.first, c.eventAt = c.told, c.told
 	c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
 }
 
 // Events reports progress to the node, not more often than it can use.
 func (c *call) Events(total uint32) {
 	now := boottime.Now()
+	c.longestGap = max(c.longestGap, now-c.eventAt)
+	c.eventAt = now
 	if now-c.told < progressInterval {
 		return
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,6 +20,9 @@
 	// confirmMargin is left of the time for revocations for a request on its
 	// way to its upstream.
 	confirmMargin = 500 * time.Millisecond
+	// promptSlowdown is the ratio of the time between events while an engine reads
+	// a prompt in parts beside its streams to that without.
+	promptSlowdown = 4
 	// behindAfter is the time without a read of the store after which others
 	// are preferred as owners. Short disturbances move no pool.
 	behindAfter = 1500 * time.Millisecond
@@ -139,7 +142,7 @@
 	g.loop.Post(g.lines.setUpstreams(upstreams))
 	first, gap := config.Targets()
 	g.loop.Post(node.UseConfiguration{
-		TargetTTFT: first, TargetInterToken: gap,
+		TargetTTFT: first, TargetInterToken: gap, PromptSlowdown: promptSlowdown,
 		Set: ingress.Objects(c.revision, config, upstreams), Quotas: g.quotas(config)})
 	c.current.Store(next)
 }
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -48,6 +48,8 @@
 
 	// TargetTTFT and TargetInterToken are the latency targets of engines; 980 ms and 54 ms.
 	TargetTTFT, TargetInterToken time.Duration
+	// PromptSlowdown is that of scheduler.Config; 0 does not consider it.
+	PromptSlowdown float64
 	// MaxQueue bounds the descriptors that one pool queues; 100,000.
 	MaxQueue int
 	// MaxRequests bounds the requests held by this instance; 8,192.
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -72,7 +72,7 @@
 func (n *Node) useConfiguration(e UseConfiguration) {
 	if n.cfg.ExternalConfig && e.Set.Revision > n.revision() {
 		n.setQuotas(e.Quotas)
-		n.setTargets(e.TargetTTFT, e.TargetInterToken)
+		n.setTargets(e.TargetTTFT, e.TargetInterToken, e.PromptSlowdown)
 		n.useSet(e.Set)
 	}
 }
@@ -119,7 +119,10 @@
 }
 
 // setTargets changes the latency targets of all pools.
-func (n *Node) setTargets(ttft, interToken time.Duration) {
+func (n *Node) setTargets(ttft, interToken time.Duration, promptSlowdown float64) {
+	if promptSlowdown > 0 {
+		n.cfg.PromptSlowdown = promptSlowdown
+	}
 	if ttft > 0 {
 		n.cfg.TargetTTFT = ttft
 	}
@@ -127,7 +130,7 @@
 		n.cfg.TargetInterToken = interToken
 	}
 	for _, h := range n.pools.list {
-		h.sched.SetTargets(ttft, interToken)
+		h.sched.SetTargets(ttft, interToken, promptSlowdown)
 	}
 }
 
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -192,6 +192,8 @@
 	Quotas map[string]quota.Limit
 	// TargetTTFT and TargetInterToken replace those of Config if they are positive.
 	TargetTTFT, TargetInterToken time.Duration
+	// PromptSlowdown replaces that of Config if it is positive.
+	PromptSlowdown float64
 }
 
 // StoreReach says whether this instance reads the store, for nodes with
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -284,7 +284,7 @@
 }
 
 func (p *Pool) updateClass(c *class) {
-	c.capacity = 0
+	c.capacity, c.holdsGap = 0, false
 	first, weight := true, 0.0
 	var sum speed
 	for _, index := range c.upstreams {
@@ -293,6 +293,7 @@
 			continue
 		}
 		c.capacity += u.capacity
+		c.holdsGap = c.holdsGap || !u.quarantined && p.holdsGap(u)
 		idle, loaded := u.speedAt(1), u.speedAt(uint32(u.limit))
 		if !first {
 			idle = idle.least(c.idle)
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -20,7 +20,13 @@
 		if r == nil {
 			break
 		}
-		u := p.place(r)
+		u := p.place(now, r)
+		if u == nil {
+			// The request waits for an upstream that suits it; lower tiers may
+			// use the others.
+			p.nextChoice = r.anyFrom
+			break
+		}
 		out = append(out, p.grant(now, r, u))
 	}
 	return out
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -44,15 +44,34 @@
 	return prefill + float64(r.OutMean)*u.expectedInterToken(u.inFlight+1)
 }
 
-// place returns the free upstream with the least expected finish time, or nil.
+// suits reports whether an upstream may read the prompt of a request without
+// making its streams pause for longer than the target. Engines are only spared
+// while the class has others that can, and until the request has waited for a
+// part of its time: a late answer is better than none.
+func (p *Pool) suits(now time.Duration, u *upstream, r *request) bool {
+	if p.holdsGap(u) || !p.classes[r.Class].holdsGap || now >= r.anyFrom {
+		return true
+	}
+	prefill := float64(u.pendingPrefill+int64(r.Prompt)) * u.prefillPerToken
+	return prefill <= float64(p.config.TargetInterToken)-u.expectedInterToken(u.inFlight+1)
+}
+
+// holdsGap reports whether an engine holds the target between tokens also while
+// it reads a prompt.
+func (p *Pool) holdsGap(u *upstream) bool {
+	return u.Service || u.expectedInterToken(uint32(u.limit))*p.config.PromptSlowdown <= float64(p.config.TargetInterToken)
+}
+
+// place returns the free upstream with the least expected finish time, or nil
+// if no free one suits the request.
 // Equal times go to the upstream with the smaller part of its limit in use.
-func (p *Pool) place(r *request) *upstream {
+func (p *Pool) place(now time.Duration, r *request) *upstream {
 	hints := p.hints.lookup(r.Prefix)
 	var best *upstream
 	var bestCost, bestLoad float64
 	for _, index := range p.classes[r.Class].upstreams {
 		u := p.upstreams[index]
-		if !u.free {
+		if !u.free || !p.suits(now, u, r) {
 			continue
 		}
 		cost := u.finishCost(r, hints.tokens(index, r.Prompt))
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -50,7 +50,10 @@
 	cautiousUntil  time.Duration
 	nextCheck      time.Duration
 	nextCapacities time.Duration
-	quarantined    int
+	// nextChoice is when a request that waits for a suitable upstream takes any;
+	// 0 if none waits for that.
+	nextChoice  time.Duration
+	quarantined int
 
 	freeRequests   freeList[request]
 	freeKindStates freeList[limitState[*kindQueue]]
@@ -143,6 +146,7 @@
 		p.cautiousUntil = 0
 		p.refreshAll()
 	}
+	p.nextChoice = 0
 	p.lapsePermits(now)
 	p.expire(now)
 	p.shedOverloaded(now)
@@ -183,6 +187,9 @@
 	if p.cautiousUntil != 0 {
 		wake = min(wake, p.cautiousUntil)
 	}
+	if p.nextChoice != 0 {
+		wake = min(wake, p.nextChoice)
+	}
 	return max(wake, now)
 }
 
@@ -197,9 +204,12 @@
 	p.refreshAll()
 }
 
-// SetTargets changes Config.TargetTTFT and Config.TargetInterToken; a target
-// that is not positive stays.
-func (p *Pool) SetTargets(ttft, interToken time.Duration) {
+// SetTargets changes Config.TargetTTFT, Config.TargetInterToken and
+// Config.PromptSlowdown; one that is not positive stays.
+func (p *Pool) SetTargets(ttft, interToken time.Duration, promptSlowdown float64) {
+	if promptSlowdown > 0 {
+		p.config.PromptSlowdown = promptSlowdown
+	}
 	if ttft > 0 {
 		p.config.TargetTTFT = ttft
 	}
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -18,6 +18,8 @@
 	cost int64
 	// latest is the latest start time while waiting.
 	submitted, latest time.Duration
+	// anyFrom is when the request takes any upstream, also one that it does not suit.
+	anyFrom time.Duration
 	// position is the place in Pool.expiry while waiting, in Pool.lapse in flight.
 	position int
 
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -17,6 +17,9 @@
 	// deadline can still be done when the overload ends.
 	waitFraction  = 0.5
 	serviceMargin = 1.0
+	// choosyShare is the part of its wait during which a request takes only
+	// upstreams that it suits.
+	choosyShare = 0.5
 	// overloadRise and overloadFall are the times in which a line counts as
 	// lastingly overloaded, and as calm again.
 	overloadRise = 4 * time.Second
@@ -75,6 +78,7 @@
 	}
 	r := p.newRequest(now, d)
 	r.latest = latest
+	r.anyFrom = now + time.Duration(float64(latest-now)*choosyShare)
 	p.tiers[d.Tier].lines[d.Class].arrivals.add(now, float64(r.cost))
 	p.enqueue(r)
 }
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -14,6 +14,9 @@
 	free int
 	// waiting counts the waiting requests of all tiers.
 	waiting int
+	// holdsGap is true if a healthy upstream of the class holds the target between
+	// tokens also while it reads a prompt.
+	holdsGap bool
 	// overlaps lists the classes that share a usable upstream with this one,
 	// itself included.
 	overlaps []overlap
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -52,6 +52,10 @@
 type Config struct {
 	// TargetTTFT and TargetInterToken are targets for the 95th percentile.
 	TargetTTFT, TargetInterToken time.Duration
+	// PromptSlowdown is the ratio of the time between tokens while an engine reads
+	// a prompt beside its streams to that without. Engines that would then miss
+	// TargetInterToken get short prompts only. 0 does not consider it.
+	PromptSlowdown float64
 	// MaxQueue bounds the descriptors that wait.
 	MaxQueue int
 	// Seed makes all random choices repeatable.
