gateway: requests that end in time are taken for longer during a planned stop

Change: after 0.35 of the grace only requests that might outlast the stop are refused; all are after 0.55.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/citrongate/citrongate/internal/boottime"
 	"github.com/citrongate/citrongate/internal/forward"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
@@ -43,8 +44,10 @@
 	// which the platform ends the process.
 	minStopMargin = 300 * time.Millisecond
 	// acceptShare is the part of the time for a planned stop during which
-	// callers with an old discovery answer are still served.
-	acceptShare = 0.35
+	// callers with an old discovery answer are still served, and longShare that
+	// for requests that might outlast the stop.
+	acceptShare = 0.55
+	longShare   = 0.35
 	// retryExtraShare is the part of the fixed allowance for repeated sends that
 	// is used, since instances that start anew have their part again.
 	retryExtraShare = 0.6
@@ -80,6 +83,8 @@
 	nextID  atomic.Uint64
 	held    atomic.Int64
 	leaving atomic.Bool
+	// stopStarted is the boot time at which a planned stop started.
+	stopStarted atomic.Int64
 	// discoveryTTL is how long callers may keep a discovery answer.
 	discoveryTTL atomic.Int64
 
@@ -284,6 +289,7 @@
 // Drain starts a planned stop. It returns at once.
 func (g *Gateway) Drain() {
 	g.drainOnce.Do(func() {
+		g.stopStarted.Store(int64(boottime.Now()))
 		g.leaving.Store(true)
 		g.log.Info().Dur("grace", g.grace()).Msg("planned stop started")
 		g.loop.Post(node.Drain{})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -82,7 +82,22 @@
 		return nil, &answer.Refusal{Code: "too_large", Ran: answer.RanNo, Reason: fmt.Sprintf("the body is larger than %d bytes", limit), Remedy: "send a smaller body"}
 	}
 	j.deadline = arrived + j.timeLimit()
-	return j, nil
+	return j, g.outlastsStop(j)
+}
+
+// outlastsStop refuses a request that might not be answered before the end of a
+// planned stop. Right after its start callers cannot know better, and most
+// answers end well before their deadline.
+func (g *Gateway) outlastsStop(j *job) *answer.Refusal {
+	if !g.leaving.Load() {
+		return nil
+	}
+	started := time.Duration(g.stopStarted.Load())
+	if j.arrived-started < time.Duration(float64(g.grace())*longShare) || j.deadline <= started+g.grace()-minStopMargin {
+		return nil
+	}
+	return &answer.Refusal{Code: "draining", Ran: answer.RanNo, Reason: "this instance is stopping and may end before the answer",
+		Remedy: "retry at another instance of the discovery answer"}
 }
 
 // notJudged refuses a request that this instance cannot judge for now.
