gateway: no 404 for a request whose configuration changed under it

Cause: found in reading. A request judged by one configuration could reach the node after the next was in force there; where its kind had another name, the node's refusal became 404. A slow list of servers held up a configuration that had been read already. Change: such refusals are 503 with an early time to come back.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,7 +75,7 @@
 				return
 			}
 		case node.Refuse:
-			c.end(a.Refusal)
+			c.end(asJudged(a.Refusal))
 			return
 		case nil:
 			c.g.loop.Post(node.CallerGone{ID: c.id})
@@ -88,6 +88,20 @@
 	}
 }
 
+// outdatedRetryAfter is advised where the configuration changed under a request.
+const outdatedRetryAfter = 50 * time.Millisecond
+
+// asJudged translates the node's refusals for what its configuration does not
+// have. The request was judged by the configuration before it, so it is proper,
+// and must not be answered as if host, path or key were wrong.
+func asJudged(refusal answer.Refusal) answer.Refusal {
+	switch refusal.Code {
+	case "unknown_kind", "unknown_model", "forbidden":
+		refusal.Code, refusal.Remedy, refusal.RetryAfter = "not_ready", "retry", outdatedRetryAfter
+	}
+	return refusal
+}
+
 // ranAtDeadline says what is known of a request whose time is over while no
 // exchange is in progress.
 func (c *call) ranAtDeadline() answer.Ran {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +37,6 @@
 	table *ingress.Table
 	// engines are the services whose upstreams are model engines.
 	engines map[string]*ingress.Service
-	// ids maps the names of upstreams to the ids that they are registered under.
-	ids map[string]string
 }
 
 // configState follows the store. The poller owns all fields but the atomics.
@@ -76,33 +73,40 @@
 	}
 }
 
-// pollOnce reads configuration and upstreams side by side, so that a slow
-// answer to one does not age the other.
+// listed is the result of one listing of the upstreams.
+type listed struct {
+	upstreams []ingress.Upstream
+	faults    []error
+	err       error
+}
+
+// pollOnce reads configuration and upstreams side by side. Each is put in force
+// as it comes, so that a slow answer to one does not hold up the other.
 func (g *Gateway) pollOnce() {
 	started := boottime.Now()
-	var config *ingress.Config
-	var upstreams []ingress.Upstream
-	var faults []error
-	var configErr, listErr error
-	var wait sync.WaitGroup
-	wait.Add(1)
+	listing := make(chan listed, 1)
 	go func() {
-		defer wait.Done()
-		upstreams, faults, listErr = g.store.Upstreams(g.ctx)
+		var l listed
+		l.upstreams, l.faults, l.err = g.store.Upstreams(g.ctx)
+		listing <- l
 	}()
-	config, configErr = g.store.Config(g.ctx)
-	wait.Wait()
-	g.noteStore(configErr, listErr)
-	g.noteReach(started, configErr == nil && listErr == nil)
-	changed := false
+	config, configErr := g.store.Config(g.ctx)
 	if configErr == nil {
-		changed = g.config.tracker.Observe(started, config) != nil
+		changed := g.config.tracker.Observe(started, config) != nil
 		g.config.confirm()
+		g.publishIf(changed)
 	}
-	if listErr == nil {
-		g.logFaults(faults)
-		changed = g.config.registry.Observe(started, boottime.Now(), upstreams) || changed
+	l := <-listing
+	if l.err == nil {
+		g.logFaults(l.faults)
+		g.publishIf(g.config.registry.Observe(started, boottime.Now(), l.upstreams))
 	}
+	g.noteStore(configErr, l.err)
+	g.noteReach(started, configErr == nil && l.err == nil)
+}
+
+// publishIf publishes what has changed, once there is a configuration.
+func (g *Gateway) publishIf(changed bool) {
 	if changed && g.config.tracker.Table() != nil {
 		g.publish()
 	}
@@ -127,16 +131,13 @@
 	c.revision++
 	table := c.tracker.Table()
 	upstreams := c.registry.Upstreams()
-	next := &snapshot{table: table, engines: map[string]*ingress.Service{}, ids: map[string]string{}}
+	next := &snapshot{table: table, engines: map[string]*ingress.Service{}}
 	config := table.Config()
 	for i := range config.Services {
 		if config.Services[i].Slots > 0 {
 			next.engines[config.Services[i].Name] = &config.Services[i]
 		}
 	}
-	for i := range upstreams {
-		next.ids[upstreams[i].Name()] = upstreams[i].ID
-	}
 	g.log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Int("upstreams", len(upstreams)).
 		Int("organisations", len(config.Organisations)).Msg("configuration in force")
 	g.loop.Post(g.lines.setUpstreams(upstreams))
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -43,6 +43,15 @@
 	require.Equal(t, http.StatusUnauthorized, refusalStatus(answer.Refusal{Code: "unauthenticated", Ran: answer.RanNo}))
 }
 
+// TestConfigurationChangesUnderRequest guards against 404 for a proper request
+// whose route was judged by the configuration before the node's present one.
+func TestConfigurationChangesUnderRequest(t *testing.T) {
+	for _, code := range []string{"unknown_kind", "unknown_model", "forbidden", "no_route"} {
+		refusal := asJudged(answer.Refusal{Code: code, Ran: answer.RanNo})
+		require.Equal(t, http.StatusServiceUnavailable, refusalStatus(refusal), code)
+	}
+}
+
 // TestTimeLimit guards the shorter of the caller's deadline and the route's timeout.
 func TestTimeLimit(t *testing.T) {
 	for _, c := range []struct{ timeout, deadline, want time.Duration }{
