--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -46,6 +46,8 @@
 	revision  uint64
 	faultsAt  time.Duration
 	storeAway bool
+	// addresses are those of the upstreams that were published last.
+	addresses map[string]bool
 	// readAt is when the newest whole read began; behind is what the node was told.
 	readAt time.Duration
 	behind bool
@@ -146,6 +148,22 @@
 		TargetTTFT: first, TargetInterToken: gap, PromptSlowdown: promptSlowdown,
 		Set: ingress.Objects(c.revision, config, upstreams), Quotas: g.quotas(config)})
 	c.current.Store(next)
+	g.forgetConnections(upstreams)
+}
+
+// forgetConnections closes the idle connections to upstreams that are not
+// registered any more, whose addresses others may get.
+func (g *Gateway) forgetConnections(upstreams []ingress.Upstream) {
+	present := make(map[string]bool, len(upstreams))
+	for i := range upstreams {
+		present[upstreams[i].Address] = true
+	}
+	for address := range g.config.addresses {
+		if !present[address] {
+			g.upstreams.Forget(address)
+		}
+	}
+	g.config.addresses = present
 }
 
 // quotas returns the quotas of the organisations, with a part of the tolerance
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -33,8 +33,6 @@
 	Instances(ctx context.Context) (instances []Instance, faults []error, err error)
 	// Announce writes this instance's entry.
 	Announce(ctx context.Context, i Instance) error
-	// Forget removes the entry of an instance that has ended.
-	Forget(ctx context.Context, name string) error
 }
 
 // Head is what the headers of a request say.
