settings: a gateway needs its ready and discovery addresses

Change: check reports them when missing, and a time for revocations below that for configurations. Measured: go test ./internal/settings.

--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -30,9 +30,33 @@
 	problems = append(problems, checkPeerTLS(s)...)
 	problems = append(problems, checkListeners(s.GetListen())...)
 	problems = append(problems, checkBodies(s.GetLimits())...)
+	problems = append(problems, checkGateway(s)...)
 	return append(problems, checkDetection(s.GetPeer())...)
 }
 
+// checkGateway requires the addresses that a gateway answers on, and a time for
+// revocations that leaves room for reading the store.
+func checkGateway(s *pb.Settings) []Problem {
+	gateway, listen := s.GetGateway(), s.GetListen()
+	if gateway.GetMode() != On {
+		return nil
+	}
+	var problems []Problem
+	for _, key := range missingOf([][2]string{{"ready", listen.GetReady()}, {"discovery", listen.GetDiscovery()}}) {
+		problems = append(problems, Problem{
+			Section: "listen", Key: key, What: "the setting is missing, and [gateway] mode is on",
+			Remedy: "add a line " + key + " = ADDRESS below [listen]",
+		})
+	}
+	if apply, revoke := Duration(gateway.GetConfigApply()), Duration(gateway.GetRevocation()); apply > 0 && revoke > 0 && revoke < apply {
+		problems = append(problems, Problem{
+			Section: "gateway", Key: "revocation", Value: gateway.GetRevocation(), What: "less than config_apply",
+			Allowed: "at least config_apply (" + gateway.GetConfigApply() + ")", Remedy: "raise revocation or lower config_apply",
+		})
+	}
+	return problems
+}
+
 // checkBodies requires that the bound on all bodies leaves room for one.
 func checkBodies(limits *pb.LimitSettings) []Problem {
 	all, one := limits.GetMaxBufferedBytes(), limits.GetMaxBodyBytes()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -168,3 +169,31 @@
 		require.True(t, proto.Equal(first, again))
 	})
 }
+
+// TestGatewaySettings guards against a gateway that answers no readiness check,
+// and against a bound for revocations that no instance can keep.
+func TestGatewaySettings(t *testing.T) {
+	const text = `[instance]
+name = a
+failure_domain = z
+region = r
+[listen]
+caller = 10.0.0.1:1
+admin = 10.0.0.1:2
+peer = 10.0.0.1:3
+%s
+[platform]
+address = 10.0.0.9:4
+[peer]
+trust = network
+[gateway]
+mode = on
+revocation = %s
+`
+	_, err := Parse("test", []byte(fmt.Sprintf(text, "ready = 10.0.0.1:5\ndiscovery = 10.0.0.1:6", "5s")))
+	require.NoError(t, err)
+	_, err = Parse("test", []byte(fmt.Sprintf(text, "", "1s")))
+	require.ErrorContains(t, err, "ready")
+	require.ErrorContains(t, err, "discovery")
+	require.ErrorContains(t, err, "revocation")
+}
