ingress: two unused functions removed

Cause: found in reading: OrganisationNamed with its map, and Tracker.Confirm, are called by nothing; an unchanged configuration confirms through Observe. Change: both are removed. Behaviour is the same.

--- a/pkg/ingress/table.go
+++ b/pkg/ingress/table.go
@@ -14,7 +14,6 @@
 	// hosts maps a host to its routes, longest prefix first.
 	hosts map[string][]*Route
 	keys  map[string]*Organisation
-	byOrg map[string]*Organisation
 }
 
 // NewTable compiles a configuration, which must not be changed afterwards.
@@ -23,7 +22,6 @@
 		config: config,
 		hosts:  map[string][]*Route{},
 		keys:   map[string]*Organisation{},
-		byOrg:  map[string]*Organisation{},
 	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
@@ -35,7 +33,6 @@
 	}
 	for i := range config.Organisations {
 		o := &config.Organisations[i]
-		t.byOrg[o.Name] = o
 		for _, key := range o.Keys {
 			t.keys[key] = o
 		}
@@ -71,9 +68,6 @@
 	return t.keys[key]
 }
 
-// OrganisationNamed returns an organisation by its name, or nil.
-func (t *Table) OrganisationNamed(name string) *Organisation { return t.byOrg[name] }
-
 // Targets returns the latency targets of the stream routes: the largest time to
 // the first event and the smallest time between events, 0 without stream routes.
 // Requests whose own goal is shorter go first where their tier allows it.
--- a/pkg/ingress/tracker.go
+++ b/pkg/ingress/tracker.go
@@ -26,14 +26,6 @@
 	return t.table
 }
 
-// Confirm records that a read begun at started showed the version in force to
-// be the newest one.
-func (t *Tracker) Confirm(started time.Duration, version uint64) {
-	if t.table != nil && t.table.config.Version == version {
-		t.confirm(started)
-	}
-}
-
 func (t *Tracker) confirm(started time.Duration) {
 	if !t.confirmed || started > t.confirmedAt {
 		t.confirmedAt, t.confirmed = started, true
