httpfront: servers hold their addresses from the check until they serve

The instance's log lacks "instance started": its main goroutine was inside Start, so it read no signal. Start checked each address by listening and closing again, started the background calls, and listened a second time. An outgoing connection of any process can take a port of the ephemeral range in between, and nbio 1.6.8 then hangs in the error path of its Start.

Ruled out: lost signals (the later select never ran: neither signal left a log line), a blocked loop (readiness and calls were answered), load (the instance was ready within a second and stayed so for 30 s).

Change: Server.Listen takes the address and keeps it; the engine is built in Start around that listener.

Conclusion: an address that is taken gives an error at start instead of a process that cannot be stopped.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 		d.Close()
 		return err
 	}
-	if err := d.probe(); err != nil {
+	if err := d.takeAddresses(); err != nil {
 		d.Close()
 		return err
 	}
@@ -200,12 +200,12 @@
 	return nil
 }
 
-// probe reports an address that cannot be listened on before anything starts.
-func (d *Daemon) probe() error {
-	if err := d.callers.Probe(); err != nil {
+// takeAddresses listens on all addresses before anything starts.
+func (d *Daemon) takeAddresses() error {
+	if err := d.callers.Listen(); err != nil {
 		return fmt.Errorf("cannot listen on [listen] caller %s: %w", d.settings.GetListen().GetCaller(), err)
 	}
-	if err := d.operators.Probe(); err != nil {
+	if err := d.operators.Listen(); err != nil {
 		return fmt.Errorf("cannot listen on [listen] admin %s: %w", d.settings.GetListen().GetAdmin(), err)
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,7 @@
 		return err
 	}
 	for _, s := range g.servers {
-		if err := s.Probe(); err != nil {
+		if err := s.Listen(); err != nil {
 			g.Close()
 			return fmt.Errorf("cannot listen on %s: %w; correct [listen]", s.Address(), err)
 		}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -79,6 +79,8 @@
 	online atomic.Int64
 	// buffered counts the bytes of request bodies that are held.
 	buffered atomic.Int64
+	// listener is held from Listen until the engine takes it over.
+	listener net.Listener
 	// started is true once the engine listens.
 	started atomic.Bool
 }
@@ -89,20 +91,6 @@
 		config.IdleTimeout = idleTimeout
 	}
 	s := &Server{config: config}
-	conf := nbhttp.Config{
-		Name:    "http",
-		Network: "tcp",
-		IOMod:   nbhttp.IOModBlocking,
-		// nbhttp's own bound counts refused connections for ever and closes
-		// without an answer; connection.Read enforces MaxConnections.
-		MaxLoad:                math.MaxInt32,
-		ReadLimit:              config.MaxBodyBytes + config.MaxHeaderBytes + readBufferBytes,
-		MaxHTTPBodySize:        config.MaxBodyBytes,
-		BlockingReadBufferSize: readBufferBytes,
-		KeepaliveTime:          config.IdleTimeout,
-		Handler:                config.Handler,
-		Addrs:                  []string{config.Address},
-	}
 	if config.TLSCertificate != "" {
 		certificate, err := tls.LoadX509KeyPair(config.TLSCertificate, config.TLSKey)
 		if err != nil {
@@ -110,32 +98,62 @@
 		}
 		s.tls = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
 	}
-	s.engine = nbhttp.NewEngine(conf)
-	s.engine.OnOpen(s.onOpen)
 	return s, nil
 }
 
-// Start listens and serves until Stop.
+// newEngine returns an engine that serves on the listener.
+func (s *Server) newEngine() *nbhttp.Engine {
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name:    "http",
+		Network: "tcp",
+		IOMod:   nbhttp.IOModBlocking,
+		// nbhttp's own bound counts refused connections for ever and closes
+		// without an answer; connection.Read enforces MaxConnections.
+		MaxLoad:                math.MaxInt32,
+		ReadLimit:              s.config.MaxBodyBytes + s.config.MaxHeaderBytes + readBufferBytes,
+		MaxHTTPBodySize:        s.config.MaxBodyBytes,
+		BlockingReadBufferSize: readBufferBytes,
+		KeepaliveTime:          s.config.IdleTimeout,
+		Handler:                s.config.Handler,
+		Addrs:                  []string{s.config.Address},
+		Listen:                 func(string, string) (net.Listener, error) { return s.listener, nil },
+	})
+	engine.OnOpen(s.onOpen)
+	return engine
+}
+
+// Listen takes the address. Connections wait in the kernel's queue until Start.
+// It is called before the start of any server: nbio 1.6.8 hangs in Start if it
+// cannot listen, and in Stop soon after Start.
+func (s *Server) Listen() error {
+	listener, err := net.Listen("tcp", s.config.Address)
+	if err == nil {
+		s.listener = listener
+	}
+	return err
+}
+
+// Start serves until Stop. It listens first if Listen was not called.
 func (s *Server) Start() error {
+	if s.listener == nil {
+		if err := s.Listen(); err != nil {
+			return err
+		}
+	}
+	s.engine = s.newEngine()
 	err := s.engine.Start()
 	s.started.Store(err == nil)
 	return err
 }
 
-// Probe returns an error if the address cannot be listened on. It is for use
-// before Start of any server: nbio 1.6.8 can hang in Start if it cannot listen,
-// and in Stop soon after Start.
-func (s *Server) Probe() error {
-	probe, err := net.Listen("tcp", s.config.Address)
-	if err != nil {
-		return err
+// Address is the listening address, with the port that was chosen if it was 0.
+func (s *Server) Address() string {
+	if s.listener == nil {
+		return s.config.Address
 	}
-	return probe.Close()
+	return s.listener.Addr().String()
 }
 
-// Address is the listening address, with the port that was chosen if it was 0.
-func (s *Server) Address() string { return s.engine.Addrs[0] }
-
 // Online is the number of open connections.
 func (s *Server) Online() int { return int(s.online.Load()) }
 
@@ -149,6 +167,9 @@
 // stopped again.
 func (s *Server) Stop() {
 	if !s.started.Load() {
+		if s.listener != nil {
+			_ = s.listener.Close()
+		}
 		return
 	}
 	stopped := make(chan struct{})
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -5,16 +5,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/internal/client"
+	"github.com/citrongate/citrongate/internal/testport"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -42,16 +40,12 @@
 	if err == nil {
 		err = build(dir)
 	}
-	if err == nil {
-		err = takeSlot()
-	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	binaries = dir
 	code := m.Run()
-	slotLock.Close()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
@@ -110,62 +104,13 @@
 	}
 }
 
-// Ports are taken from a range below the one from which systems assign ports to
-// outgoing connections. A test process takes one slot of the range by listening
-// on its first port, so that no two processes or fleets get the same port.
-const (
-	lowestPort = 20000
-	slotPorts  = 500
-	slotCount  = 24
-)
-
-var (
-	nextPort atomic.Int32
-	lastPort int32
-	slotLock net.Listener
-)
-
-func takeSlot() error {
-	for _, slot := range rand.Perm(slotCount) {
-		first := lowestPort + slot*slotPorts
-		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
-		if err == nil {
-			slotLock, lastPort = lock, int32(first+slotPorts-1)
-			nextPort.Store(int32(first))
-			return nil
-		}
-	}
-	return errors.New("no free slot of ports")
-}
-
-// freePorts returns loopback addresses that are free for TCP and UDP.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
-	var addresses []string
-	for len(addresses) < count {
-		port := nextPort.Add(1)
-		require.LessOrEqual(t, port, lastPort, "the slot of ports is used up")
-		if address := fmt.Sprintf("127.0.0.1:%d", port); isFree(address) {
-			addresses = append(addresses, address)
-		}
-	}
+	addresses, err := testport.Take(count)
+	require.NoError(t, err)
 	return addresses
 }
 
-func isFree(address string) bool {
-	tcp, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	tcp.Close()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	udp.Close()
-	return true
-}
-
 // entry is one citrongate instance.
 type entry struct {
 	*process
--- /dev/null
+++ b/internal/testport/testport.go
@@ -0,0 +1,81 @@
+// Package testport gives tests loopback addresses for processes that they start.
+//
+// Ports come from a range below the one from which systems assign ports to
+// outgoing connections. A test process takes one slot of the range by listening
+// on its first port, so that no two test processes get the same port.
+package testport
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+)
+
+const (
+	lowestPort = 20000
+	slotPorts  = 500
+	slotCount  = 24
+)
+
+var (
+	errNoSlot = errors.New("no free slot of ports; end other test processes")
+	errUsedUp = errors.New("the slot of ports is used up; start fewer processes in one test run")
+)
+
+// slot is the part of the range that this process has taken.
+var slot struct {
+	sync.Mutex
+	lock       net.Listener
+	next, last int
+}
+
+// Take returns addresses that are free for TCP and UDP and that no other test
+// process uses.
+func Take(count int) ([]string, error) {
+	slot.Lock()
+	defer slot.Unlock()
+	if slot.lock == nil {
+		if err := takeSlot(); err != nil {
+			return nil, err
+		}
+	}
+	var addresses []string
+	for len(addresses) < count {
+		if slot.next++; slot.next > slot.last {
+			return nil, errUsedUp
+		}
+		if address := loopback(slot.next); isFree(address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, nil
+}
+
+func takeSlot() error {
+	for _, index := range rand.Perm(slotCount) {
+		first := lowestPort + index*slotPorts
+		if lock, err := net.Listen("tcp", loopback(first)); err == nil {
+			slot.lock, slot.next, slot.last = lock, first, first+slotPorts-1
+			return nil
+		}
+	}
+	return errNoSlot
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func isFree(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = udp.Close()
+	return true
+}
