--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -264,18 +264,25 @@
 		if err != nil {
 			return
 		}
-		cancel()
 		buffer := make([]byte, 4096)
+		_, err = c.Read(buffer)
+		cancel()
 		for err == nil {
 			_, err = c.Read(buffer)
 		}
 	}()
-	result := client.Do(ctx, request(listener.Addr().String(), "a"), (&caller{}).relay())
-	require.Equal(t, Canceled, result.Status)
+	done := make(chan Result, 1)
+	go func() { done <- client.Do(ctx, request(listener.Addr().String(), "a"), (&caller{}).relay()) }()
+	select {
+	case result := <-done:
+		require.Equal(t, Canceled, result.Status)
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "the exchange goes on after its caller left")
+	}
 	<-stopped
 
 	got := &caller{refuse: true}
-	result = client.Do(context.Background(), request(upstream(t, plain("a", "hello")), "a"), got.relay())
+	result := client.Do(context.Background(), request(upstream(t, plain("a", "hello")), "a"), got.relay())
 	require.Equal(t, Canceled, result.Status)
 }
 
