quota: an organisation above its quota spends it on its urgent requests first

A bucket that is nearly empty lets small requests pass and large ones wait.

Change: a request leaves a quarter of a full bucket for each more urgent tier of its organisation that has had requests in the last 2 s, at most half. A tenth of the quota may be used by less urgent requests at any time, so that none stops. Transfers between instances keep the same part.

--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -63,11 +63,11 @@
 	if !limited || r.QuotaCost <= 0 {
 		return true
 	}
-	ok, missing, after := n.quotas.ledger.Take(n.now, r.Organisation, limit, r.QuotaCost, n.view.SharingCount(n.now))
+	ok, missing, after := n.quotas.ledger.Take(n.now, r.Organisation, limit, n.quotaRequest(r), n.view.SharingCount(n.now))
 	if ok {
 		return true
 	}
-	if n.askForQuota(r.Organisation, missing) {
+	if n.askForQuota(r.Organisation, n.quotaRequest(r).Tier, missing) {
 		n.quotas.waiting[r.Organisation] = append(n.quotas.waiting[r.Organisation], quotaRequest{id, n.now + quotaWait})
 		return false
 	}
@@ -75,9 +75,19 @@
 	return false
 }
 
+// quotaRequest is what counts of the request. Requests that no route matches
+// are refused once they have quota, whatever their tier.
+func (n *Node) quotaRequest(r *request) quota.Request {
+	target, err := n.routes.Resolve(r.route())
+	if err != nil {
+		return quota.Request{Cost: r.QuotaCost}
+	}
+	return quota.Request{Cost: r.QuotaCost, Tier: target.Tier}
+}
+
 // askForQuota asks other instances for what is missing. It returns false if
 // nothing can be expected of them.
-func (n *Node) askForQuota(organisation string, missing float64) bool {
+func (n *Node) askForQuota(organisation string, tier uint8, missing float64) bool {
 	if n.quotas.asked[organisation] > 0 {
 		return true
 	}
@@ -90,7 +100,7 @@
 	amount := missing * quotaAhead / float64(max(1, len(others)))
 	for _, to := range others {
 		message := &pb.PeerMessage{Body: &pb.PeerMessage_QuotaRequest{QuotaRequest: &pb.QuotaRequest{
-			Organisation: organisation, Amount: amount}}}
+			Organisation: organisation, Amount: amount, Tier: uint32(tier)}}}
 		if n.send(to, message) {
 			n.quotas.asked[organisation]++
 		}
@@ -106,7 +116,7 @@
 func (n *Node) onQuotaRequest(from uint64, m *pb.QuotaRequest) {
 	given := 0.0
 	if limit, ok := n.quotas.limits[m.Organisation]; ok && len(n.quotas.waiting[m.Organisation]) == 0 && m.Amount > 0 {
-		given = n.quotas.ledger.Give(n.now, m.Organisation, limit, m.Amount, n.view.SharingCount(n.now))
+		given = n.quotas.ledger.Give(n.now, m.Organisation, limit, uint8(m.Tier), m.Amount, n.view.SharingCount(n.now))
 	}
 	n.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_QuotaTransfer{QuotaTransfer: &pb.QuotaTransfer{
 		Organisation: m.Organisation, Amount: given}}})
@@ -133,7 +143,7 @@
 		if r == nil {
 			continue
 		}
-		ok, _, after := n.quotas.ledger.Take(n.now, organisation, limit, r.QuotaCost, n.view.SharingCount(n.now))
+		ok, _, after := n.quotas.ledger.Take(n.now, organisation, limit, n.quotaRequest(r), n.view.SharingCount(n.now))
 		switch {
 		case ok:
 			n.enqueue(w.id, r)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -43,13 +43,54 @@
 // giver does not have to ask for it back at once.
 const reserveShare = 0.1
 
+// floorShare is the part of a quota that less urgent requests may use although
+// the bucket is below what is kept for more urgent ones, so that no kind of
+// request stops altogether.
+const floorShare = 0.1
+
+// keptStep and maxKept say which part of a full bucket is kept for more urgent
+// requests of the organisation: a step for each tier of these that has had
+// requests within keptFor.
+const (
+	keptStep = 0.25
+	maxKept  = 0.5
+	keptFor  = 2 * time.Second
+)
+
+// maxTiers bounds the tiers that are told apart.
+const maxTiers = 16
+
+// Request is what counts of a request against its organisation's quota.
+type Request struct {
+	// Cost is in the unit of the quota.
+	Cost float64
+	// Tier is its rank; 0 is the most urgent.
+	Tier uint8
+}
+
 // epsilon absorbs the rounding of sums of costs.
 const epsilon = 1e-6
 
 // bucket is what one organisation has left at this instance.
 type bucket struct {
-	left     float64
+	left float64
+	// floor is what less urgent requests may use of left at any time.
+	floor    float64
 	refilled time.Duration
+	// seen holds when each tier last had a request, or 0.
+	seen [maxTiers]time.Duration
+}
+
+// kept returns the part of a full bucket that a request of the tier leaves to
+// more urgent ones.
+func (b *bucket) kept(now time.Duration, tier uint8) float64 {
+	part := 0.0
+	for _, at := range b.seen[:min(tier, maxTiers-1)] {
+		if at > 0 && now-at < keptFor {
+			part += keptStep
+		}
+	}
+	return min(part, maxKept)
 }
 
 // Ledger holds the buckets of one instance. It is not safe for concurrent use.
@@ -75,6 +116,7 @@
 	if grown := min(share.Burst, b.left+share.PerSecond*max(0, now-b.refilled).Seconds()); grown > b.left {
 		b.left = grown
 	}
+	b.floor = min(floorShare*share.Burst, b.floor+floorShare*share.PerSecond*max(0, now-b.refilled).Seconds())
 	b.refilled = now
 	return b
 }
@@ -83,29 +125,35 @@
 // Otherwise missing is what the bucket lacks, and after the time in which its
 // share of the rate fills it up.
 //
-// A request that is larger than the whole burst is granted when the bucket is
-// full; the bucket then has a debt.
-func (l *Ledger) Take(now time.Duration, organisation string, limit Limit, cost float64, instances int) (ok bool, missing float64, after time.Duration) {
+// A less urgent request leaves a part of the bucket to more urgent ones of the
+// organisation, but for the floor. One that is larger than the whole burst is
+// granted when the bucket is full; the bucket then has a debt.
+func (l *Ledger) Take(now time.Duration, organisation string, limit Limit, r Request, instances int) (ok bool, missing float64, after time.Duration) {
 	share := limit.share(instances)
 	b := l.refill(now, organisation, share)
-	needed := min(cost, max(share.Burst, 1))
-	if b.left >= needed-epsilon {
-		b.left -= cost
+	b.seen[min(r.Tier, maxTiers-1)] = now
+	needed := min(r.Cost, max(share.Burst, 1))
+	kept := min(b.kept(now, r.Tier)*share.Burst, max(0, share.Burst-needed))
+	if b.left >= needed-epsilon && (b.left-needed >= kept || b.floor >= r.Cost) {
+		b.left -= r.Cost
+		if b.left < kept {
+			b.floor -= r.Cost
+		}
 		return true, 0, 0
 	}
-	missing = needed - b.left
+	missing = needed + kept - b.left
 	if share.PerSecond > 0 {
 		after = time.Duration(missing / share.PerSecond * float64(time.Second))
 	}
 	return false, missing, after
 }
 
-// Give takes up to amount out of the bucket for another instance and returns
-// what it took.
-func (l *Ledger) Give(now time.Duration, organisation string, limit Limit, amount float64, instances int) float64 {
+// Give takes up to amount out of the bucket for a request of the tier at another
+// instance and returns what it took.
+func (l *Ledger) Give(now time.Duration, organisation string, limit Limit, tier uint8, amount float64, instances int) float64 {
 	share := limit.share(instances)
 	b := l.refill(now, organisation, share)
-	given := max(0, min(amount, b.left-share.Burst*reserveShare))
+	given := max(0, min(amount, b.left-share.Burst*max(reserveShare, b.kept(now, tier))))
 	b.left -= given
 	return given
 }
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -19,12 +19,12 @@
 // brings a caller back too early.
 func TestBurst(t *testing.T) {
 	l := quota.NewLedger(0)
-	ok, _, _ := l.Take(full, "o", limit, 200, 1)
+	ok, _, _ := l.Take(full, "o", limit, quota.Request{Cost: 200}, 1)
 	require.True(t, ok)
-	ok, missing, after := l.Take(full, "o", limit, 50, 1)
+	ok, missing, after := l.Take(full, "o", limit, quota.Request{Cost: 50}, 1)
 	require.False(t, ok)
 	require.InDelta(t, 50, missing, 0.001)
-	ok, _, _ = l.Take(full+after, "o", limit, 50, 1)
+	ok, _, _ = l.Take(full+after, "o", limit, quota.Request{Cost: 50}, 1)
 	require.True(t, ok, "the advised time was too short")
 }
 
@@ -32,9 +32,9 @@
 // run does not know what the one before it granted.
 func TestRestart(t *testing.T) {
 	l := quota.NewLedger(0)
-	ok, _, _ := l.Take(0, "o", limit, 50, 1)
+	ok, _, _ := l.Take(0, "o", limit, quota.Request{Cost: 50}, 1)
 	require.False(t, ok)
-	ok, _, _ = l.Take(time.Second, "o", limit, 50, 1)
+	ok, _, _ = l.Take(time.Second, "o", limit, quota.Request{Cost: 50}, 1)
 	require.True(t, ok, "a new run gets its rate")
 }
 
@@ -42,9 +42,9 @@
 // part of one instance.
 func TestLargeRequest(t *testing.T) {
 	l := quota.NewLedger(0)
-	ok, _, _ := l.Take(full, "o", limit, 300, 9)
+	ok, _, _ := l.Take(full, "o", limit, quota.Request{Cost: 300}, 9)
 	require.True(t, ok)
-	ok, _, _ = l.Take(full, "o", limit, 1, 9)
+	ok, _, _ = l.Take(full, "o", limit, quota.Request{Cost: 1}, 9)
 	require.False(t, ok)
 }
 
@@ -62,17 +62,58 @@
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
 			from, to := rapid.IntRange(0, instances-1).Draw(t, "from"), rapid.IntRange(0, instances-1).Draw(t, "to")
 			if rapid.Bool().Draw(t, "transfer") {
-				given := ledgers[from].Give(now, "o", limit, float64(rapid.IntRange(1, 200).Draw(t, "amount")), instances)
+				given := ledgers[from].Give(now, "o", limit, uint8(rapid.IntRange(0, 3).Draw(t, "need")), float64(rapid.IntRange(1, 200).Draw(t, "amount")), instances)
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
 					ledgers[to].Receive(now, "o", limit, given, instances)
 				}
 				continue
 			}
 			cost := float64(rapid.IntRange(1, int(largest)).Draw(t, "cost"))
-			if ok, _, _ := ledgers[from].Take(now, "o", limit, cost, instances); ok {
+			tier := uint8(rapid.IntRange(0, 3).Draw(t, "tier"))
+			if ok, _, _ := ledgers[from].Take(now, "o", limit, quota.Request{Cost: cost, Tier: tier}, instances); ok {
 				sum += cost
 			}
 			require.LessOrEqual(t, sum, limit.PerSecond*(now-full).Seconds()+limit.Burst+instances*largest)
 		}
 	})
 }
+
+// TestUrgentFirst guards against an organisation above its quota whose urgent
+// requests, which are larger, are refused more often than its other ones, and
+// against a tier that gets nothing at all.
+func TestUrgentFirst(t *testing.T) {
+	l := quota.NewLedger(0)
+	used := [2]float64{}
+	for now := full; now < full+20*time.Second; now += 20 * time.Millisecond {
+		for tier, cost := range []float64{20, 4} {
+			if ok, _, _ := l.Take(now, "o", limit, quota.Request{Cost: cost, Tier: uint8(tier)}, 1); ok {
+				used[tier] += cost
+			}
+		}
+	}
+	total := used[0] + used[1]
+	require.Greater(t, used[0], 0.8*total, "%v", used)
+	require.Greater(t, used[1], 0.05*total, "%v", used)
+}
+
+// TestOneTierMayUseAll guards against keeping a part of the quota for requests
+// that an organisation does not send.
+func TestOneTierMayUseAll(t *testing.T) {
+	l := quota.NewLedger(0)
+	low := quota.Request{Cost: 10, Tier: 5}
+	for range 20 {
+		ok, _, _ := l.Take(full, "o", limit, low, 1)
+		require.True(t, ok)
+	}
+	ok, _, _ := l.Take(full, "o", limit, low, 1)
+	require.False(t, ok)
+}
+
+// TestLargeRequestOfLowTier guards against refusing for ever what is larger than
+// the part of a bucket that is not kept for more urgent requests.
+func TestLargeRequestOfLowTier(t *testing.T) {
+	l := quota.NewLedger(0)
+	_, _, _ = l.Take(full, "o", limit, quota.Request{Cost: 1}, 1)
+	ok, _, _ := l.Take(full+time.Second, "o", limit, quota.Request{Cost: 190, Tier: 3}, 1)
+	require.True(t, ok)
+}
