--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	nextID  atomic.Uint64
 	held    atomic.Int64
 	leaving atomic.Bool
+	// closing is true once connections are closed whatever they carry.
+	closing atomic.Bool
 	// stopStarted is the boot time at which a planned stop started.
 	stopStarted atomic.Int64
 	// discoveryTTL is how long callers may keep a discovery answer.
@@ -318,6 +320,7 @@
 
 // Close stops at once and releases everything.
 func (g *Gateway) Close() {
+	g.closing.Store(true)
 	g.stop()
 	for _, s := range g.servers {
 		s.Stop()
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -57,8 +57,13 @@
 	})
 }
 
-// logLeft logs that the caller went away, with the upstream that was at work.
+// logLeft logs that the caller's connection ended, with the upstream that was at
+// work. At the end of a planned stop it is this instance that closes it.
 func (c *call) logLeft(upstream string) {
+	if c.g.closing.Load() {
+		c.logRefused(answer.Refusal{Code: "draining", Ran: c.ranAtDeadline(), Reason: "the time for the planned stop was over"}, 0)
+		return
+	}
 	c.g.log.Write(eventlog.CallerLeft{
 		RequestID: c.head.ID, Sends: c.sends, Upstream: upstream,
 		WaitedMs: eventlog.Milliseconds(boottime.Now() - c.arrived), Events: uint64(c.relay.Events()),
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -92,9 +92,9 @@
 	var text strings.Builder
 	switch {
 	case line.Started:
-		fmt.Fprintf(&text, "Its answer was cut after %s", ms(line.WaitedMs))
+		fmt.Fprintf(&text, "Its answer was cut %s after it was read", ms(line.WaitedMs))
 	case line.Status == 0:
-		fmt.Fprintf(&text, "Its connection was closed after %s", ms(line.WaitedMs))
+		fmt.Fprintf(&text, "Its connection was closed %s after it was read", ms(line.WaitedMs))
 	default:
 		fmt.Fprintf(&text, "It was answered with %d", line.Status)
 	}
@@ -104,7 +104,7 @@
 			fmt.Fprintf(&text, " (%s)", failure.Detail)
 		}
 		fmt.Fprintf(&text, "; it was then refused as %s: %s", line.Reason, line.Detail)
-	} else if reason, ok := reasons[line.Reason]; ok {
+	} else if reason, ok := reasons[line.Reason]; ok && line.Sends == 0 {
 		if strings.Contains(reason, "%s") {
 			reason = fmt.Sprintf(reason, ms(line.WaitedMs))
 		}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -86,6 +86,8 @@
 		{[]eventlog.Line{sent, eventlog.SendFailed{RequestID: id, Upstream: "u/1", Status: "broken", Events: 3},
 			eventlog.RequestRefused{RequestID: id, Reason: "upstream_broke", Started: true, Ran: "yes", Sends: 1}}, []string{"cut", "u/1"}},
 		{[]eventlog.Line{sent, eventlog.RequestAnswered{RequestID: id, Upstream: "u/1", Code: 500}}, []string{"u/1", "its own status 500"}},
+		{[]eventlog.Line{sent, eventlog.RequestRefused{RequestID: id, Reason: "draining", Detail: "the time for the planned stop was over", Started: true, Ran: "unknown", Sends: 1}},
+			[]string{"answer was cut", "planned stop"}},
 		{[]eventlog.Line{eventlog.CallerLeft{RequestID: id, WaitedMs: 900}}, []string{"caller closed", "while it waited"}},
 		{[]eventlog.Line{sent, eventlog.CallerLeft{RequestID: id, Upstream: "u/1", Events: 2}}, []string{"caller closed", "u/1", "2 events"}},
 		{[]eventlog.Line{sent}, []string{"no line tells its end"}},
