gateway: metrics of sends, waits, pauses, calls to the store and ages

Cause: a gateway exported counters only. Waits, first events and pauses, the outcome of sends by upstream and the age of what it knows were in the log or not at all; the deploy file named no address of metrics.

Change: histograms citrongate_queue_wait, citrongate_time_to_first_token and citrongate_longest_pause, the counter citrongate_sends by upstream (id without start, at most 1,024) and outcome, citrongate_store_calls by kind and status in place of the event store_reads, gauges of the ages of configuration and listing, events owner_changes and quota.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -165,10 +165,14 @@
 	defer cancel()
 	c.mailbox.Begin(cancel)
 	c.sent = boottime.Now()
+	if c.sends == 0 {
+		c.g.metrics.QueueWait(c.sent - c.arrived)
+	}
 	c.sends++
 	c.logSent(d, left)
 	result := c.g.upstreams.Do(limited, c.request(d, left-sendMargin), &c.relay)
 	c.mailbox.End()
+	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
 	if result.Status == forward.NotSent {
 		c.logFailed(d, result)
 		c.sent = 0
@@ -185,6 +189,9 @@
 	}
 	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.Events})
 	if result.Status == forward.Complete {
+		if result.Events > 0 {
+			c.g.metrics.LongestPause(c.longestGap)
+		}
 		c.logAnswered(d, result)
 		return true
 	}
@@ -209,6 +216,7 @@
 func (c *call) FirstByte() {
 	c.told = boottime.Now()
 	c.first, c.eventAt = c.told, c.told
+	c.g.metrics.FirstToken(c.first - c.sent)
 	c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -47,6 +47,9 @@
 	// readAt is when the newest whole read began; behind is what the node was told.
 	readAt time.Duration
 	behind bool
+	// listedAt is the boot time of the start of the newest listing of upstreams;
+	// 0 before the first.
+	listedAt atomic.Int64
 
 	current atomic.Pointer[snapshot]
 	// confirmation is in boot time; nil before the first.
@@ -85,9 +88,11 @@
 	go func() {
 		var l listed
 		l.upstreams, l.faults, l.err = g.store.Upstreams(g.ctx)
+		g.countCall("upstreams", l.err)
 		listing <- l
 	}()
 	config, configErr := g.store.Config(g.ctx)
+	g.countCall("config", configErr)
 	if configErr == nil {
 		changed := g.config.tracker.Observe(started, config) != nil
 		g.config.confirm()
@@ -95,6 +100,7 @@
 	}
 	l := <-listing
 	if l.err == nil {
+		g.config.listedAt.Store(int64(started))
 		g.logFaults(&g.config.faultsAt, "upstreams", l.faults)
 		g.publishIf(g.config.registry.Observe(started, boottime.Now(), l.upstreams))
 	}
@@ -197,14 +203,21 @@
 	}
 }
 
+// countCall counts one call to the store by its result.
+func (g *Gateway) countCall(kind string, err error) {
+	status := "ok"
+	if err != nil {
+		status = "failed"
+	}
+	g.metrics.StoreCall(kind, status)
+}
+
 // noteStore logs when the store goes away and when it is back.
 func (g *Gateway) noteStore(errs ...error) {
 	for _, err := range errs {
 		if err == nil {
-			g.metrics.Count("store_reads", "ok")
 			continue
 		}
-		g.metrics.Count("store_reads", "failed")
 		if !g.config.storeAway && g.ctx.Err() == nil {
 			g.config.storeAway = true
 			g.log.Write(eventlog.StoreLost{Error: err.Error()})
@@ -235,8 +248,8 @@
 		PeerAddress: s.GetListen().GetPeer(), CallerAddress: s.GetListen().GetCaller(),
 		FailureDomain: s.GetInstance().GetFailureDomain(), Leaving: g.leaving.Load(),
 	})
+	g.countCall("announce", err)
 	if err != nil {
-		g.metrics.Count("announcements", "failed")
 		g.log.Write(eventlog.NotAnnounced{Error: err.Error()})
 		return false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,10 @@
 	g.config.registry = ingress.NewRegistry()
 	g.members.Store(&membersView{notReady: "this instance is starting"})
 	g.upstreams = forward.NewClient(forward.Options{DialTimeout: dialTimeout, MaxIdle: maxIdle, ReadHead: codec.ReadAnswer})
+	if err := g.observeAges(); err != nil {
+		stop()
+		return nil, err
+	}
 	g.loop = nodeloop.New(node.New(g.nodeConfig(), id.Seed), g.execute)
 	return g, nil
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -135,12 +135,11 @@
 // listInstances answers the node's wish for the list of instances.
 func (g *Gateway) listInstances() {
 	instances, faults, err := g.store.Instances(g.ctx)
+	g.countCall("instances", err)
 	if err != nil {
-		g.metrics.Count("store_reads", "failed")
 		g.loop.Post(node.InstanceList{})
 		return
 	}
-	g.metrics.Count("store_reads", "ok")
 	g.logFaults(&g.lines.faultsAt, "instances", faults)
 	g.loop.Post(g.lines.setInstances(instances))
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,8 @@
 	maxCounters = 512
 	// maxSeries bounds the series of one gauge.
 	maxSeries = 8192
+	// maxUpstreams bounds the upstreams that sends are counted by.
+	maxUpstreams = 1024
 	// overflow is the reason that counts once the bound is reached.
 	overflow = "other"
 )
@@ -75,10 +77,13 @@
 	wait     metric.Float64Histogram
 	ttft     metric.Float64Histogram
 	token    metric.Float64Histogram
+	pause    metric.Float64Histogram
+	sends    metric.Int64Counter
 	gauges   atomic.Pointer[Gauges]
 
-	mu       sync.Mutex
-	counters map[counterKey]int64
+	mu        sync.Mutex
+	counters  map[counterKey]int64
+	upstreams map[string]bool
 }
 
 // NewMetrics returns metrics with a registry of their own.
@@ -92,7 +97,7 @@
 	m := &Metrics{
 		provider: provider,
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		counters: map[counterKey]int64{},
+		counters: map[counterKey]int64{}, upstreams: map[string]bool{},
 	}
 	return m, m.create(provider.Meter("citrongate"))
 }
@@ -116,6 +121,10 @@
 	keep(e)
 	m.token, e = seconds(meter, "citrongate_time_between_tokens", "Time between tokens of one answer.", tokenBuckets)
 	keep(e)
+	m.pause, e = seconds(meter, "citrongate_longest_pause", "Longest time between two events of one stream.", secondsBuckets)
+	keep(e)
+	m.sends, e = meter.Int64Counter("citrongate_sends", metric.WithDescription("Sends by upstream and outcome."))
+	keep(e)
 	keep(m.createGauges(meter))
 	return err
 }
@@ -245,5 +254,37 @@
 // BetweenTokens records a time between tokens.
 func (m *Metrics) BetweenTokens(d time.Duration) { m.token.Record(context.Background(), d.Seconds()) }
 
+// LongestPause records the longest time between two events of a stream.
+func (m *Metrics) LongestPause(d time.Duration) {
+	m.pause.Record(context.Background(), d.Seconds())
+}
+
+// Send counts the outcome of one send to an upstream.
+func (m *Metrics) Send(upstream, outcome string) {
+	m.mu.Lock()
+	if !m.upstreams[upstream] {
+		if len(m.upstreams) < maxUpstreams {
+			m.upstreams[upstream] = true
+		} else {
+			upstream = overflow
+		}
+	}
+	m.mu.Unlock()
+	m.sends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("upstream", upstream), attribute.String("outcome", outcome)))
+}
+
+// Observe registers a gauge in seconds that is read at each scrape. read returns
+// false while there is no value.
+func (m *Metrics) Observe(name, description string, read func() (time.Duration, bool)) error {
+	_, err := m.provider.Meter("citrongate").Float64ObservableGauge(name, metric.WithUnit("s"), metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			if d, ok := read(); ok {
+				o.Observe(d.Seconds())
+			}
+			return nil
+		}))
+	return err
+}
+
 // SetGauges replaces the snapshot that gauges are read from.
 func (m *Metrics) SetGauges(g *Gauges) { m.gauges.Store(g) }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -23,6 +23,9 @@
 	m.QueueWait(time.Millisecond)
 	m.FirstToken(time.Second)
 	m.BetweenTokens(time.Millisecond)
+	m.LongestPause(time.Second)
+	m.Send("e1", "complete")
+	require.NoError(t, m.Observe("citrongate_config_age", "d", func() (time.Duration, bool) { return 2 * time.Second, true }))
 	m.SetGauges(&Gauges{
 		Tiers:     []TierGauge{{Tier: "0", Waiting: 3, InFlight: 4}},
 		Kinds:     []KindGauge{{Kind: "chat", Waiting: 5}},
@@ -38,6 +41,9 @@
 		`citrongate_queue_wait_seconds_count 1`,
 		`citrongate_time_to_first_token_seconds_bucket{le="0.98"} 0`,
 		`citrongate_time_between_tokens_seconds_count 1`,
+		`citrongate_longest_pause_seconds_count 1`,
+		`citrongate_sends_total{outcome="complete",upstream="e1"} 1`,
+		`citrongate_config_age_seconds 2`,
 		`citrongate_tier_waiting{tier="0"} 3`,
 		`citrongate_tier_in_flight{tier="0"} 4`,
 		`citrongate_kind_waiting{kind="chat"} 5`,
@@ -58,6 +64,10 @@
 		m.Count("refusals", fmt.Sprint(i))
 	}
 	require.LessOrEqual(t, len(m.Counters()), maxCounters+1)
+	for i := range 2 * maxUpstreams {
+		m.Send(fmt.Sprint(i), "complete")
+	}
+	require.Len(t, m.upstreams, maxUpstreams)
 }
 
 // TestLog guards against log lines of nbio that are not JSON or that ignore the level.
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -43,9 +43,12 @@
 		o.localSince = map[routing.PoolID]time.Duration{}
 	}
 	clear(o.pingedAt)
+	before := o.owners
 	o.owners = map[routing.PoolID]uint64{}
 	for _, def := range n.routes.Pools() {
-		o.owners[def.ID] = n.view.Owner(uint64(def.ID))
+		owner := n.view.Owner(uint64(def.ID))
+		o.owners[def.ID] = owner
+		n.countOwnerChange(before[def.ID], owner)
 	}
 	n.dropPools()
 	if refresh {
@@ -67,6 +70,19 @@
 	n.regainTrust()
 }
 
+// countOwnerChange counts a pool that has another owner than before; 0 is none.
+func (n *Node) countOwnerChange(before, owner uint64) {
+	switch {
+	case before == owner || before == 0:
+	case owner == n.self:
+		n.count("owner_changes", "to_this_instance")
+	case before == n.self:
+		n.count("owner_changes", "from_this_instance")
+	default:
+		n.count("owner_changes", "between_others")
+	}
+}
+
 // dropPools gives up pools that this instance does not own any more. Waiting
 // requests of other entries are answered NotOwner at once, also during the
 // first seconds after the change: two owners that both decide could shed a
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -68,6 +68,7 @@
 		return true
 	}
 	if n.askForQuota(r.Organisation, n.quotaRequest(r).Tier, missing) {
+		n.count("quota", "waited")
 		n.quotas.waiting[r.Organisation] = append(n.quotas.waiting[r.Organisation], quotaRequest{id, n.now + quotaWait})
 		return false
 	}
@@ -116,6 +117,7 @@
 func (n *Node) onQuotaRequest(from uint64, m *pb.QuotaRequest) {
 	given := 0.0
 	if limit, ok := n.quotas.limits[m.Organisation]; ok && len(n.quotas.waiting[m.Organisation]) == 0 && m.Amount > 0 {
+		n.count("quota", "asked_by_another")
 		given = n.quotas.ledger.Give(n.now, m.Organisation, limit, uint8(m.Tier), m.Amount, n.view.SharingCount(n.now))
 	}
 	n.send(from, &pb.PeerMessage{Body: &pb.PeerMessage_QuotaTransfer{QuotaTransfer: &pb.QuotaTransfer{
@@ -127,6 +129,9 @@
 	if !ok {
 		return
 	}
+	if m.Amount > 0 {
+		n.count("quota", "received")
+	}
 	n.quotas.ledger.Receive(n.now, m.Organisation, limit, m.Amount, n.view.SharingCount(n.now))
 	n.quotas.asked[m.Organisation] = max(0, n.quotas.asked[m.Organisation]-1)
 	n.retryQuota(m.Organisation)
