scheduler: upstreams that fail many requests come last

Between seconds 10 and 16, 501 requests were answered with 500 by 12 of 24 model servers (the log: code=500 in "request answered", by upstream). A failure passed on counted as a complete answer: the server looked like the fastest one, its speed was learned from failures, and it drew more work.

Ruled out: repeated sends (the budget held; these routes may not be repeated), slow servers (the answers came within milliseconds).

Change: answers with a status of 500 or more are reported as failed. How long failures take teaches nothing. Failures of resumable streams before their first event are held back and sent again, as those of idempotent requests are.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -150,6 +150,14 @@
 	forward.Canceled:   node.ResultBroken,
 }
 
+// resultOf translates how an exchange ended for the node.
+func resultOf(result forward.Result) node.UpstreamResult {
+	if result.Status == forward.Complete && result.Code >= http.StatusInternalServerError {
+		return node.ResultFailureRelayed
+	}
+	return results[result.Status]
+}
+
 // exchange carries out one dispatch. It returns true if the request has ended.
 func (c *call) exchange(ctx context.Context, d node.Dispatch) bool {
 	if c.organisation != nil && !c.g.config.confirmed().KeysHold(boottime.Now(), c.g.bounds()) {
@@ -184,10 +192,11 @@
 		c.logLeft(d.Upstream)
 		return true
 	}
-	if result.Status == forward.Complete && c.route.Kind != ingress.Stream {
+	outcome := resultOf(result)
+	if outcome == node.ResultComplete && c.route.Kind != ingress.Stream {
 		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
 	}
-	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: results[result.Status], OutputTokens: result.Events})
+	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events})
 	if result.Status == forward.Complete {
 		if result.Events > 0 {
 			c.g.metrics.LongestPause(c.longestGap)
@@ -208,7 +217,7 @@
 	return &forward.Request{
 		Address: d.Address, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: c.g.codec.UpstreamHeader(c.http.Header, send), Body: c.body, ID: c.head.ID,
-		Repeatable: c.route.Repeatable(), HoldFailure: c.route.Kind == ingress.Idempotent && c.route.MaxSends > 1, Stream: c.route.Kind == ingress.Stream,
+		Repeatable: c.route.Repeatable(), HoldFailure: c.route.Repeatable() && c.route.MaxSends > 1, Stream: c.route.Kind == ingress.Stream,
 	}
 }
 
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -176,6 +176,8 @@
 	AnswerBroken
 	// UpstreamFailed is a whole answer that says that the request failed.
 	UpstreamFailed
+	// FailureRelayed is the same, and the caller has the answer already.
+	FailureRelayed
 	AnswerMismatched
 	DeadlinePassed
 )
@@ -233,8 +235,10 @@
 	case UpstreamRefused:
 		return Refused, Refusal{Code: "upstream_refused", Ran: RanNo,
 			Reason: "the upstream refused the request before it started", Remedy: "retry later", RetryAfter: time.Second}
+	case FailureRelayed:
+		return Failed, Refusal{}
 	case UpstreamFailed:
-		return Complete, Refusal{Code: "upstream_failed", Ran: RanYes,
+		return Failed, Refusal{Code: "upstream_failed", Ran: RanYes,
 			Reason: "the upstream ran the request and it failed", Remedy: "see the upstream's answer"}
 	case AnswerMismatched:
 		return Broken, Refusal{Code: "answer_mismatched", Ran: RanUnknown,
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -120,6 +120,7 @@
 	ConnectRefused = scheduler.ConnectRefused
 	Refused        = scheduler.Refused
 	Canceled       = scheduler.Canceled
+	Failed         = scheduler.Failed
 )
 
 // Ran says whether a refused request ran.
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -89,6 +89,8 @@
 	ResultBroken
 	// ResultFailed means that the upstream ran the request and says that it failed.
 	ResultFailed
+	// ResultFailureRelayed is the same, and the caller has the answer already.
+	ResultFailureRelayed
 	// ResultMismatched means that the answer carried another request's id.
 	ResultMismatched
 	// ResultDeadline means that the deadline passed during the answer.
--- a/pkg/node/fuzz_test.go
+++ b/pkg/node/fuzz_test.go
@@ -117,7 +117,7 @@
 		{Body: &pb.PeerMessage_NotOwner{NotOwner: &pb.NotOwner{Sequence: sequence, Pool: pool, Attempt: attempt}}},
 		{Body: &pb.PeerMessage_FirstToken{FirstToken: &pb.FirstToken{Sequence: sequence, Pool: pool}}},
 		{Body: &pb.PeerMessage_Progress{Progress: &pb.Progress{Pool: pool, Upstream: "e1", Streams: 3, Stalled: uint32(s.IntN(4))}}},
-		{Body: &pb.PeerMessage_Release{Release: &pb.Release{Sequence: sequence, Pool: pool, Attempt: attempt, Outcome: pb.ReleaseOutcome(s.IntN(9))}}},
+		{Body: &pb.PeerMessage_Release{Release: &pb.Release{Sequence: sequence, Pool: pool, Attempt: attempt, Outcome: pb.ReleaseOutcome(s.IntN(10))}}},
 		{Body: &pb.PeerMessage_SyncRequest{SyncRequest: &pb.SyncRequest{Pool: pool}}},
 		{Body: &pb.PeerMessage_Sync{Sync: &pb.Sync{Pool: pool, Waiting: []*pb.Submit{s.submitMessage()},
 			InFlight: []*pb.InFlight{{Upstream: "e1", Request: s.submitMessage()}, {}}}}},
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -170,12 +170,13 @@
 }
 
 var results = map[UpstreamResult]dispatch.Result{
-	ResultComplete:   dispatch.AnsweredWhole,
-	ResultRefused:    dispatch.UpstreamRefused,
-	ResultBroken:     dispatch.AnswerBroken,
-	ResultFailed:     dispatch.UpstreamFailed,
-	ResultMismatched: dispatch.AnswerMismatched,
-	ResultDeadline:   dispatch.DeadlinePassed,
+	ResultComplete:       dispatch.AnsweredWhole,
+	ResultRefused:        dispatch.UpstreamRefused,
+	ResultBroken:         dispatch.AnswerBroken,
+	ResultFailed:         dispatch.UpstreamFailed,
+	ResultFailureRelayed: dispatch.FailureRelayed,
+	ResultMismatched:     dispatch.AnswerMismatched,
+	ResultDeadline:       dispatch.DeadlinePassed,
 }
 
 func (n *Node) upstreamDone(e UpstreamDone) {
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -74,6 +74,9 @@
 	pendingPrefill       int64
 
 	straggler
+	failures failureCount
+	// failing is true while the upstream fails many more requests than others.
+	failing bool
 }
 
 // targetCount counts the samples of one target in a window.
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -199,6 +199,7 @@
 	case Complete, Late:
 		u.lastSign = now
 		u.broken = 0
+		u.failures.observe(now, false)
 		p.observeService(now, u)
 		u.learnSlot(r.cost, now-r.granted)
 		if !u.Service {
@@ -213,6 +214,11 @@
 		if c.CachedPrompt > 0 {
 			p.hints.learn(r.Prefix, u.index, c.CachedPrompt)
 		}
+	case Failed:
+		// How long a failure takes says nothing of the upstream's speed.
+		u.lastSign = now
+		u.broken = 0
+		u.failures.observe(now, true)
 	case ConnectRefused:
 		p.quarantine(now, u)
 	case Broken, Refused:
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -63,7 +63,7 @@
 }
 
 // place returns the free upstream with the least expected finish time, or nil
-// if no free one suits the request.
+// if no free one suits the request. Those that fail many requests come last.
 // Equal times go to the upstream with the smaller part of its limit in use.
 func (p *Pool) place(now time.Duration, r *request) *upstream {
 	hints := p.hints.lookup(r.Prefix)
@@ -76,9 +76,16 @@
 		}
 		cost := u.finishCost(r, hints.tokens(index, r.Prompt))
 		load := float64(u.inFlight) / u.limit
-		if best == nil || cost < bestCost || cost == bestCost && load < bestLoad {
-			best, bestCost, bestLoad = u, cost, load
+		switch {
+		case best == nil:
+		case best.failing != u.failing:
+			if u.failing {
+				continue
+			}
+		case cost > bestCost || cost == bestCost && load >= bestLoad:
+			continue
 		}
+		best, bestCost, bestLoad = u, cost, load
 	}
 	return best
 }
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -67,6 +67,7 @@
 
 // checkStragglers quarantines upstreams whose signs of slowness have lasted.
 func (p *Pool) checkStragglers(now time.Duration) {
+	p.checkFailing(now)
 	for _, u := range p.upstreams {
 		if u.Service || u.quarantined {
 			continue
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -149,6 +149,8 @@
 	Refused
 	// Canceled means that the caller went away.
 	Canceled
+	// Failed means that the upstream answered whole that the request failed.
+	Failed
 )
 
 // Completion ends a permit.
