--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -66,7 +66,7 @@
 // line takes in the lines that one line of text holds: none, one after a prefix,
 // or some of which the first is torn.
 func (c *Collector) line(text []byte) {
-	named := bytes.Contains(text, []byte(c.id))
+	named := bytes.Contains(text, []byte(`"request_id":"`+c.id+`"`))
 	whole := false
 	for start := bytes.IndexByte(text, '{'); start >= 0; start = next(text, start) {
 		record, end, ok := parseAt(text, start)
