--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,7 @@
 		MaxDeadline:        settings.Duration(s.GetLimits().GetMaxDeadline()),
 		RetryBudgetPercent: int(s.GetLimits().GetRetryBudgetPercent()),
 		Sends: dispatch.SendBudget{
-			Ratio: s.GetGateway().GetRetryRatio(), Extra: retryExtraShare * float64(s.GetGateway().GetRetryExtra()),
+			Ratio: s.GetGateway().GetRetryRatio(), Extra: retryExtraShare * s.GetGateway().GetRetryExtra(),
 			Window: settings.Duration(s.GetGateway().GetRetryWindow()),
 		},
 		TicketSecret: g.identity.TicketSecret,
@@ -207,7 +207,7 @@
 	if err != nil {
 		return fmt.Errorf("cannot listen on [listen] peer %s: %w", s.GetListen().GetPeer(), err)
 	}
-	memory := float64(s.GetGateway().GetMemoryMb()) * bytesPerMB
+	memory := s.GetGateway().GetMemoryMb() * bytesPerMB
 	debug.SetMemoryLimit(int64(memory * heapShare))
 	config := httpfront.ServerConfig{
 		Address: s.GetListen().GetCaller(), MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
@@ -233,7 +233,7 @@
 // for upstreams.
 func (g *Gateway) maxConnections() int {
 	gateway := g.settings.GetGateway()
-	available := float64(gateway.GetMaxFiles() - gateway.GetReservedFiles())
+	available := gateway.GetMaxFiles() - gateway.GetReservedFiles()
 	return max(1, min(int(g.settings.GetLimits().GetMaxConnections()), int(available*connectionShare)))
 }
 
