gateway: lists of instances may be some seconds old once others are known

About one in ten is a list of instances, which only has to show newcomers: leaves and failures are told between instances.

Ruled out: the same for configuration and servers, whose bounds need fresh answers; and for an instance that knows no other one, which could take itself for the first.

Change: Instances asks for an answer that may be old while this instance is ready and knows others.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -74,6 +74,11 @@
 	return view
 }
 
+// settled reports whether this instance has found others, so that the list of
+// instances only has to show it newcomers. Before that an old list could make it
+// take itself for the first one.
+func (v *membersView) settled() bool { return v.notReady == "" && len(v.addresses) > 1 }
+
 // pick returns addresses for one discovery answer, in random order.
 func (v *membersView) pick() []string {
 	out := slices.Clone(v.addresses)
@@ -134,7 +139,7 @@
 
 // listInstances answers the node's wish for the list of instances.
 func (g *Gateway) listInstances() {
-	instances, faults, err := g.store.Instances(g.ctx)
+	instances, faults, err := g.store.Instances(g.ctx, g.members.Load().settled())
 	g.countCall("instances", err)
 	if err != nil {
 		g.loop.Post(node.InstanceList{})
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -29,8 +29,9 @@
 	Config(ctx context.Context) (*ingress.Config, error)
 	// Upstreams lists the registered upstreams; faults are entries that name none.
 	Upstreams(ctx context.Context) (upstreams []ingress.Upstream, faults []error, err error)
-	// Instances lists the announced instances.
-	Instances(ctx context.Context) (instances []Instance, faults []error, err error)
+	// Instances lists the announced instances. With mayBeOld the answer may be some
+	// seconds old and costs less.
+	Instances(ctx context.Context, mayBeOld bool) (instances []Instance, faults []error, err error)
 	// Announce writes this instance's entry.
 	Announce(ctx context.Context, i Instance) error
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// TestSettled guards against an old list of instances that makes an instance take
+// itself for the first one at its start, or after all others are gone.
+func TestSettled(t *testing.T) {
+	require.False(t, (&membersView{notReady: "this instance is starting", addresses: []string{"a", "b"}}).settled())
+	require.False(t, (&membersView{addresses: []string{"a"}}).settled())
+	require.True(t, (&membersView{addresses: []string{"a", "b"}}).settled())
+}
+
 // TestTimeLimit guards the shorter of the caller's deadline and the route's timeout.
 func TestTimeLimit(t *testing.T) {
 	for _, c := range []struct{ timeout, deadline, want time.Duration }{
