gateway: a new configuration is in force before it counts as confirmed

Cause: found in reading. The confirmation of a read was published before the table that it brought, so that for some microseconds a request could be judged by the table before as if it were fresh, and be denied a key that was just added. The bounds were parsed from text for each request and each send.

Change: the table first, the confirmation last; bounds are read once.

Conclusion: kept for its order.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -160,7 +160,7 @@
 
 // exchange carries out one dispatch. It returns true if the request has ended.
 func (c *call) exchange(ctx context.Context, d node.Dispatch) bool {
-	if c.organisation != nil && !c.g.config.confirmed().KeysHold(boottime.Now(), c.g.bounds()) {
+	if c.organisation != nil && !c.g.config.confirmed().KeysHold(boottime.Now(), c.g.bounds) {
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
 		c.g.loop.Post(node.CallerGone{ID: c.id})
 		refusal := *c.g.notJudged(revocationUnconfirmed)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -11,6 +11,7 @@
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/quota"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
 const (
@@ -94,9 +95,10 @@
 	config, configErr := g.store.Config(g.ctx)
 	g.countCall("config", configErr)
 	if configErr == nil {
-		changed := g.config.tracker.Observe(started, config) != nil
+		g.publishIf(g.config.tracker.Observe(started, config) != nil)
+		// Last, so that no request is judged by the table before with the
+		// confirmation of this one.
 		g.config.confirm()
-		g.publishIf(changed)
 	}
 	l := <-listing
 	if l.err == nil {
@@ -129,9 +131,8 @@
 	return ingress.Confirmation{}
 }
 
-// bounds are those of the settings.
-func (g *Gateway) bounds() ingress.Bounds {
-	gateway := g.settings.GetGateway()
+// boundsOf returns the bounds of the settings.
+func boundsOf(gateway *pb.GatewaySettings) ingress.Bounds {
 	b := ingress.Bounds{Apply: settings.Duration(gateway.GetConfigApply())}
 	if gateway.GetStrictRevocation() == "true" {
 		b.Revoke = settings.Duration(gateway.GetRevocation())
@@ -153,7 +154,7 @@
 		}
 	}
 	g.log.Write(eventlog.ConfigInForce{Version: config.Version, Routes: len(config.Routes), Upstreams: len(upstreams),
-		Organisations: len(config.Organisations), AgeMs: g.configAge()})
+		Organisations: len(config.Organisations), AgeMs: eventlog.Milliseconds(boottime.Now() - c.tracker.Confirmation().At)})
 	g.loop.Post(g.lines.setUpstreams(upstreams))
 	first, gap := config.Targets()
 	g.loop.Post(node.UseConfiguration{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,9 @@
 	upstreams *forward.Client
 	servers   []*httpfront.Server
 
-	config  configState
+	config configState
+	// bounds are those of the settings, read once for the path of requests.
+	bounds  ingress.Bounds
 	members atomic.Pointer[membersView]
 	lines   instanceLines
 
@@ -116,6 +118,7 @@
 			func(message string) { metrics.Count("log_lines_dropped", message) }),
 		mailboxes: nodeloop.NewMailboxes(),
 		drained:   make(chan struct{}),
+		bounds:    boundsOf(s.GetGateway()),
 		ctx:       ctx, stop: stop,
 	}
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,7 +107,7 @@
 // authorise finds the route and the organisation.
 func (g *Gateway) authorise(j *job) *answer.Refusal {
 	path, _, _ := strings.Cut(j.http.RequestURI, "?")
-	judgement := j.snapshot.table.Judge(boottime.Now(), g.config.confirmed(), g.bounds(), j.http.Host, path, j.head.Key)
+	judgement := j.snapshot.table.Judge(boottime.Now(), g.config.confirmed(), g.bounds, j.http.Host, path, j.head.Key)
 	j.route, j.organisation = judgement.Route, judgement.Organisation
 	switch judgement.Verdict {
 	case ingress.RouteUnconfirmed:
