--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -79,13 +79,15 @@
 }
 export -f play
 
+days > "$work/days"
+
 n=0
 while IFS= read -r entries; do
   n=$((n + 1))
   name=$(printf '%s%03d' "${mode:0:1}" "$n")
   write "$name" "$entries" > "$work/$name.toml"
   for site in "$kit"/sites/*.toml; do printf '%s\0%s\0%s\0' "$site" "$name" "$entries"; done
-done < <(days) > "$work/list"
+done < "$work/days" > "$work/list"
 
 xargs -0 -n 3 -P "${JOBS:-3}" bash -c 'play "$@"' play < "$work/list" | tee "$work/results"
 
