--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -99,7 +99,7 @@
 	}
 	written, dropped := l.take(spec)
 	if dropped > 0 {
-		l.emit(LinesDropped{Kind: spec.Message, Dropped: dropped})
+		l.emitDropped(LinesDropped{Kind: spec.Message, Dropped: dropped})
 	}
 	if !written {
 		if l.onDropped != nil {
@@ -107,7 +107,7 @@
 		}
 		return
 	}
-	l.emit(line)
+	l.emit(spec, line)
 }
 
 // take counts a line against its budget. dropped is how many were dropped in an
@@ -151,12 +151,14 @@
 	}
 	l.mu.Unlock()
 	for _, line := range lines {
-		l.emit(line)
+		l.emitDropped(line)
 	}
 }
 
-func (l *Logger) emit(line Line) {
-	spec := line.Spec()
+// emitDropped writes a line that has no budget of its own.
+func (l *Logger) emitDropped(line LinesDropped) { l.emit(line.Spec(), line) }
+
+func (l *Logger) emit(spec Spec, line Line) {
 	e := l.out.WithLevel(spec.Level)
 	value := reflect.ValueOf(line)
 	for _, f := range fieldsOf(value.Type()) {
@@ -165,6 +167,24 @@
 	e.Float64(FieldUp, Milliseconds(boottime.Now()-l.started)).Msg(spec.Message)
 }
 
+// Field is one field of a line that was read.
+type Field struct {
+	Name  string
+	Value any
+	// Zero is true if the value is the zero value of its type.
+	Zero bool
+}
+
+// Fields returns the fields of a line in order.
+func Fields(line Line) (out []Field) {
+	value := reflect.ValueOf(line)
+	for _, f := range fieldsOf(value.Type()) {
+		v := value.Field(f.index)
+		out = append(out, Field{Name: f.name, Value: v.Interface(), Zero: v.IsZero()})
+	}
+	return out
+}
+
 // field is one field of a kind of line.
 type field struct {
 	index       int
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -11,7 +11,6 @@
 // Cause says in a sentence why the request ended as it did.
 func (l *Life) Cause() string {
 	var sent *eventlog.RequestSent
-	var failed *eventlog.SendFailed
 	for i := len(l.Entries) - 1; i >= 0; i-- {
 		switch line := l.Entries[i].Line.(type) {
 		case eventlog.RequestAnswered:
@@ -20,16 +19,13 @@
 			return refused(line, l.lastFailure())
 		case eventlog.CallerLeft:
 			return left(line)
-		case eventlog.SendFailed:
-			if failed == nil {
-				failed = &line
-			}
 		case eventlog.RequestSent:
 			if sent == nil {
 				sent = &line
 			}
 		}
 	}
+	failed := l.lastFailure()
 	switch {
 	case sent != nil:
 		return l.unfinished(sent)
--- a/internal/trace/write.go
+++ b/internal/trace/write.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"reflect"
 	"strings"
 
 	"github.com/citrongate/citrongate/internal/eventlog"
@@ -37,13 +36,10 @@
 // fieldsOf prints the fields of a line that are not zero, without the request's id.
 func fieldsOf(line eventlog.Line) string {
 	var text strings.Builder
-	value := reflect.ValueOf(line)
-	for i := range value.NumField() {
-		name, _, _ := strings.Cut(value.Type().Field(i).Tag.Get("json"), ",")
-		if name == "request_id" || value.Field(i).IsZero() {
-			continue
+	for _, f := range eventlog.Fields(line) {
+		if f.Name != "request_id" && !f.Zero {
+			fmt.Fprintf(&text, " %s=%v", f.Name, quoted(f.Value))
 		}
-		fmt.Fprintf(&text, " %s=%v", name, quoted(value.Field(i).Interface()))
 	}
 	return text.String()
 }
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -63,11 +63,12 @@
 	if !limited || r.QuotaCost <= 0 {
 		return true
 	}
-	ok, missing, after := n.quotas.ledger.Take(n.now, r.Organisation, limit, n.quotaRequest(r), n.view.SharingCount(n.now))
+	counted := n.quotaRequest(r)
+	ok, missing, after := n.quotas.ledger.Take(n.now, r.Organisation, limit, counted, n.view.SharingCount(n.now))
 	if ok {
 		return true
 	}
-	if n.askForQuota(r.Organisation, n.quotaRequest(r).Tier, missing) {
+	if n.askForQuota(r.Organisation, counted.Tier, missing) {
 		n.count("quota", "waited")
 		n.quotas.waiting[r.Organisation] = append(n.quotas.waiting[r.Organisation], quotaRequest{id, n.now + quotaWait})
 		return false
