--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -147,10 +147,10 @@
 
 // exchange carries out one dispatch. It returns true if the request has ended.
 func (c *call) exchange(ctx context.Context, d node.Dispatch) bool {
-	if c.organisation != nil && !c.g.keysJudged() {
+	if c.organisation != nil && !c.g.config.confirmed().KeysHold(boottime.Now(), c.g.bounds()) {
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
 		c.g.loop.Post(node.CallerGone{ID: c.id})
-		refusal := *c.g.notJudged("the configuration has not been confirmed within the time for revocations")
+		refusal := *c.g.notJudged(revocationUnconfirmed)
 		refusal.Ran = c.ranAtDeadline()
 		c.end(refusal)
 		return true
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -16,17 +16,12 @@
 	// pollShare is the part of the time within which changes must be in force
 	// after which the store is read again. It leaves room for one lost read.
 	pollShare = 0.33
-	// confirmMargin is left of the time for revocations for a request on its
-	// way to its upstream.
-	confirmMargin = 500 * time.Millisecond
 	// promptSlowdown is the ratio of the time between events while an engine reads
 	// a prompt in parts beside its streams to that without.
 	promptSlowdown = 4
 	// behindAfter is the time without a read of the store after which others
 	// are preferred as owners. Short disturbances move no pool.
 	behindAfter = 1500 * time.Millisecond
-	// toleranceShare is the part of the tolerance of quotas that is used.
-	toleranceShare = 0.6
 	// faultLogInterval is the least time between two log lines on faulty entries.
 	faultLogInterval = 10 * time.Second
 )
@@ -53,9 +48,8 @@
 	behind bool
 
 	current atomic.Pointer[snapshot]
-	// confirmedAt is the boot time of the start of the newest confirming read;
-	// 0 before the first.
-	confirmedAt atomic.Int64
+	// confirmation is in boot time; nil before the first.
+	confirmation atomic.Pointer[ingress.Confirmation]
 }
 
 // pollStore reads configuration and upstreams until the gateway stops.
@@ -114,17 +108,28 @@
 	}
 }
 
+// confirm publishes the newest confirmation to the path of requests.
 func (c *configState) confirm() {
-	if at, ok := c.tracker.ConfirmedAt(); ok {
-		c.confirmedAt.Store(int64(at))
+	confirmation := c.tracker.Confirmation()
+	c.confirmation.Store(&confirmation)
+}
+
+// confirmed returns the newest confirmation.
+func (c *configState) confirmed() ingress.Confirmation {
+	if confirmation := c.confirmation.Load(); confirmation != nil {
+		return *confirmation
 	}
+	return ingress.Confirmation{}
 }
 
-// confirmedWithin reports whether the configuration in force was the newest one
-// at some time within the last age.
-func (c *configState) confirmedWithin(age time.Duration) bool {
-	at := time.Duration(c.confirmedAt.Load())
-	return at > 0 && boottime.Now()-at < age
+// bounds are those of the settings.
+func (g *Gateway) bounds() ingress.Bounds {
+	gateway := g.settings.GetGateway()
+	b := ingress.Bounds{Apply: settings.Duration(gateway.GetConfigApply())}
+	if gateway.GetStrictRevocation() == "true" {
+		b.Revoke = settings.Duration(gateway.GetRevocation())
+	}
+	return b
 }
 
 // publish puts configuration and upstreams in force.
@@ -166,21 +171,13 @@
 	g.config.addresses = present
 }
 
-// quotas returns the quotas of the organisations, with a part of the tolerance
-// in their burst: instances that take requests by chance need some more than
-// their exact share, and do not always agree on how many they are.
+// quotas returns the quotas of the organisations, widened by the tolerance.
 func (g *Gateway) quotas(config *ingress.Config) map[string]quota.Limit {
 	gateway := g.settings.GetGateway()
-	window := settings.Duration(gateway.GetQuotaWindow()).Seconds()
-	limits := map[string]quota.Limit{}
-	for i := range config.Organisations {
-		o := &config.Organisations[i]
-		if o.QuotaPerSecond <= 0 {
-			continue
-		}
-		tolerance := gateway.GetQuotaOver()*(o.QuotaPerSecond*window+o.QuotaBurst) + gateway.GetQuotaSlack()
-		g.log.Debug().Str("organisation", o.Name).Float64("per_second", o.QuotaPerSecond).Float64("burst", o.QuotaBurst).Msg("quota in force")
-		limits[o.Name] = quota.Limit{PerSecond: o.QuotaPerSecond, Burst: o.QuotaBurst + toleranceShare*tolerance}
+	tolerance := quota.Tolerance{Window: settings.Duration(gateway.GetQuotaWindow()), Over: gateway.GetQuotaOver(), Slack: gateway.GetQuotaSlack()}
+	limits := config.Quotas(tolerance)
+	for name, limit := range limits {
+		g.log.Debug().Str("organisation", name).Float64("per_second", limit.PerSecond).Float64("burst", limit.Burst).Msg("quota in force")
 	}
 	return limits
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,7 +10,6 @@
 
 	"github.com/citrongate/citrongate/internal/boottime"
 	"github.com/citrongate/citrongate/internal/httpfront"
-	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -107,39 +106,27 @@
 
 // authorise finds the route and the organisation.
 func (g *Gateway) authorise(j *job) *answer.Refusal {
-	table := j.snapshot.table
 	path, _, _ := strings.Cut(j.http.RequestURI, "?")
-	fresh := g.config.confirmedWithin(settings.Duration(g.settings.GetGateway().GetConfigApply()))
-	j.route = table.Route(j.http.Host, path)
-	if j.route == nil {
-		if !fresh {
-			return g.notJudged("the configuration has not been confirmed lately, and it has no route for the request")
-		}
-		return &answer.Refusal{Code: "unknown_kind", Ran: answer.RanNo, Reason: "no route matches host and path", Remedy: "use a host and path that an operator has set up"}
-	}
-	if !table.Config().KeysRequired || j.route.Public {
-		return nil
-	}
-	if !g.keysJudged() {
-		return g.notJudged("the configuration has not been confirmed within the time for revocations")
-	}
-	if j.organisation = table.Organisation(j.head.Key); j.organisation != nil {
-		return nil
-	}
-	if !fresh {
+	judgement := j.snapshot.table.Judge(boottime.Now(), g.config.confirmed(), g.bounds(), j.http.Host, path, j.head.Key)
+	j.route, j.organisation = judgement.Route, judgement.Organisation
+	switch judgement.Verdict {
+	case ingress.RouteUnconfirmed:
+		return g.notJudged("the configuration has not been confirmed lately, and it has no route for the request")
+	case ingress.RevocationUnconfirmed:
+		return g.notJudged(revocationUnconfirmed)
+	case ingress.KeyUnconfirmed:
 		return g.notJudged("the configuration has not been confirmed lately, and it does not have the key")
+	case ingress.NoRoute:
+		return &answer.Refusal{Code: "unknown_kind", Ran: answer.RanNo, Reason: "no route matches host and path", Remedy: "use a host and path that an operator has set up"}
+	case ingress.NoKey:
+		return &answer.Refusal{Code: "unauthenticated", Ran: answer.RanNo, Reason: "the key is not known", Remedy: "check the key or ask an operator for a new one"}
 	}
-	return &answer.Refusal{Code: "unauthenticated", Ran: answer.RanNo, Reason: "the key is not known", Remedy: "check the key or ask an operator for a new one"}
+	return nil
 }
 
-// keysJudged reports whether a key that was taken away would be known by now.
-func (g *Gateway) keysJudged() bool {
-	gateway := g.settings.GetGateway()
-	if gateway.GetStrictRevocation() != "true" {
-		return true
-	}
-	return g.config.confirmedWithin(settings.Duration(gateway.GetRevocation()) - confirmMargin)
-}
+// revocationUnconfirmed is why requests with keys are refused while a key that
+// was taken away might not be known.
+const revocationUnconfirmed = "the configuration has not been confirmed within the time for revocations"
 
 // timeLimit is how long the request may take.
 func (j *job) timeLimit() time.Duration {
--- /dev/null
+++ b/internal/simtest/cmd/invariants/gateway_store.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"time"
+
+	"github.com/citrongate/citrongate/internal/simtest"
+	"github.com/citrongate/citrongate/pkg/ingress"
+)
+
+const (
+	host     = "h"
+	oldPath  = "/old/"
+	slowPath = "/slow/"
+	newPath  = "/new/"
+
+	serverSlots = 8
+
+	// Reads take from minLatency to latencySpread longer.
+	minLatency    = 2 * time.Millisecond
+	latencySpread = 100 * time.Millisecond
+)
+
+var serverNames = []string{"s1", "s2", "s3"}
+
+// configStore is a fake of the store as gateways read it: one configuration
+// with two versions, and the entries of the servers.
+type configStore struct {
+	loop *simtest.Loop
+	// changedAt is when the second version was acknowledged; 0 before.
+	changedAt time.Duration
+	// outage refuses all reads, away those of some instances by address. slow
+	// delays reads by up to that time; with rewind some reads return the first
+	// version again to processes that know the second; lapsed hides the servers'
+	// entries.
+	outage, lapsed bool
+	away           map[string]bool
+	// shown holds the processes that have read the second version.
+	shown  map[uint64]bool
+	slow   time.Duration
+	rewind float64
+}
+
+func newConfigStore(loop *simtest.Loop) *configStore {
+	return &configStore{loop: loop, away: map[string]bool{}, shown: map[uint64]bool{}}
+}
+
+func (s *configStore) change() { s.changedAt = s.loop.Now() }
+
+// read calls done with what the store shows half of the way, or without success
+// after the time for one call.
+func (s *configStore) read(i *simtest.Instance, done func(*ingress.Config, []ingress.Upstream, bool)) {
+	latency := minLatency + time.Duration(s.loop.Rand.Float64()*float64(latencySpread))
+	if s.slow > 0 {
+		latency += time.Duration(s.loop.Rand.Float64() * float64(s.slow))
+	}
+	s.loop.After(min(latency/2, storeTimeout), func() {
+		if s.outage || s.away[i.Address] || latency > storeTimeout {
+			s.loop.After(storeTimeout, func() { done(nil, nil, false) })
+			return
+		}
+		config, upstreams := s.config(i), s.upstreams()
+		s.loop.After(latency/2, func() { done(config, upstreams, true) })
+	})
+}
+
+func (s *configStore) config(i *simtest.Instance) *ingress.Config {
+	route := func(name, path string, priority int, timeout time.Duration) ingress.Route {
+		return ingress.Route{Name: name, Host: host, PathPrefix: path, Kind: ingress.Idempotent, Timeout: timeout, Priority: priority, MaxSends: 2,
+			Backends: []ingress.Backend{{Service: "plain", Weight: 1}}}
+	}
+	organisation := func(name string) ingress.Organisation {
+		return ingress.Organisation{Name: name, Keys: []string{name}}
+	}
+	c := &ingress.Config{
+		Version: 1, KeysRequired: true, Services: []ingress.Service{{Name: "plain"}},
+		Routes:        []ingress.Route{route("old", oldPath, 1, 3*time.Second), route("slow", slowPath, 2, 12*time.Second)},
+		Organisations: []ingress.Organisation{organisation(steady), organisation(flooded), organisation(modest)},
+	}
+	for i := range c.Organisations {
+		if o := &c.Organisations[i]; o.Name != steady {
+			o.QuotaPerSecond, o.QuotaBurst = quotaPerSecond, quotaBurst
+		}
+	}
+	if s.changedAt == 0 || s.shown[i.Incarnation] && s.loop.Rand.Float64() < s.rewind {
+		c.Organisations = append(c.Organisations, organisation(revoked))
+		return c
+	}
+	s.shown[i.Incarnation] = true
+	c.Version = 2
+	c.Routes = append(c.Routes, route("new", newPath, 1, 3*time.Second))
+	c.Organisations = append(c.Organisations, organisation(added))
+	return c
+}
+
+func (s *configStore) upstreams() []ingress.Upstream {
+	if s.lapsed {
+		return nil
+	}
+	var out []ingress.Upstream
+	for n, name := range serverNames {
+		out = append(out, ingress.Upstream{ID: name, Incarnation: "1", Service: "plain", Address: "10.1.0." + string(rune('1'+n)) + ":1", Slots: serverSlots})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/simtest/cmd/invariants/nodes.go
@@ -0,0 +1,66 @@
+package main
+
+import "github.com/citrongate/citrongate/pkg/node"
+
+// nodesSuite plays instances with the project's own interface.
+func nodesSuite() *suite {
+	s := &suite{
+		name: "nodes",
+		mutants: []mutant{
+			{"second-dispatch", "P1", []string{"pause", "one-way-cut", "loss"}},
+			{"tier-check-removed", "P2", nil},
+			{"answer-id-unchecked", "P3", nil},
+			{"run-denied", "P4", []string{"engine-death"}},
+			{"repetitions-trusted", "P4", []string{"store-outage"}},
+			{"missing-claim", "P5", nil},
+			{"leaving-ignored", "P6", nil},
+			{"drain-cuts", "P7", nil},
+			{"version-check-removed", "P8", []string{"racing-operators"}},
+			{"fencing-ignored", "leases", []string{"pause"}},
+		},
+		play: playNodes,
+	}
+	for _, f := range faults {
+		s.faults = append(s.faults, f.name)
+	}
+	for _, inv := range invariants {
+		s.invariants = append(s.invariants, inv.name)
+	}
+	return s
+}
+
+// mutations say what a mutant changes.
+var mutations = map[string]mutation{
+	"second-dispatch":       mutation{node: node.Mutations{DispatchTwice: true}},
+	"tier-check-removed":    mutation{node: node.Mutations{IgnoreTiers: true}},
+	"answer-id-unchecked":   mutation{answers: true},
+	"run-denied":            mutation{node: node.Mutations{DenyRun: true}},
+	"repetitions-trusted":   mutation{node: node.Mutations{TrustRepetitions: true}},
+	"missing-claim":         mutation{node: node.Mutations{SkipClaim: true}},
+	"leaving-ignored":       mutation{node: node.Mutations{IgnoreLeaving: true}},
+	"drain-cuts":            mutation{node: node.Mutations{DrainCuts: true}},
+	"version-check-removed": mutation{versions: true},
+	"fencing-ignored":       mutation{fencing: true},
+}
+
+func playNodes(j *job) []verdict {
+	r := newRun(j.seed, faultsNamed(j.faults), mutations[j.mutant])
+	r.execute()
+	verdicts := make([]verdict, len(invariants))
+	for n, inv := range invariants {
+		inv.check(r, &verdicts[n])
+	}
+	return verdicts
+}
+
+func faultsNamed(names []string) []fault {
+	var found []fault
+	for _, name := range names {
+		for _, f := range faults {
+			if f.name == name {
+				found = append(found, f)
+			}
+		}
+	}
+	return found
+}
--- a/internal/simtest/edge.go
+++ b/internal/simtest/edge.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 	"github.com/citrongate/citrongate/pkg/store"
@@ -20,23 +21,41 @@
 	w := i.world
 	f.upstream = a.Upstream
 	w.Trace.dispatched(i.globalID(a.ID), a.Upstream, w.Loop.Now())
-	w.Loop.After(upstreamDelay, func() {
-		if !i.Alive {
-			return
-		}
-		accepted := false
-		if engine := w.Engines[a.Upstream]; engine != nil {
-			accepted = i.toEngine(engine, a, f)
-		} else if service := w.Services[a.Upstream]; service != nil {
-			accepted = service.Call(i.globalID(a.ID), f.spec.Key, func(whole bool) { i.serviceDone(a.ID, whole) })
-		}
-		if accepted {
-			f.sent = true
-			w.Trace.Received = append(w.Trace.Received, Receipt{w.Loop.Now(), i.globalID(a.ID), a.Upstream, i.Address, f.origin, f.spec.Key})
-			return
-		}
-		w.Loop.After(upstreamDelay, func() { i.step(node.DispatchFailed{ID: a.ID}) })
-	})
+	if w.BeforeSend != nil {
+		w.Loop.After(upstreamDelay, func() { i.Do(func() { i.sendChecked(a, f) }) })
+		return
+	}
+	w.Loop.After(upstreamDelay, func() { i.send(a, f) })
+}
+
+// sendChecked sends a request unless what it was judged by does not hold any more.
+func (i *Instance) sendChecked(a node.Dispatch, f *flight) {
+	if i.world.BeforeSend(i, f.spec) {
+		i.send(a, f)
+		return
+	}
+	i.end(a.ID, f, OutcomeRefused, node.Refuse{ID: a.ID, Refusal: answer.Refusal{Code: "not_ready", Ran: answer.RanNo}})
+	i.step(node.DispatchFailed{ID: a.ID})
+	i.step(node.CallerGone{ID: a.ID})
+}
+
+// send hands a request to its upstream.
+func (i *Instance) send(a node.Dispatch, f *flight) {
+	if !i.Alive {
+		return
+	}
+	w, accepted := i.world, false
+	if engine := w.Engines[a.Upstream]; engine != nil {
+		accepted = i.toEngine(engine, a, f)
+	} else if service := w.Services[a.Upstream]; service != nil {
+		accepted = service.Call(i.globalID(a.ID), f.spec.Key, func(whole bool) { i.serviceDone(a.ID, whole) })
+	}
+	if accepted {
+		f.sent = true
+		w.Trace.Received = append(w.Trace.Received, Receipt{w.Loop.Now(), i.globalID(a.ID), a.Upstream, i.Address, f.origin, f.spec.Key})
+		return
+	}
+	w.Loop.After(upstreamDelay, func() { i.step(node.DispatchFailed{ID: a.ID}) })
 }
 
 func (i *Instance) toEngine(engine *Engine, a node.Dispatch, f *flight) bool {
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -54,6 +54,9 @@
 	// OnFrame, if set, is called for every frame that an instance sends, with
 	// the address of the receiver and the size of the encoded frame in bytes.
 	OnFrame func(from *Instance, to string, frame *pb.Frame, size int)
+	// BeforeSend, if set, is asked by a running process when it is about to write
+	// a request to its upstream. With false the request is refused instead.
+	BeforeSend func(*Instance, Spec) bool
 	// IgnoreFencing is a mutation: upstreams accept orders with an old number.
 	IgnoreFencing bool
 
@@ -108,6 +111,10 @@
 	Key            string
 	// FirstAttempt is true if the caller vouches that it sent no call with Key before.
 	FirstAttempt bool
+	// QuotaCost, MaxSends and Repeatable are those of node.SubmitRequest.
+	QuotaCost  float64
+	MaxSends   uint32
+	Repeatable bool
 }
 
 // NewWorld returns a world without instances.
@@ -165,6 +172,7 @@
 func (w *World) Start(config node.Config) *Instance {
 	w.nextInc++
 	config.Incarnation = node.Incarnation(w.nextInc<<32 | w.seed&0xffff<<8 | w.nextInc)
+	config.Started = w.Loop.Now()
 	config.TicketSecret = fmt.Appendf(nil, "%032d", w.nextInc)
 	i := &Instance{
 		Name: config.Name, Address: config.PeerAddress, Incarnation: uint64(config.Incarnation),
@@ -276,6 +284,21 @@
 	}
 }
 
+// Do runs fn in the process: at once, when it continues after a pause, or never
+// if it has ended.
+func (i *Instance) Do(fn func()) {
+	switch {
+	case !i.Alive:
+	case i.Paused:
+		i.waiting = append(i.waiting, func() { i.Do(fn) })
+	default:
+		fn()
+	}
+}
+
+// Deliver hands an event to the node.
+func (i *Instance) Deliver(ev node.Event) { i.step(ev) }
+
 func (i *Instance) perform(action node.Action) {
 	w := i.world
 	switch a := action.(type) {
@@ -383,6 +406,7 @@
 	i.step(node.SubmitRequest{
 		ID: id, Organisation: spec.Organisation, Kind: spec.Kind, Model: spec.Model, Labels: spec.Labels, PromptTokens: spec.Prompt,
 		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, FirstAttempt: spec.FirstAttempt, Body: []byte(spec.Key),
+		QuotaCost: spec.QuotaCost, MaxSends: spec.MaxSends, Repeatable: spec.Repeatable,
 	})
 	return r
 }
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -13,6 +13,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/quota"
 )
 
 // RouteKind says what may be repeated.
@@ -77,7 +79,7 @@
 	return time.Duration(float64(r.Goal) * startShare)
 }
 
-// startShare is the part of a caller's patience that a request may wait.
+// startShare is the part of a route's goal that a request may wait.
 const startShare = 0.6
 
 // Callers leave a stream without an event after the longest of these.
@@ -136,6 +138,18 @@
 	Limits       Limits
 }
 
+// Quotas returns the quotas of the organisations that have one, widened by the
+// tolerance.
+func (c *Config) Quotas(t quota.Tolerance) map[string]quota.Limit {
+	limits := map[string]quota.Limit{}
+	for i := range c.Organisations {
+		if o := &c.Organisations[i]; o.QuotaPerSecond > 0 {
+			limits[o.Name] = quota.Limit{PerSecond: o.QuotaPerSecond, Burst: o.QuotaBurst}.Widened(t)
+		}
+	}
+	return limits
+}
+
 // Upstream is one server as it is registered.
 type Upstream struct {
 	// ID names the server; Incarnation distinguishes its starts.
--- /dev/null
+++ b/pkg/ingress/judge_test.go
@@ -0,0 +1,51 @@
+package ingress_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/pkg/ingress"
+)
+
+// TestJudge guards against 401 or 404 for a proper request by an outdated
+// configuration, and against accepting a key that may have been taken away.
+func TestJudge(t *testing.T) {
+	bounds := ingress.Bounds{Apply: 2 * time.Second, Revoke: 5 * time.Second}
+	lenient := ingress.Bounds{Apply: 2 * time.Second}
+	const read = 10 * time.Second
+	confirmed := ingress.Confirmation{At: read, Known: true}
+	table := ingress.NewTable(&ingress.Config{
+		Routes: []ingress.Route{
+			{Name: "keyed", Host: "h", PathPrefix: "/a/"},
+			{Name: "public", Host: "h", PathPrefix: "/p/", Public: true},
+		},
+		Organisations: []ingress.Organisation{{Name: "o", Keys: []string{"k"}}},
+		KeysRequired:  true,
+	})
+	cases := []struct {
+		what      string
+		age       time.Duration
+		bounds    ingress.Bounds
+		path, key string
+		want      ingress.Verdict
+	}{
+		{"known key", time.Second, bounds, "/a/x", "k", ingress.Admitted},
+		{"known key, not fresh", 4 * time.Second, bounds, "/a/x", "k", ingress.Admitted},
+		{"a request on its way when the time for revocations ends", 4600 * time.Millisecond, bounds, "/a/x", "k", ingress.RevocationUnconfirmed},
+		{"old, revocation not strict", time.Hour, lenient, "/a/x", "k", ingress.Admitted},
+		{"unknown key", time.Second, bounds, "/a/x", "other", ingress.NoKey},
+		{"no key", time.Second, bounds, "/a/x", "", ingress.NoKey},
+		{"key that may have been added", 2 * time.Second, bounds, "/a/x", "other", ingress.KeyUnconfirmed},
+		{"unknown route", time.Second, bounds, "/z/", "k", ingress.NoRoute},
+		{"route that may have been added", 2 * time.Second, bounds, "/z/", "k", ingress.RouteUnconfirmed},
+		{"public route of an old configuration", time.Hour, bounds, "/p/x", "", ingress.Admitted},
+	}
+	for _, c := range cases {
+		judgement := table.Judge(read+c.age, confirmed, c.bounds, "h", c.path, c.key)
+		require.Equal(t, c.want, judgement.Verdict, c.what)
+		require.Equal(t, c.want == ingress.Admitted && c.key != "", judgement.Organisation != nil, c.what)
+	}
+	require.Equal(t, ingress.RevocationUnconfirmed, table.Judge(0, ingress.Confirmation{}, bounds, "h", "/a/x", "k").Verdict, "never confirmed")
+}
--- a/pkg/ingress/tracker.go
+++ b/pkg/ingress/tracker.go
@@ -4,11 +4,8 @@
 
 // Tracker follows the configuration as the store and peers show it.
 type Tracker struct {
-	table *Table
-	// confirmedAt is the start of the newest read that showed the configuration
-	// in force to be the newest one; confirmed is false before the first.
-	confirmedAt time.Duration
-	confirmed   bool
+	table        *Table
+	confirmation Confirmation
 }
 
 // Observe takes in a configuration that a read begun at started returned, and
@@ -27,14 +24,13 @@
 }
 
 func (t *Tracker) confirm(started time.Duration) {
-	if !t.confirmed || started > t.confirmedAt {
-		t.confirmedAt, t.confirmed = started, true
+	if !t.confirmation.Known || started > t.confirmation.At {
+		t.confirmation = Confirmation{At: started, Known: true}
 	}
 }
 
 // Table returns the table in force, or nil before the first configuration.
 func (t *Tracker) Table() *Table { return t.table }
 
-// ConfirmedAt returns the start of the newest confirming read; ok is false
-// before the first.
-func (t *Tracker) ConfirmedAt() (at time.Duration, ok bool) { return t.confirmedAt, t.confirmed }
+// Confirmation returns the newest confirmation of the table in force.
+func (t *Tracker) Confirmation() Confirmation { return t.confirmation }
--- /dev/null
+++ b/pkg/membership/sharing_test.go
@@ -0,0 +1,33 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/pkg/membership"
+)
+
+// TestSharingAfterStartInPartition guards against processes that start while
+// they are cut off from others and divide a limit only among those that they
+// can reach: two halves would then use twice the limit.
+func TestSharingAfterStartInPartition(t *testing.T) {
+	listed := func(addresses ...string) (list []membership.Listed) {
+		for _, a := range addresses {
+			list = append(list, membership.Listed{Name: a, Incarnation: "run-" + a, PeerAddress: a})
+		}
+		return list
+	}
+	v := membership.New(membership.Config{Self: membership.Member{Incarnation: 1, PeerAddress: "a"},
+		PingInterval: time.Second, DeadAfter: 2 * time.Second, ListInterval: time.Second})
+	v.Tick(0)
+	require.Equal(t, 1, v.SharingCount(0))
+	v.OnList(0, true, listed("a", "b", "c", "d"))
+	require.Equal(t, 4, v.SharingCount(time.Second))
+	require.Equal(t, 4, v.SharingCount(time.Minute), "most of the listed ones are silent")
+	v.OnList(time.Minute, true, append(listed("a", "b"), membership.Listed{Name: "c", PeerAddress: "c", Leaving: true}))
+	require.Equal(t, 2, v.SharingCount(time.Minute), "one that leaves does not count")
+	v.OnList(time.Minute, true, listed("a"))
+	require.Equal(t, 1, v.SharingCount(time.Minute))
+}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -223,37 +223,6 @@
 	return max(count, 1)
 }
 
-// deadShare is how long a member that is taken for dead still counts among
-// those that share a limit, while most members are alive. A member that was only
-// cut off goes on using its share.
-const deadShare = 5 * time.Second
-
-// SharingCount returns the number of instances that a limit is divided among,
-// at least 1. Where most members are taken for dead, this instance is probably
-// the one that is cut off, and the others keep their shares.
-func (v *View) SharingCount(now time.Duration) int {
-	live, lately, dead := 1, 0, 0
-	alive := map[string]bool{v.self.PeerAddress: true}
-	v.Live(func(m Member) {
-		live++
-		alive[m.PeerAddress] = true
-	})
-	for _, id := range v.order {
-		m := v.members[id]
-		if m.State != Dead || m.Leaving || alive[m.PeerAddress] {
-			continue
-		}
-		dead++
-		if now-m.since < deadShare {
-			lately++
-		}
-	}
-	if live > dead {
-		return live + lately
-	}
-	return live + dead
-}
-
 // LiveBeside returns the number of live members other than this instance and
 // the one given.
 func (v *View) LiveBeside(incarnation uint64) int {
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -32,6 +32,9 @@
 	// and classes are identified by selectors in place of their upstreams, since
 	// instances learn of upstreams at different times.
 	ExternalConfig bool
+	// Started is when this process started, by the clock of Step; 0 if that
+	// clock starts with it.
+	Started time.Duration
 
 	// PingInterval is the interval between failure-detection pings; 500 ms.
 	PingInterval time.Duration
@@ -99,6 +102,8 @@
 	DenyRun bool
 	// TrustRepetitions treats every call with a key as its first attempt.
 	TrustRepetitions bool
+	// QuotaFullAtStart starts with full quotas.
+	QuotaFullAtStart bool
 }
 
 // withDefaults returns the configuration with defaults filled in.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -92,7 +92,7 @@
 		pools:    newPoolSet(),
 		calls:    newCallSet(),
 		lengths:  newLengths(),
-		quotas:   newQuotaState(),
+		quotas:   newQuotaState(cfg),
 		learned:  map[string]string{},
 		gone:     map[string]time.Duration{},
 		view: membership.New(membership.Config{
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -39,9 +39,13 @@
 	until time.Duration
 }
 
-func newQuotaState() quotaState {
+func newQuotaState(c Config) quotaState {
+	started := c.Started
+	if c.Mutations.QuotaFullAtStart {
+		started -= time.Hour
+	}
 	return quotaState{
-		ledger: quota.NewLedger(), waiting: map[string][]quotaRequest{},
+		ledger: quota.NewLedger(started), waiting: map[string][]quotaRequest{},
 		asked: map[string]int{}, dryUntil: map[string]time.Duration{},
 	}
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -21,6 +21,24 @@
 	return Limit{PerSecond: l.PerSecond * part, Burst: l.Burst * part}
 }
 
+// Tolerance is how far an organisation may exceed its quota over Window: by the
+// part Over, and by Slack in the unit of the quota.
+type Tolerance struct {
+	Window      time.Duration
+	Over, Slack float64
+}
+
+// toleranceShare is the part of the tolerance that is used. The rest covers
+// instances that do not agree on how many they are.
+const toleranceShare = 0.6
+
+// Widened returns the limit with a part of the tolerance in its burst:
+// instances that take requests by chance need some more than their exact share.
+func (l Limit) Widened(t Tolerance) Limit {
+	l.Burst += toleranceShare * (t.Over*(l.PerSecond*t.Window.Seconds()+l.Burst) + t.Slack)
+	return l
+}
+
 // reserveShare is the part of a full bucket that is not given away, so that the
 // giver does not have to ask for it back at once.
 const reserveShare = 0.1
@@ -35,10 +53,15 @@
 }
 
 // Ledger holds the buckets of one instance. It is not safe for concurrent use.
-type Ledger struct{ buckets map[string]*bucket }
+type Ledger struct {
+	started time.Duration
+	buckets map[string]*bucket
+}
 
-// NewLedger returns the ledger of a run that starts at time 0.
-func NewLedger() *Ledger { return &Ledger{buckets: map[string]*bucket{}} }
+// NewLedger returns the ledger of a run that starts at the given time.
+func NewLedger(started time.Duration) *Ledger {
+	return &Ledger{started: started, buckets: map[string]*bucket{}}
+}
 
 // refill brings an organisation's bucket up to date.
 func (l *Ledger) refill(now time.Duration, organisation string, share Limit) *bucket {
@@ -46,7 +69,7 @@
 	if b == nil {
 		// Filled since the start of this run, which does not know what the one
 		// before it granted.
-		b = &bucket{}
+		b = &bucket{refilled: l.started}
 		l.buckets[organisation] = b
 	}
 	if grown := min(share.Burst, b.left+share.PerSecond*max(0, now-b.refilled).Seconds()); grown > b.left {
--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -1,40 +1,98 @@
 #!/usr/bin/env bash
-# Plays one generated day for each disruption of the users' bench on each site,
-# and prints a line with its score and the rules that it broke.
+# Plays generated days of disruptions of the users' bench on each site, and
+# prints a line for each with its score and the rules that it broke, then a
+# table of broken rules by kind of disruption.
 #
-#   scripts/matrix.sh [LOAD]     LOAD is a factor of the usual traffic, 1 if not given
+#   scripts/matrix.sh single      one disruption a day, each line of matrix.txt
+#   scripts/matrix.sh pairs       two a day, 1.5 s apart: all pairs of kinds under one head
+#   scripts/matrix.sh sample N    N pairs of lines under unlike heads, drawn by SEED
+#
+# Environment: LOAD, a factor of the usual traffic (1); JOBS, days played at a
+# time (3); SEED of the sample (1); CITRONGATE_KIT, the folder with the bench.
+# In pairs and samples a kind takes its variants in turn.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-kit=${CITRONGATE_KIT:-../given/kit/more/system}
-load=${1:-1}
+mode=${1:-single}
+count=${2:-20}
+kit=$(realpath -m "${CITRONGATE_KIT:-../given/kit/more/system}")
+export kit mode LOAD=${LOAD:-1}
 if [ ! -x "$kit/bin/fleetbench" ]; then
   echo "matrix: the bench is not at hand; set CITRONGATE_KIT to the folder that holds bin/fleetbench"
   exit 0
 fi
-days=$(mktemp -d)
-trap 'rm -rf "$days"' EXIT
+work=$(mktemp -d)
+export work
+trap 'rm -rf "$work"' EXIT
+
+# days prints one line for each day: its disruptions, separated by tabs.
+days() {
+  case "$mode" in
+    single) cat scripts/matrix.txt ;;
+    pairs | sample) awk -F'|' -v mode="$mode" -v count="$count" -v seed="${SEED:-1}" '
+      { split($3, part, "\""); kind = part[2]; key = $1 "|" kind
+        if (!(key in variants)) { kinds[++n] = key; head[n] = $1 }
+        line[key, ++variants[key]] = $0 }
+      function take(i) { return line[kinds[i], used[i]++ % variants[kinds[i]] + 1] }
+      END {
+        srand(seed)
+        if (mode == "pairs") {
+          for (i = 1; i <= n; i++) for (j = i + 1; j <= n; j++) if (head[i] == head[j] && head[i] != "closing") print take(i) "\t" take(j)
+        } else {
+          while (drawn < count) {
+            i = int(rand() * n) + 1; j = int(rand() * n) + 1
+            if (head[i] != head[j] && head[i] != "closing") { used[i] = int(rand() * 9); used[j] = int(rand() * 9); print take(i) "\t" take(j); drawn++ }
+          }
+        }
+      }' scripts/matrix.txt ;;
+    *) echo "matrix: unknown mode $mode; take single, pairs or sample" >&2; return 2 ;;
+  esac
+}
 
-# write NAME SECTION ENTRY writes a day with one disruption.
+# write NAME DISRUPTIONS prints a day file.
 write() {
-  {
-    printf '[[day]]\nname = "%s"\n%s = [\n  { at = 6.0, %s },\n]\n' "$1" "$2" "$3"
-    if [ "$load" != 1 ]; then
-      [ "$2" = faults ] || printf 'faults = [\n  { at = 1.0, kind = "burst", x = %s, for_s = 25.0 },\n]\n' "$load"
-    fi
-  } > "$days/$1.toml"
+  local entries i=0 faults='' plan='' closing='' head section entry
+  IFS=$'\t' read -ra entries <<<"$2"
+  for e in "${entries[@]}"; do
+    IFS='|' read -r head section entry <<<"$e"
+    case "$section" in
+      faults) faults+="  { at = $((6 + i / 2)).$((i % 2 * 5)), $entry },"$'\n' ;;
+      plan) plan+="  { at = $((6 + i / 2)).$((i % 2 * 5)), $entry },"$'\n' ;;
+      closing) closing="closing = { $entry }" ;;
+    esac
+    i=$((i + 3))
+  done
+  [ "$LOAD" = 1 ] || faults+="  { at = 1.0, kind = \"burst\", x = $LOAD, for_s = 25.0 },"$'\n'
+  printf '[[day]]\nname = "%s"\nfaults = [\n%s]\nplan = [\n%s]\n%s\n' "$1" "$faults" "$plan" "$closing"
 }
 
+# play SITE NAME DISRUPTIONS plays one day and prints its line.
+play() {
+  local site=$1 name=$2 entries=$3 out id rules score
+  out=$("$kit/bin/fleetbench" run "$site" "$work/$name.toml" --jobs 1 --why "matrix $mode, load x $LOAD: $(sed 's/"//g' <<<"${entries//$'\t'/ and }")" 2>&1) || true
+  id=$(sed -n 's/^snapshot \([0-9a-f]*\).*/\1/p' <<<"$out")
+  rules=$(grep -ho '"rules": {[^}]*}' journal/*-"$id".json 2>/dev/null | head -1 | sed 's/"rules": {//;s/}//;s/"//g') || true
+  score=$(grep -E "^$name " <<<"$out" | awk '{print $3}')
+  if [ -z "$id" ] || [ -z "$score" ]; then
+    rules="NOT PLAYED: $(tail -1 <<<"$out")"
+  fi
+  printf '%s\t%s\t%s\t%s\n' "$(basename "$site" .toml)" "${score:--}" "${rules:-none}" "$entries"
+}
+export -f play
+
 n=0
-while IFS='|' read -r section entry; do
+while IFS= read -r entries; do
   n=$((n + 1))
-  write "$(printf 'd%02d-%s' "$n" "$(sed 's/.*kind = "\([a-z_]*\)".*/\1/' <<<"$entry")")" "$section" "$entry"
-done < scripts/matrix.txt
+  name=$(printf '%s%03d' "${mode:0:1}" "$n")
+  write "$name" "$entries" > "$work/$name.toml"
+  for site in "$kit"/sites/*.toml; do printf '%s\0%s\0%s\0' "$site" "$name" "$entries"; done
+done < <(days) > "$work/list"
 
-for day in "$days"/*.toml; do
-  for site in "$kit"/sites/*.toml; do
-    entry=$(sed -n 's/.*at = 6.0, \(.*\) },/\1/p' "$day")
-    result=$("$kit/bin/fleetbench" run "$site" "$day" --why "matrix: one disruption a day, load x $load" 2>&1 |
-      grep -E '^(d[0-9]+-|.*BROKEN)' | head -1 || true)
-    printf '%-20s %-70s %s\n' "$(basename "$site" .toml)" "$entry" "$(sed 's/  */ /g' <<<"$result")"
-  done
-done
+xargs -0 -n 3 -P "${JOBS:-3}" bash -c 'play "$@"' play < "$work/list" | tee "$work/results"
+
+echo
+echo 'days, days with a broken rule and rules, by kind of disruption:'
+awk -F'\t' '{
+    broken = ($3 != "none")
+    for (i = 4; i <= NF; i++) { split($i, part, "\""); kind = part[2]; days[kind]++; bad[kind] += broken; if (broken) rules[kind] = rules[kind] " " $3 }
+  }
+  END { for (k in days) printf "%-20s %4d %4d %s\n", k, days[k], bad[k], rules[k] }' "$work/results" | sort
