--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -15,6 +15,9 @@
 	RequestID     string  `json:"request_id" about:"the caller's id of this attempt"`
 	Organisation  string  `json:"organisation" about:"that the key belongs to, or none"`
 	Route         string  `json:"route" about:"by host and path"`
+	Priority      int     `json:"priority" about:"of the route; 0 is the most urgent"`
+	GoalMs        float64 `json:"goal_ms" about:"time to the answer, or to its first event, that the route aims at"`
+	GapGoalMs     float64 `json:"gap_goal_ms" about:"longest pause between events that the route aims at; 0 if none"`
 	Send          int     `json:"send" about:"1 for the first send of the request"`
 	Upstream      string  `json:"upstream" about:"id and start of the server"`
 	Address       string  `json:"address" about:"of the server"`
@@ -72,6 +75,8 @@
 	RequestID     string  `json:"request_id" about:"the caller's id of this attempt; empty if the request has none"`
 	Organisation  string  `json:"organisation" about:"that the key belongs to, or none"`
 	Route         string  `json:"route" about:"by host and path; empty if none matches"`
+	Priority      int     `json:"priority" about:"of the route; 0 is the most urgent, or if no route matches"`
+	GoalMs        float64 `json:"goal_ms" about:"time to the answer, or to its first event, that the route aims at"`
 	Path          string  `json:"path,omitempty" about:"of a request that no route matches"`
 	Reason        string  `json:"reason" about:"code of the refusal"`
 	Detail        string  `json:"detail" about:"why"`
@@ -239,8 +244,8 @@
 // QuotaInForce is written for each quota of a new configuration.
 type QuotaInForce struct {
 	Organisation string  `json:"organisation" about:"that it bounds"`
-	PerSecond    float64 `json:"per_second" about:"over all instances, in its unit"`
-	Burst        float64 `json:"burst" about:"with the part of the tolerance that is used"`
+	PerSecond    float64 `json:"per_second" about:"over all instances, in its unit, with the part of the tolerance that is used"`
+	Burst        float64 `json:"burst" about:"over all instances, in its unit"`
 }
 
 // Spec describes the line.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -24,6 +24,7 @@
 func (c *call) logSent(d node.Dispatch, left time.Duration) {
 	c.g.log.Write(eventlog.RequestSent{
 		RequestID: c.head.ID, Organisation: c.organisationName(), Route: c.route.Name, Send: c.sends, Upstream: d.Upstream, Address: d.Address,
+		Priority: c.route.Priority, GoalMs: eventlog.Milliseconds(c.route.Goal), GapGoalMs: eventlog.Milliseconds(c.route.GapGoal),
 		QueuedMs: eventlog.Milliseconds(c.sent - c.arrived), LeftMs: eventlog.Milliseconds(left), After: c.relay.LastEvent(),
 		ConfigVersion: c.snapshot.table.Config().Version, ConfigAgeMs: c.g.configAge(),
 	})
@@ -50,6 +51,7 @@
 func (c *call) logRefused(refusal answer.Refusal, status int) {
 	c.g.log.Write(eventlog.RequestRefused{
 		RequestID: c.head.ID, Organisation: c.organisationName(), Route: c.route.Name,
+		Priority: c.route.Priority, GoalMs: eventlog.Milliseconds(c.route.Goal),
 		Reason: refusal.Code, Detail: refusal.Reason, Ran: string(refusal.Ran), Status: status,
 		WaitedMs: eventlog.Milliseconds(boottime.Now() - c.arrived), RetryAfterMs: eventlog.Milliseconds(refusal.RetryAfter),
 		Sends: c.sends, Started: c.relay.Started(), Cost: c.quotaCost(),
