quota: the tolerance widens the rate, not the burst

Ruled out: a window in place of the bucket (serves more, but all instances that restart within a window exceed it); giving the operator's burst to the rate too (a burst that the quota names must be admitted at once). Change: Widened adds the used part of the tolerance to the rate.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -32,10 +32,14 @@
 // instances that do not agree on how many they are.
 const toleranceShare = 0.6
 
-// Widened returns the limit with a part of the tolerance in its burst:
-// instances that take requests by chance need some more than their exact share.
+// Widened returns the limit with a part of the tolerance in its rate. In the
+// burst it would count once in a long flood; in the rate it counts in each window.
 func (l Limit) Widened(t Tolerance) Limit {
-	l.Burst += toleranceShare * (t.Over*(l.PerSecond*t.Window.Seconds()+l.Burst) + t.Slack)
+	window := t.Window.Seconds()
+	if window <= 0 {
+		return l
+	}
+	l.PerSecond += toleranceShare * (t.Over*(l.PerSecond*window+l.Burst) + t.Slack) / window
 	return l
 }
 
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -117,3 +117,17 @@
 	ok, _, _ := l.Take(full+time.Second, "o", limit, quota.Request{Cost: 190, Tier: 3}, 1)
 	require.True(t, ok)
 }
+
+// TestWidened guards against a tolerance that helps in the first seconds of a
+// flood only, and against limits that grant more in a window than is tolerated.
+func TestWidened(t *testing.T) {
+	tolerance := quota.Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140_000}
+	stated := quota.Limit{PerSecond: 55_000, Burst: 198_000}
+	used := stated.Widened(tolerance)
+	window := tolerance.Window.Seconds()
+	tolerated := (stated.PerSecond*window+stated.Burst)*(1+tolerance.Over) + tolerance.Slack
+	require.LessOrEqual(t, used.Burst+used.PerSecond*window, tolerated)
+	require.Equal(t, stated.Burst, used.Burst)
+	require.GreaterOrEqual(t, used.PerSecond-stated.PerSecond, (tolerated-stated.Burst-stated.PerSecond*window)/window/2)
+	require.Equal(t, stated, stated.Widened(quota.Tolerance{}))
+}
