refresh: one instance in 24 reads the store, the others ask it

Cause: each instance read configuration and servers in 0.66 s. Ruled out: a watch (returns at each of the servers' writes and confirms nothing while events are held back); handing contents from instance to instance (a second path for the configuration, for one read per change saved); pushed confirmations (a process that stood still would take an old one for new). Change: the package refresh decides by messages and time when to read, whom to ask and what an answer confirms; the node carries its actions out, the gateway puts reads and confirmations in force under one lock. An instance whose copies are older than 1.5 s is behind, which the node now finds itself (event StoreRead in place of StoreReach; TestOwnerCutFromTheStore drives it by reads that fail). The suite of gateways plays the same package; its fake store answers each part on its own, since a read of the servers no longer shows the configuration.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,19 +12,14 @@
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/quota"
+	"github.com/citrongate/citrongate/pkg/refresh"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
 const (
-	// pollShare is the part of the time within which changes must be in force
-	// after which the store is read again. It leaves room for one lost read.
-	pollShare = 0.33
 	// promptSlowdown is the ratio of the time between events while an engine reads
 	// a prompt in parts beside its streams to that without.
 	promptSlowdown = 4
-	// behindAfter is the time without a read of the store after which others
-	// are preferred as owners. Short disturbances move no pool.
-	behindAfter = 1500 * time.Millisecond
 	// faultLogInterval is the least time between two log lines on faulty entries.
 	faultLogInterval = 10 * time.Second
 )
@@ -36,20 +32,25 @@
 	engines map[string]*ingress.Service
 }
 
-// configState follows the store. The poller owns all fields but the atomics.
+// configState follows the store. mu guards all fields but the atomics.
 type configState struct {
-	tracker   ingress.Tracker
-	registry  *ingress.Registry
-	revision  uint64
-	faultsAt  atomic.Int64
-	storeAway bool
+	mu       sync.Mutex
+	tracker  ingress.Tracker
+	registry *ingress.Registry
+	// listing is the newest one, listedDigest its digest.
+	listing      []ingress.Upstream
+	listedDigest uint64
+	revision     uint64
+	// away says of each part whether its newest read failed.
+	away [len(refresh.Parts)]bool
 	// addresses are those of the upstreams that were published last.
 	addresses map[string]bool
-	// readAt is when the newest whole read began; behind is what the node was told.
+	// readAt is when the newest read of the configuration began.
 	readAt time.Duration
-	behind bool
-	// listedAt is the boot time of the start of the newest listing of upstreams;
-	// 0 before the first.
+	// faultsAt is when entries were last reported, in boot time.
+	faultsAt atomic.Int64
+	// listedAt is the boot time at which the list of upstreams is known to have
+	// been the newest; 0 before the first.
 	listedAt atomic.Int64
 
 	current atomic.Pointer[snapshot]
@@ -57,57 +58,82 @@
 	confirmation atomic.Pointer[ingress.Confirmation]
 }
 
-// pollStore reads configuration and upstreams until the gateway stops.
-func (g *Gateway) pollStore() {
-	gateway := g.settings.GetGateway()
-	bound := min(settings.Duration(gateway.GetConfigApply()), settings.Duration(gateway.GetUpstreamDrain()))
-	interval := time.Duration(float64(bound) * pollShare)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		g.pollOnce()
-		select {
-		case <-ticker.C:
-		case <-g.ctx.Done():
-			return
-		}
+// refreshWithin returns the time within which changes of the store must count.
+func refreshWithin(gateway *pb.GatewaySettings) time.Duration {
+	return min(settings.Duration(gateway.GetConfigApply()), settings.Duration(gateway.GetUpstreamDrain()))
+}
+
+// readStore reads one part for the node and puts it in force. Parts are read
+// side by side, so that a slow answer to one does not hold up the other.
+func (g *Gateway) readStore(p refresh.Part) {
+	started := boottime.Now()
+	read := node.StoreRead{Part: p, Started: g.loop.Time(started)}
+	switch p {
+	case refresh.Config:
+		config, err := g.store.Config(g.ctx)
+		read.Version, read.OK = g.observeConfig(started, config, err)
+	case refresh.Upstreams:
+		upstreams, faults, err := g.store.Upstreams(g.ctx)
+		g.logFaults(&g.config.faultsAt, "upstreams", faults)
+		read.Version, read.OK = g.observeUpstreams(started, upstreams, err)
 	}
+	g.loop.Post(read)
 }
 
-// listed is the result of one listing of the upstreams.
-type listed struct {
-	upstreams []ingress.Upstream
-	faults    []error
-	err       error
+// observeConfig puts a configuration in force. ok is false if the read failed or
+// showed an older version than the one in force.
+func (g *Gateway) observeConfig(started time.Duration, config *ingress.Config, err error) (version uint64, ok bool) {
+	g.countCall("config", err)
+	c := &g.config
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.noteStore(refresh.Config, err)
+	if err != nil {
+		return 0, false
+	}
+	c.readAt = started
+	g.publishIf(c.tracker.Observe(started, config) != nil)
+	// Last, so that no request is judged by the table before with the
+	// confirmation of this one.
+	c.confirm()
+	version = c.tracker.Table().Config().Version
+	return version, config.Version == version
 }
 
-// pollOnce reads configuration and upstreams side by side. Each is put in force
-// as it comes, so that a slow answer to one does not hold up the other.
-func (g *Gateway) pollOnce() {
-	started := boottime.Now()
-	listing := make(chan listed, 1)
-	go func() {
-		var l listed
-		l.upstreams, l.faults, l.err = g.store.Upstreams(g.ctx)
-		g.countCall("upstreams", l.err)
-		listing <- l
-	}()
-	config, configErr := g.store.Config(g.ctx)
-	g.countCall("config", configErr)
-	if configErr == nil {
-		g.publishIf(g.config.tracker.Observe(started, config) != nil)
-		// Last, so that no request is judged by the table before with the
-		// confirmation of this one.
-		g.config.confirm()
+// observeUpstreams puts a listing in force.
+func (g *Gateway) observeUpstreams(started time.Duration, upstreams []ingress.Upstream, err error) (digest uint64, ok bool) {
+	g.countCall("upstreams", err)
+	c := &g.config
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.noteStore(refresh.Upstreams, err)
+	if err != nil {
+		return 0, false
 	}
-	l := <-listing
-	if l.err == nil {
-		g.config.listedAt.Store(int64(started))
-		g.logFaults(&g.config.faultsAt, "upstreams", l.faults)
-		g.publishIf(g.config.registry.Observe(started, boottime.Now(), l.upstreams))
+	c.listing, c.listedDigest = upstreams, ingress.Digest(upstreams)
+	c.listedAt.Store(int64(started))
+	g.publishIf(c.registry.Observe(started, boottime.Now(), upstreams))
+	return c.listedDigest, true
+}
+
+// copyConfirmed takes in that another instance found this one's copy to be the
+// store's at the time of the confirmation.
+func (g *Gateway) copyConfirmed(a node.CopyConfirmed) {
+	c := &g.config
+	at := g.loop.BootTime(a.At)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch a.Part {
+	case refresh.Config:
+		if c.tracker.Confirm(at, a.Version) {
+			c.confirm()
+		}
+	case refresh.Upstreams:
+		if a.Version == c.listedDigest {
+			c.listedAt.Store(int64(at))
+			g.publishIf(c.registry.Observe(at, boottime.Now(), c.listing))
+		}
 	}
-	g.noteStore(configErr, l.err)
-	g.noteReach(started, configErr == nil && l.err == nil)
 }
 
 // publishIf publishes what has changed, once there is a configuration.
@@ -190,20 +216,6 @@
 	return limits
 }
 
-// noteReach tells the node when this instance has not read the store for long
-// enough to know less than others.
-func (g *Gateway) noteReach(started time.Duration, read bool) {
-	c := &g.config
-	if read {
-		c.readAt = started
-	}
-	reached := started-c.readAt < behindAfter
-	if c.behind == reached {
-		c.behind = !reached
-		g.loop.Post(node.StoreReach{Reached: reached})
-	}
-}
-
 // countCall counts one call to the store by its result.
 func (g *Gateway) countCall(kind string, err error) {
 	status := "ok"
@@ -213,21 +225,18 @@
 	g.metrics.StoreCall(kind, status)
 }
 
-// noteStore logs when the store goes away and when it is back.
-func (g *Gateway) noteStore(errs ...error) {
-	for _, err := range errs {
-		if err == nil {
-			continue
-		}
-		if !g.config.storeAway && g.ctx.Err() == nil {
-			g.config.storeAway = true
-			g.log.Write(eventlog.StoreLost{Error: err.Error()})
-		}
-		return
-	}
-	if g.config.storeAway {
-		g.config.storeAway = false
-		g.log.Write(eventlog.StoreRegained{AwayMs: eventlog.Milliseconds(boottime.Now() - g.config.readAt)})
+// noteStore logs when the store goes away and when it is back: when reads of
+// all parts succeed again.
+func (g *Gateway) noteStore(p refresh.Part, err error) {
+	c := &g.config
+	none := [len(refresh.Parts)]bool{}
+	before := c.away != none
+	c.away[p] = err != nil && g.ctx.Err() == nil
+	switch after := c.away != none; {
+	case after && !before:
+		g.log.Write(eventlog.StoreLost{Error: err.Error()})
+	case before && !after:
+		g.log.Write(eventlog.StoreRegained{AwayMs: eventlog.Milliseconds(boottime.Now() - c.readAt)})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,8 @@
 			Ratio: s.GetGateway().GetRetryRatio(), Extra: retryExtraShare * s.GetGateway().GetRetryExtra(),
 			Window: settings.Duration(s.GetGateway().GetRetryWindow()),
 		},
-		TicketSecret: g.identity.TicketSecret,
+		TicketSecret:  g.identity.TicketSecret,
+		RefreshWithin: refreshWithin(s.GetGateway()),
 	}
 }
 
@@ -183,7 +184,6 @@
 		}
 	}
 	g.goRun(func() { g.loop.Run(g.ctx) })
-	g.goRun(g.pollStore)
 	g.goRun(g.announceUntilDone)
 	g.goRun(g.refreshMembers)
 	for _, s := range g.servers {
@@ -285,6 +285,10 @@
 		g.peers.Send(a.Address, a.Frame)
 	case node.ListInstances:
 		g.goRun(g.listInstances)
+	case node.ReadStore:
+		g.goRun(func() { g.readStore(a.Part) })
+	case node.CopyConfirmed:
+		g.goRun(func() { g.copyConfirmed(a) })
 	case node.Count:
 		g.metrics.Count(a.Name, a.Reason)
 	case node.ConfigInForce:
--- a/internal/nodeloop/loop.go
+++ b/internal/nodeloop/loop.go
@@ -68,6 +68,10 @@
 // Now is the time since the loop was made, suspensions of the machine included.
 func (l *Loop) Now() time.Duration { return boottime.Now() - l.started }
 
+// Time and BootTime translate between boot time and the node's time.
+func (l *Loop) Time(boot time.Duration) time.Duration     { return boot - l.started }
+func (l *Loop) BootTime(time time.Duration) time.Duration { return l.started + time }
+
 // step handles one event and the events that its actions produce.
 func (l *Loop) step(ev node.Event) {
 	l.local = append(l.local, ev)
--- a/internal/simtest/cmd/invariants/gateways.go
+++ b/internal/simtest/cmd/invariants/gateways.go
@@ -52,9 +52,11 @@
 	// confirmation is the newest one, or a mutant's.
 	confirmation ingress.Confirmation
 	table        *ingress.Table
-	// reading is true while a read is in progress; ended once a mutant reads
-	// no more.
-	reading, ended bool
+	// listing is the newest one, digest its digest.
+	listing []ingress.Upstream
+	digest  uint64
+	// ended is true once a mutant reads no more.
+	ended bool
 	// listed is true once the store has shown servers to this process.
 	listed bool
 	// paused is how long the process stood still.
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -55,6 +55,10 @@
 	// BeforeSend, if set, is asked by a running process when it is about to write
 	// a request to its upstream. With false the request is refused instead.
 	BeforeSend func(*Instance, Spec) bool
+	// ReadStore and CopyConfirmed carry out actions of nodes with
+	// node.Config.RefreshWithin.
+	ReadStore     func(i *Instance, a node.ReadStore)
+	CopyConfirmed func(i *Instance, a node.CopyConfirmed)
 	// IgnoreFencing is a mutation: upstreams accept orders with an old number.
 	IgnoreFencing bool
 
@@ -320,6 +324,10 @@
 			lines, ok := w.Platform.List()
 			i.step(node.InstanceList{OK: ok, Instances: lines})
 		})
+	case node.ReadStore:
+		w.ReadStore(i, a)
+	case node.CopyConfirmed:
+		w.CopyConfirmed(i, a)
 	case node.SendOrder:
 		i.sendOrder(a)
 	case node.ChangeDone:
--- a/pkg/ingress/registry.go
+++ b/pkg/ingress/registry.go
@@ -1,9 +1,12 @@
 package ingress
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -91,3 +94,14 @@
 	}
 	return out
 }
+
+// Digest identifies the content of a listing in any order. The time that an
+// upstream stays slow is left out, since it falls from listing to listing.
+func Digest(list []Upstream) uint64 {
+	sum := uint64(len(list))
+	for _, u := range list {
+		u.ColdLeft = 0
+		sum += xxhash.Sum64String(fmt.Sprintf("%#v", u))
+	}
+	return sum
+}
--- a/pkg/ingress/tracker.go
+++ b/pkg/ingress/tracker.go
@@ -23,6 +23,16 @@
 	return t.table
 }
 
+// Confirm takes in that the store had the version at the time at, as another
+// instance tells, and returns false if it is not the version in force.
+func (t *Tracker) Confirm(at time.Duration, version uint64) bool {
+	if t.table == nil || version != t.table.config.Version {
+		return false
+	}
+	t.confirm(at)
+	return true
+}
+
 func (t *Tracker) confirm(started time.Duration) {
 	if !t.confirmation.Known || started > t.confirmation.At {
 		t.confirmation = Confirmation{At: started, Known: true}
--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -1,6 +1,9 @@
 package membership
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // mix spreads the bits of a number over the whole word (the finalizer of
 // SplitMix64), so that rendezvous scores of similar keys are unrelated.
@@ -44,10 +47,7 @@
 			best, bestScore, found = m.Incarnation, s, true
 		}
 	}
-	consider(v.self)
-	for _, id := range v.order {
-		consider(v.members[id])
-	}
+	v.each(consider)
 	return best, found
 }
 
@@ -75,3 +75,29 @@
 	rank, _ := slices.BinarySearch(scores, own)
 	return rank < readersPerCell
 }
+
+// ReaderOf returns the instance that reads the store for this one, 0 if this one
+// does so itself. One in perReader reads; instances that are suspected, leave or
+// cannot read the store do not. Without selfReads this one counts as such.
+func (v *View) ReaderOf(perReader int, selfReads bool) uint64 {
+	var candidates []uint64
+	v.each(func(m *member) {
+		if m.State == Alive && !m.Leaving && !m.Behind && (selfReads || m != v.self) {
+			candidates = append(candidates, m.Incarnation)
+		}
+	})
+	slices.SortFunc(candidates, func(a, b uint64) int { return cmp.Compare(score(readerKey, a), score(readerKey, b)) })
+	readers := candidates[:(len(candidates)+perReader-1)/perReader]
+	if len(readers) == 0 || slices.Contains(readers, v.self.Incarnation) {
+		return 0
+	}
+	return readers[mix(v.self.Incarnation)%uint64(len(readers))]
+}
+
+// each calls f for this instance and all members.
+func (v *View) each(f func(*member)) {
+	f(v.self)
+	for _, id := range v.order {
+		f(v.members[id])
+	}
+}
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/answer"
+	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -72,6 +73,18 @@
 // ListInstances reads the platform's instance list.
 type ListInstances struct{}
 
+// ReadStore reads a part of the store's state; a StoreRead follows. It is emitted
+// with Config.RefreshWithin only.
+type ReadStore struct{ Part refresh.Part }
+
+// CopyConfirmed reports that the store had a version of a part at the time At,
+// as another instance told.
+type CopyConfirmed struct {
+	Part    refresh.Part
+	Version uint64
+	At      time.Duration
+}
+
 // SendOrder sends an order to an upstream.
 type SendOrder struct {
 	Order         uint64
@@ -119,6 +132,8 @@
 func (SendFrame) isAction()      {}
 func (StoreCall) isAction()      {}
 func (ListInstances) isAction()  {}
+func (ReadStore) isAction()      {}
+func (CopyConfirmed) isAction()  {}
 func (SendOrder) isAction()      {}
 func (OrderResult) isAction()    {}
 func (ChangeDone) isAction()     {}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -81,6 +81,11 @@
 	// the retention of claims only, never for a decision.
 	WallClockOffset time.Duration
 
+	// RefreshWithin is the time within which changes of the store's state must
+	// count here. With it the node says when the state is to be read and which
+	// copy is confirmed; 0 leaves that to its caller.
+	RefreshWithin time.Duration
+
 	// Mutations break promises on purpose, so that a test can show that its
 	// checks notice. It must be zero outside tests.
 	Mutations Mutations
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/quota"
+	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -198,9 +199,14 @@
 	PromptSlowdown float64
 }
 
-// StoreReach says whether this instance reads the store, for nodes with
-// Config.ExternalConfig. One that does not gives up its pools to one that does.
-type StoreReach struct{ Reached bool }
+// StoreRead is the end of a read that a ReadStore asked for.
+type StoreRead struct {
+	Part refresh.Part
+	// Started is when the read began, OK whether the store had Version then.
+	Started time.Duration
+	OK      bool
+	Version uint64
+}
 
 // Drain starts a planned stop.
 type Drain struct{}
@@ -222,6 +228,6 @@
 func (CacheEvents) isEvent()        {}
 func (ApplyChange) isEvent()        {}
 func (UseConfiguration) isEvent()   {}
-func (StoreReach) isEvent()         {}
+func (StoreRead) isEvent()          {}
 func (Drain) isEvent()              {}
 func (Tick) isEvent()               {}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/lease"
 	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/routing"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 	"github.com/citrongate/citrongate/pkg/store"
@@ -61,6 +62,7 @@
 	leases *lease.Manager
 	orders map[uint64]sentOrder
 	quotas quotaState
+	copies *refresh.Refresher
 	// learned holds the addresses of upstreams that only owners have named so
 	// far, gone the upstreams that left the configuration and when.
 	learned map[string]string
@@ -93,6 +95,7 @@
 		calls:    newCallSet(),
 		lengths:  newLengths(),
 		quotas:   newQuotaState(cfg),
+		copies:   refresh.New(cfg.RefreshWithin),
 		learned:  map[string]string{},
 		gone:     map[string]time.Duration{},
 		view: membership.New(membership.Config{
@@ -165,9 +168,8 @@
 		n.applyChange(e)
 	case UseConfiguration:
 		n.useConfiguration(e)
-	case StoreReach:
-		n.view.SetBehind(!e.Reached)
-		n.updateOwnership()
+	case StoreRead:
+		n.storeRead(e)
 	case Drain:
 		n.startDrain()
 	case Tick:
@@ -218,6 +220,7 @@
 	n.tickConfig()
 	n.tickCalls()
 	n.tickQuotas()
+	n.tickRefresh()
 	n.home.Step(n.now)
 	n.claims.Step(n.now, n.unixSeconds())
 	n.leases.Step(n.now)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -51,6 +51,10 @@
 		n.onQuotaRequest(from, m.QuotaRequest)
 	case *pb.PeerMessage_QuotaTransfer:
 		n.onQuotaTransfer(m.QuotaTransfer)
+	case *pb.PeerMessage_CopyQuery:
+		n.onCopyQuery(from, m.CopyQuery)
+	case *pb.PeerMessage_CopyState:
+		n.onCopyState(m.CopyState)
 	case *pb.PeerMessage_BindingReply:
 		n.onBindingReply(from, m.BindingReply)
 	default:
