experiment: policies compared in virtual time on patterns of load

Ruled out: more of the measurement package: its callers neither come back nor give up, and its engines are all alike. Change: the package experiment runs whole nodes as a gateway configures them, engines of unlike speeds whose steps lengthen with batch and context and whose memory grows and puts the newest sequence back, and callers that heed advice, come back once and give up; six patterns, five policies that differ from the one in use, a table with standard errors and a plot. Fake engines can send several tokens in one event.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export GOFLAGS ?= -buildvcs=false
 
-.PHONY: setup build demo test soak lint measure invariants scale fleet generate fuzz
+.PHONY: setup build demo test soak lint measure experiment invariants scale fleet generate fuzz
 
 setup: ## download modules and build the tools
 	$(GO) mod download
@@ -41,6 +41,9 @@
 measure: ## compare the policy with the naive baseline
 	$(GO) run ./internal/simtest/cmd/measure -seed $(SEED)
 
+experiment: ## compare policies of a gateway on patterns of load
+	$(GO) run ./internal/simtest/cmd/experiment -seed $(SEED)
+
 invariants: ## run the fault schedules of each promise
 	$(GO) run ./internal/simtest/cmd/invariants -seed $(SEED)
 
--- a/internal/simtest/edge.go
+++ b/internal/simtest/edge.go
@@ -60,14 +60,24 @@
 
 func (i *Instance) toEngine(engine *Engine, a node.Dispatch, f *flight) bool {
 	w, id := i.world, a.ID
-	output := max(f.spec.Output, 1)
+	output := max(f.spec.Output, 1) * w.TokensPerEvent
+	request := w.Trace.Find(i.globalID(id))
 	w.Loop.After(a.Remaining, func() { i.deadline(id) })
 	return engine.Submit(EngineRequest{
 		ID: i.globalID(id), Prompt: f.spec.Prompt, Output: output,
-		OnFirstToken: func() { w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamFirstToken{ID: id}) }) },
-		OnToken: func(total uint32) {
-			if total%w.TokenReport == 0 {
-				w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamTokens{ID: id, Total: total}) })
+		OnToken: func(tokens uint32) {
+			if tokens%w.TokensPerEvent != 0 {
+				return
+			}
+			events := tokens / w.TokensPerEvent
+			if request != nil {
+				request.event(w.Loop.Now())
+			}
+			if events == 1 {
+				w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamFirstToken{ID: id}) })
+			}
+			if events%w.TokenReport == 0 {
+				w.Loop.After(upstreamDelay, func() { i.step(node.UpstreamTokens{ID: id, Total: events}) })
 			}
 		},
 		OnDone: func(result EngineResult, tokens, cached uint32) {
@@ -75,7 +85,7 @@
 			if w.SwapAnswers > 0 && w.Loop.Rand.Float64() < w.SwapAnswers {
 				answer.Sequence++
 			}
-			w.Loop.After(upstreamDelay, func() { i.engineDone(id, answer, result, tokens) })
+			w.Loop.After(upstreamDelay, func() { i.engineDone(id, answer, result, tokens/w.TokensPerEvent) })
 		},
 	})
 }
--- a/internal/simtest/engine.go
+++ b/internal/simtest/engine.go
@@ -12,6 +12,12 @@
 	// A batch step lasts StepBase + StepPerSequence for each sequence that
 	// decodes + PrefillPerToken for each prompt token processed in the step.
 	StepBase, StepPerSequence, PrefillPerToken time.Duration
+	// StepPerContextToken adds to that for each token of the contexts that decode.
+	StepPerContextToken time.Duration
+	// GrowingMemory counts the memory of a sequence as it grows. When it runs out
+	// the newest sequence is put back and starts again. Without it the whole
+	// length is reserved at admission.
+	GrowingMemory bool
 	// ChunkTokens bounds the prompt tokens processed in one step.
 	ChunkTokens uint32
 	// MemoryTokens bounds the KV memory of all admitted sequences.
@@ -61,7 +67,9 @@
 	cached      uint32
 	produced    uint32
 	computed    uint32
-	gone        bool
+	// skip is the number of tokens that were sent before the sequence was put back.
+	skip uint32
+	gone bool
 }
 
 // Engine is a fake model engine with continuous batching and chunked prefill.
@@ -74,8 +82,10 @@
 	PrefillDone uint64
 	// OutputDone counts tokens generated.
 	OutputDone uint64
-	// PrefillBroken counts prompt tokens processed for streams that Kill broke.
+	// PrefillBroken counts prompt tokens processed for streams that Kill broke or
+	// that were put back, Preempted how often one was.
 	PrefillBroken uint64
+	Preempted     int
 
 	loop       *Loop
 	waiting    []*sequence
@@ -128,7 +138,7 @@
 	for i, s := range e.running {
 		if s.ID == id {
 			e.running = append(e.running[:i], e.running[i+1:]...)
-			e.memory -= s.Prompt + s.Output
+			e.memory -= e.held(s)
 			s.gone = true
 			return s.computed
 		}
@@ -176,7 +186,7 @@
 func (e *Engine) admit() {
 	for len(e.waiting) > 0 && len(e.running) < e.MaxSequences {
 		next := e.waiting[0]
-		need := next.Prompt + next.Output
+		need := e.reserved(next)
 		if e.memory+need > e.MemoryTokens && len(e.running) > 0 {
 			return
 		}
@@ -198,15 +208,16 @@
 	if len(e.running) == 0 {
 		return
 	}
-	budget, decoding := e.ChunkTokens, 0
+	budget, decoding, context := e.ChunkTokens, 0, uint32(0)
 	for _, s := range e.running {
 		s.chunk = min(s.prefillLeft, budget)
 		budget -= s.chunk
 		if s.prefillLeft == 0 {
 			decoding++
+			context += s.Prompt + s.produced
 		}
 	}
-	duration := e.StepBase + time.Duration(decoding)*e.StepPerSequence +
+	duration := e.StepBase + time.Duration(decoding)*e.StepPerSequence + time.Duration(context)*e.StepPerContextToken +
 		time.Duration(e.ChunkTokens-budget)*e.PrefillPerToken
 	e.stepping = true
 	generation := e.generation
@@ -219,7 +230,39 @@
 	})
 }
 
+// reserved is the memory that a sequence takes at admission, held what it has
+// now, in tokens.
+func (e *Engine) reserved(s *sequence) uint32 {
+	if e.GrowingMemory {
+		return s.Prompt
+	}
+	return s.Prompt + s.Output
+}
+
+func (e *Engine) held(s *sequence) uint32 {
+	if e.GrowingMemory {
+		return s.Prompt + s.produced
+	}
+	return s.Prompt + s.Output
+}
+
+// makeRoom puts back the newest sequences until one token for each of the
+// others fits.
+func (e *Engine) makeRoom() {
+	for e.GrowingMemory && len(e.running) > 1 && e.memory+uint32(len(e.running)) > e.MemoryTokens {
+		newest := e.running[len(e.running)-1]
+		e.running = e.running[:len(e.running)-1]
+		e.memory -= e.held(newest)
+		e.Preempted++
+		e.PrefillBroken += uint64(newest.computed)
+		back := &sequence{EngineRequest: newest.EngineRequest, skip: max(newest.produced, newest.skip)}
+		newest.gone = true
+		e.waiting = append([]*sequence{back}, e.waiting...)
+	}
+}
+
 func (e *Engine) finishStep() {
+	e.makeRoom()
 	stepped := append([]*sequence(nil), e.running...)
 	for _, s := range stepped {
 		if s.gone || s.chunk == 0 && s.prefillLeft > 0 {
@@ -252,6 +295,12 @@
 func (e *Engine) emit(s *sequence) {
 	s.produced++
 	e.OutputDone++
+	if e.GrowingMemory {
+		e.memory++
+	}
+	if s.produced <= s.skip {
+		return
+	}
 	if s.produced == 1 && s.OnFirstToken != nil {
 		s.OnFirstToken()
 	}
@@ -272,7 +321,7 @@
 	for i, other := range e.running {
 		if other == s {
 			e.running = append(e.running[:i], e.running[i+1:]...)
-			e.memory -= s.Prompt + s.Output
+			e.memory -= e.held(s)
 			return true
 		}
 	}
--- a/internal/simtest/engine_test.go
+++ b/internal/simtest/engine_test.go
@@ -95,3 +95,42 @@
 	require.Equal(t, 3, service.KeyRuns["key"])
 	require.Equal(t, 1, service.Runs[scheduler.GlobalID{Sequence: 2}])
 }
+
+// TestMemoryThatGrows guards against a model in which more streams than fit
+// into an engine's memory all run to their end without a cost.
+func TestMemoryThatGrows(t *testing.T) {
+	loop := NewLoop(1)
+	e := NewEngine(loop, EngineConfig{
+		StepBase: time.Millisecond, ChunkTokens: 1000, MemoryTokens: 130, MaxSequences: 4, GrowingMemory: true,
+	})
+	var done []uint64
+	tokens := map[uint64]int{}
+	for id := uint64(1); id <= 2; id++ {
+		e.Submit(EngineRequest{
+			ID: scheduler.GlobalID{Sequence: id}, Prompt: 40, Output: 40,
+			OnToken: func(uint32) { tokens[id]++ },
+			OnDone:  func(EngineResult, uint32, uint32) { done = append(done, id) },
+		})
+	}
+	loop.RunUntil(time.Second)
+	require.Equal(t, []uint64{1, 2}, done, "the newest is put back")
+	require.Equal(t, map[uint64]int{1: 40, 2: 40}, tokens, "no token is sent twice")
+	require.NotZero(t, e.Preempted)
+	require.Greater(t, e.PrefillDone, uint64(80), "its prompt is read again")
+}
+
+// TestLongContextsAreSlow guards against steps whose time does not grow with the
+// contexts in the batch.
+func TestLongContextsAreSlow(t *testing.T) {
+	ends := map[uint32]time.Duration{}
+	for _, prompt := range []uint32{100, 10_000} {
+		loop := NewLoop(1)
+		e := NewEngine(loop, EngineConfig{
+			StepBase: time.Millisecond, StepPerContextToken: 100 * time.Nanosecond, ChunkTokens: 20_000, MemoryTokens: 20_000, MaxSequences: 1,
+		})
+		e.Submit(EngineRequest{ID: scheduler.GlobalID{Sequence: 1}, Prompt: prompt, Output: 50,
+			OnDone: func(EngineResult, uint32, uint32) { ends[prompt] = loop.Now() }})
+		loop.RunUntil(time.Second)
+	}
+	require.Greater(t, ends[10_000], ends[100]*3/2)
+}
--- /dev/null
+++ b/internal/simtest/experiment/result.go
@@ -0,0 +1,132 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// windowLength is that of the windows whose worst count by themselves.
+	windowLength = 2 * time.Second
+	// worstWindows is how many of them.
+	worstWindows = 2
+	// Weights of the parts of the worth.
+	wholeWeight, windowWeight, kindWeight = 0.7, 0.15, 0.15
+	// againPrice is the part of a request's worth that a caller loses who came
+	// back after a refusal in vain.
+	againPrice = 0.3
+)
+
+// Result is what a run earned, in parts of what was owed.
+type Result struct {
+	Whole, WorstWindows, WorstKind float64
+	// Again is the price of callers that came back in vain.
+	Again float64
+	// Served is the part of the requests of each kind, the most urgent first, that
+	// were answered whole.
+	Served []float64
+	// Preempted counts sequences that engines put back.
+	Preempted int
+}
+
+// Worth is the figure by which policies are ranked.
+func (r Result) Worth() float64 {
+	return wholeWeight*r.Whole + windowWeight*r.WorstWindows + kindWeight*r.WorstKind - r.Again
+}
+
+// tally sums worth.
+type tally struct {
+	owed, earned, again float64
+	requests, served    float64
+}
+
+func (t *tally) share() float64 { return t.earned / max(t.owed, 1e-9) }
+
+// size is the worth of a request by the length of its prompt.
+func (c *caller) size() float64 {
+	return min(4, 0.3+0.7*float64(c.prompt)/kinds[c.kind].prompt)
+}
+
+func (t *tally) add(c *caller) {
+	k := kinds[c.kind]
+	whole, inTime := c.served()
+	t.owed += k.worth * c.size()
+	t.requests++
+	switch {
+	case inTime:
+		t.earned += k.worth * c.size()
+	case whole:
+		t.earned += k.late * c.size()
+	case c.cameBack():
+		t.again += againPrice * k.worth * c.size()
+	}
+	if whole {
+		t.served++
+	}
+}
+
+// result sums up. What an organisation asks beyond the tolerated use of its
+// quota in a window is not owed.
+func (r *run) result() Result {
+	var all tally
+	byKind := make([]tally, len(kinds))
+	windows := make([]tally, trafficFor/windowLength)
+	use := newUsage(r)
+	for _, c := range r.callers {
+		if len(c.attempts) == 0 || c.overQuota() && use.beyond(c) {
+			continue
+		}
+		all.add(c)
+		byKind[c.kind].add(c)
+		windows[(c.at-trafficFrom)/windowLength].add(c)
+	}
+	out := Result{Whole: all.share(), WorstKind: 1, Again: all.again / max(all.owed, 1e-9)}
+	for k := range byKind {
+		out.WorstKind = min(out.WorstKind, byKind[k].share())
+		out.Served = append(out.Served, byKind[k].served/max(byKind[k].requests, 1))
+	}
+	slices.SortFunc(windows, func(a, b tally) int {
+		if a.share() < b.share() {
+			return -1
+		}
+		return 1
+	})
+	for i := range worstWindows {
+		out.WorstWindows += windows[i].share() / worstWindows
+	}
+	for _, e := range r.world.Engines {
+		out.Preempted += e.Preempted
+	}
+	return out
+}
+
+// usage is what each organisation has used of its quota.
+type usage struct {
+	run *run
+	// granted holds the requests that were sent to engines, in order of arrival.
+	granted [organisations][]*caller
+}
+
+func newUsage(r *run) *usage {
+	u := &usage{run: r}
+	for _, c := range r.callers {
+		if len(c.attempts) > 0 && !c.overQuota() {
+			u.granted[c.organisation] = append(u.granted[c.organisation], c)
+		}
+	}
+	return u
+}
+
+// beyond reports whether the request did not fit into the window before it.
+func (u *usage) beyond(c *caller) bool {
+	lowered := c.at >= trafficFrom+eventAt
+	o := config(u.run.pattern, lowered).Organisations[c.organisation]
+	tolerated := (o.QuotaPerSecond*tolerance.Window.Seconds()+o.QuotaBurst)*(1+tolerance.Over) + tolerance.Slack
+	used := c.cost()
+	for _, g := range u.granted[c.organisation] {
+		if g.at <= c.at && c.at-g.at < tolerance.Window {
+			used += g.cost()
+		}
+	}
+	return used > tolerated
+}
--- a/internal/simtest/trace.go
+++ b/internal/simtest/trace.go
@@ -43,6 +43,12 @@
 	RecordedBody string
 	// Tokens is the length of an engine's answer.
 	Tokens uint32
+	// FirstAt is when its first event came, LongestGap the longest pause between
+	// two, lastAt when the newest came.
+	FirstAt, LongestGap time.Duration
+	lastAt              time.Duration
+	// RetryAfter is what a refusal advised.
+	RetryAfter time.Duration
 }
 
 func (r *Request) end(now time.Duration, outcome Outcome, refusal node.Refuse) {
@@ -50,9 +56,20 @@
 	if r.Outcome == OutcomeNone {
 		r.Ended, r.Outcome = now, outcome
 		r.Code, r.Ran, r.Reason = refusal.Code, string(refusal.Ran), refusal.Reason
+		r.RetryAfter = refusal.RetryAfter
 	}
 }
 
+// event records that an event came.
+func (r *Request) event(now time.Duration) {
+	if r.FirstAt == 0 {
+		r.FirstAt = now
+	} else {
+		r.LongestGap = max(r.LongestGap, now-r.lastAt)
+	}
+	r.lastAt = now
+}
+
 // Receipt is a request that was handed to an upstream.
 type Receipt struct {
 	At       time.Duration
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -49,6 +49,9 @@
 	// TokenReport is after how many tokens of a stream the edge tells the node;
 	// NewWorld sets 8.
 	TokenReport uint32
+	// TokensPerEvent is the number of tokens that engines send at once. Outputs
+	// are counted in events.
+	TokensPerEvent uint32
 	// OnFrame, if set, is called for every frame that an instance sends, with
 	// the address of the receiver and the size of the encoded frame in bytes.
 	OnFrame func(from *Instance, to string, frame *pb.Frame, size int)
@@ -113,17 +116,18 @@
 	Key            string
 	// FirstAttempt is true if the caller vouches that it sent no call with Key before.
 	FirstAttempt bool
-	// QuotaCost, MaxSends and Repeatable are those of node.SubmitRequest.
-	QuotaCost  float64
-	MaxSends   uint32
-	Repeatable bool
+	// QuotaCost and what follows are those of node.SubmitRequest.
+	QuotaCost   float64
+	MaxSends    uint32
+	Repeatable  bool
+	StartWithin time.Duration
 }
 
 // NewWorld returns a world without instances.
 func NewWorld(seed uint64) *World {
 	loop := NewLoop(seed)
 	return &World{
-		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, TokenReport: 8, seed: seed,
+		Loop: loop, Platform: NewPlatform(loop), Trace: &Trace{}, Delay: 1500 * time.Microsecond, TokenReport: 8, TokensPerEvent: 1, seed: seed,
 		Engines: map[string]*Engine{}, Services: map[string]*Service{}, cuts: map[[2]string]bool{},
 		listed: map[string]node.ListedInstance{}, fencing: map[string]uint64{},
 	}
@@ -364,6 +368,7 @@
 		ID: id, Organisation: spec.Organisation, Kind: spec.Kind, Model: spec.Model, Labels: spec.Labels, PromptTokens: spec.Prompt,
 		MaxOutputTokens: spec.Output, Remaining: spec.Remaining, IdempotencyKey: spec.Key, FirstAttempt: spec.FirstAttempt, Body: []byte(spec.Key),
 		QuotaCost: spec.QuotaCost, MaxSends: spec.MaxSends, Repeatable: spec.Repeatable,
+		StartWithin: spec.StartWithin,
 	})
 	return r
 }
