--- a/internal/simtest/experiment/caller.go
+++ b/internal/simtest/experiment/caller.go
@@ -25,9 +25,6 @@
 	work
 	route    *ingress.Route
 	attempts []*simtest.Request
-	// again is when the next attempt is sent, 0 if none is due.
-	again time.Duration
-	done  bool
 }
 
 // send sends an attempt to an instance drawn by chance.
@@ -57,7 +54,6 @@
 			return false
 		case now-c.at >= kinds[c.kind].deadline, r.FirstAt == 0 && now-r.Submitted >= c.route.Patience():
 			instance.CallerLeaves(r)
-			c.done = true
 			return false
 		}
 		return true
@@ -69,7 +65,6 @@
 	now := c.run.world.Loop.Now()
 	left := c.at + kinds[c.kind].deadline - now
 	if r.Outcome != simtest.OutcomeRefused || r.FirstAt != 0 || len(c.attempts) == maxAttempts || left <= 0 {
-		c.done = true
 		return
 	}
 	pause := defaultPause
