--- a/internal/simtest/cmd/experiment/plot.go
+++ b/internal/simtest/cmd/experiment/plot.go
@@ -19,7 +19,7 @@
 func draw(file string, policies []experiment.Policy, compared [][]experiment.Comparison) error {
 	p := plot.New()
 	p.Y.Label.Text = "difference in worth"
-	p.Legend.Top = true
+	p.Legend.Left = true
 	var patterns []string
 	for _, c := range compared[0] {
 		patterns = append(patterns, c.Pattern)
--- a/internal/simtest/experiment/result.go
+++ b/internal/simtest/experiment/result.go
@@ -15,13 +15,19 @@
 	// againPrice is the part of a request's worth that a caller loses who came
 	// back after a refusal in vain.
 	againPrice = 0.3
+	// A request that is refused without having been sent costs nothing if it was
+	// held for heldFree of its goal, and its whole worth if it was held for
+	// heldWhole of the time that it had.
+	heldFree  = 1.0 / 8
+	heldWhole = 3.0 / 4
 )
 
 // Result is what a run earned, in parts of what was owed.
 type Result struct {
 	Whole, WorstWindows, WorstKind float64
-	// Again is the price of callers that came back in vain.
-	Again float64
+	// Again is the price of callers that came back in vain, Held that of requests
+	// that were held and then refused.
+	Again, Held float64
 	// Served is the part of the requests of each kind, the most urgent first, that
 	// were answered whole.
 	Served []float64
@@ -31,13 +37,13 @@
 
 // Worth is the figure by which policies are ranked.
 func (r Result) Worth() float64 {
-	return wholeWeight*r.Whole + windowWeight*r.WorstWindows + kindWeight*r.WorstKind - r.Again
+	return wholeWeight*r.Whole + windowWeight*r.WorstWindows + kindWeight*r.WorstKind - r.Again - r.Held
 }
 
 // tally sums worth.
 type tally struct {
-	owed, earned, again float64
-	requests, served    float64
+	owed, earned, again, held float64
+	requests, served          float64
 }
 
 func (t *tally) share() float64 { return t.earned / max(t.owed, 1e-9) }
@@ -47,6 +53,20 @@
 	return min(4, 0.3+0.7*float64(c.prompt)/kinds[c.kind].prompt)
 }
 
+// heldInVain returns which part of its worth a request costs that was held
+// without being sent, 0 to 1.
+func (c *caller) heldInVain() float64 {
+	free, whole := heldFree*kinds[c.kind].goal.Seconds(), heldWhole*kinds[c.kind].deadline.Seconds()
+	held := 0.0
+	for _, r := range c.attempts {
+		if len(r.Dispatches) > 0 {
+			return 0
+		}
+		held += (r.Ended - r.Submitted).Seconds()
+	}
+	return max(0, min(1, (held-free)/(whole-free)))
+}
+
 func (t *tally) add(c *caller) {
 	k := kinds[c.kind]
 	whole, inTime := c.served()
@@ -60,6 +80,9 @@
 	case c.cameBack():
 		t.again += againPrice * k.worth * c.size()
 	}
+	if !whole {
+		t.held += c.heldInVain() * k.worth * c.size()
+	}
 	if whole {
 		t.served++
 	}
@@ -80,7 +103,7 @@
 		byKind[c.kind].add(c)
 		windows[(c.at-trafficFrom)/windowLength].add(c)
 	}
-	out := Result{Whole: all.share(), WorstKind: 1, Again: all.again / max(all.owed, 1e-9)}
+	out := Result{Whole: all.share(), WorstKind: 1, Again: all.again / max(all.owed, 1e-9), Held: all.held / max(all.owed, 1e-9)}
 	for k := range byKind {
 		out.WorstKind = min(out.WorstKind, byKind[k].share())
 		out.Served = append(out.Served, byKind[k].served/max(byKind[k].requests, 1))
