--- a/pkg/node/refresh.go
+++ b/pkg/node/refresh.go
@@ -16,6 +16,10 @@
 	behindAfter = 1500 * time.Millisecond
 )
 
+// readReasons names the reads of the store in the counter "refresh", beside the
+// questions to other instances and what they confirmed.
+var readReasons = [len(refresh.Parts)]string{refresh.Config: "read_config", refresh.Upstreams: "read_upstreams"}
+
 // Copies returns what is known of this instance's copies of the store's state.
 func (n *Node) Copies() refresh.Copies { return n.copies.Copies() }
 
@@ -26,6 +30,7 @@
 	}
 	due := n.copies.Tick(n.now, func(stale bool) uint64 { return n.view.ReaderOf(instancesPerReader, !stale) })
 	if due.Ask != 0 {
+		n.count("refresh", "asked")
 		n.send(due.Ask, &pb.PeerMessage{Body: &pb.PeerMessage_CopyQuery{CopyQuery: &pb.CopyQuery{Sequence: due.Sequence}}})
 	}
 	n.readStore(due)
@@ -35,6 +40,7 @@
 func (n *Node) readStore(due refresh.Due) {
 	for _, p := range refresh.Parts {
 		if due.Read[p] {
+			n.count("refresh", readReasons[p])
 			n.emit(ReadStore{Part: p})
 		}
 	}
@@ -99,6 +105,7 @@
 	confirmed, due := n.copies.OnAnswer(n.now, m.Sequence, ages)
 	for _, p := range refresh.Parts {
 		if confirmed[p] {
+			n.count("refresh", "confirmed")
 			c := n.copies.Copies()[p]
 			n.emit(CopyConfirmed{Part: p, Version: c.Version, At: c.At})
 		}
