--- a/internal/simtest/experiment/run.go
+++ b/internal/simtest/experiment/run.go
@@ -28,7 +28,7 @@
 }
 
 // Base is the policy of the gateway.
-func Base() Policy { return Policy{Name: "base", StartShare: 0.6, PromptSlowdown: 4, MaxSends: 8} }
+func Base() Policy { return Policy{Name: "base", StartShare: 0.15, PromptSlowdown: 4, MaxSends: 8} }
 
 // Changes returns policies that differ from Base in one thing each.
 func Changes() []Policy {
@@ -42,7 +42,7 @@
 		change("no-tiers", func(p *Policy) { p.IgnoreTiers = true }),
 		change("tolerance-in-burst", func(p *Policy) { p.ToleranceInBurst = true }),
 		change("long-waits", func(p *Policy) { p.StartShare = 2.4 }),
-		change("short-waits", func(p *Policy) { p.StartShare = 0.15 }),
+		change("medium-waits", func(p *Policy) { p.StartShare = 0.6 }),
 		change("prompts-ignored", func(p *Policy) { p.PromptSlowdown = 0 }),
 	}
 }
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -79,8 +79,10 @@
 	return time.Duration(float64(r.Goal) * startShare)
 }
 
-// startShare is the part of a route's goal that a request may wait.
-const startShare = 0.6
+// startShare is the part of a route's goal that a request may wait. A caller that
+// is refused at once comes back while its answer can still be in time; one that
+// is held for longer is refused as often, and later.
+const startShare = 0.15
 
 // Callers leave a stream without an event after the longest of these.
 const (
