--- a/internal/nodeloop/loop.go
+++ b/internal/nodeloop/loop.go
@@ -68,9 +68,11 @@
 // Now is the time since the loop was made, suspensions of the machine included.
 func (l *Loop) Now() time.Duration { return boottime.Now() - l.started }
 
-// Time and BootTime translate between boot time and the node's time.
-func (l *Loop) Time(boot time.Duration) time.Duration     { return boot - l.started }
-func (l *Loop) BootTime(time time.Duration) time.Duration { return l.started + time }
+// Time returns the node's time at a boot time.
+func (l *Loop) Time(boot time.Duration) time.Duration { return boot - l.started }
+
+// BootTime returns the boot time at a time of the node.
+func (l *Loop) BootTime(at time.Duration) time.Duration { return l.started + at }
 
 // step handles one event and the events that its actions produce.
 func (l *Loop) step(ev node.Event) {
--- a/pkg/refresh/refresh.go
+++ b/pkg/refresh/refresh.go
@@ -59,8 +59,7 @@
 type Due struct {
 	// Read says which parts to read now.
 	Read [parts]bool
-	// Ask is the instance to ask, 0 for none, and Sequence the number of the
-	// question.
+	// Ask is the instance to ask, 0 for none; Sequence is the number of the question.
 	Ask      uint64
 	Sequence uint32
 }
