daemon, httpfront: log lines of entry instances are typed too

Cause: lines of an entry instance were written field by field, without budgets and outside of docs/LOGS.md, and citrongate trace did not know them. Change: the daemon and the caller API write eventlog lines; statuses of upstreams and orders have names; a refusal carries its HTTP status. TestLog reads a refused request's life from the log of a running instance.

--- a/internal/daemon/background.go
+++ b/internal/daemon/background.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/platform"
 	"github.com/citrongate/citrongate/internal/telemetry"
@@ -31,7 +32,7 @@
 	if set == nil {
 		return
 	}
-	d.log.Info().Uint64("revision", a.Revision).Msg("configuration in force")
+	d.log.Write(eventlog.TableInForce{Revision: a.Revision})
 	select {
 	case <-d.compile:
 	default:
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/upstream"
@@ -46,7 +47,7 @@
 		case node.Dispatch:
 			if c.sent {
 				// The edge keeps its promise also against a fault in the decisions.
-				c.log("second dispatch not carried out", "internal", string(node.RanUnknown))
+				c.daemon.log.Write(eventlog.InternalFault{What: "a second dispatch was not carried out", Error: "request " + c.request.CallerID})
 				continue
 			}
 			if c.exchange(ctx, a) {
@@ -87,7 +88,9 @@
 }
 
 func (c *call) refuse(a node.Refuse) {
-	c.log("request refused", a.Code, string(a.Ran))
+	c.daemon.log.Write(eventlog.RequestRefused{RequestID: c.request.CallerID, Organisation: c.request.Organisation, Route: c.request.Kind,
+		Reason: a.Code, Detail: a.Reason, Ran: string(a.Ran), Status: httpfront.Refusal(a.Refusal).Status(),
+		RetryAfterMs: eventlog.Milliseconds(a.RetryAfter), ConfigAgeMs: -1})
 	c.answer.Refuse(httpfront.Refusal(a.Refusal))
 }
 
@@ -101,11 +104,6 @@
 	_ = c.answer.Outcome(o)
 }
 
-func (c *call) log(message, code, ran string) {
-	c.daemon.log.Info().Str("request_id", c.request.CallerID).Str("organisation", c.request.Organisation).
-		Str("kind", c.request.Kind).Str("reason", code).Str("ran", ran).Msg(message)
-}
-
 // results maps how an upstream ended a request to the node's terms.
 var results = map[upstream.Status]node.UpstreamResult{
 	upstream.Complete:   node.ResultComplete,
@@ -132,8 +130,8 @@
 	result, outcome := c.send(limited, d)
 	c.mailbox.End()
 	if result.Status != upstream.Complete {
-		c.daemon.log.Info().Str("request_id", c.request.CallerID).Str("organisation", c.request.Organisation).
-			Str("upstream", d.Upstream).Str("wire_id", c.wireID).Str("detail", result.Detail).Msg("upstream did not answer whole")
+		c.daemon.log.Write(eventlog.SendFailed{RequestID: c.request.CallerID, Upstream: d.Upstream, WireID: c.wireID,
+			Status: result.Status.String(), Detail: result.Detail})
 	}
 	if result.Status == upstream.NotSent {
 		c.daemon.loop.Post(node.DispatchFailed{ID: c.id})
@@ -162,7 +160,7 @@
 		err = c.answer.Done()
 	}
 	if err != nil {
-		c.daemon.log.Debug().Err(err).Str("request_id", c.request.CallerID).Msg("caller did not take the whole answer")
+		c.daemon.log.Write(eventlog.CallerLeft{RequestID: c.request.CallerID})
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/citrongate/citrongate/internal/adminapi"
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/peer"
@@ -20,6 +21,7 @@
 	"github.com/citrongate/citrongate/internal/settings"
 	"github.com/citrongate/citrongate/internal/telemetry"
 	"github.com/citrongate/citrongate/internal/upstream"
+	"github.com/citrongate/citrongate/internal/version"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -47,7 +49,7 @@
 type Daemon struct {
 	settings     *pb.Settings
 	identity     nodeloop.Identity
-	log          zerolog.Logger
+	log          *eventlog.Logger
 	metrics      *telemetry.Metrics
 	loop         *nodeloop.Loop
 	front        *httpfront.Handler
@@ -106,7 +108,9 @@
 	limits := s.GetLimits()
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings: s, identity: id, log: log.With().Str("instance", s.GetInstance().GetName()).Logger(), metrics: metrics,
+		settings: s, identity: id, metrics: metrics,
+		log: eventlog.New(log, s.GetInstance().GetName(), id.String(),
+			func(message string) { metrics.Count("log_lines_dropped", message) }),
 		upstream:     upstream.NewClient(upstream.Options{Connections: int(limits.GetUpstreamConnections()), MaxAnswerBytes: limits.GetMaxBodyBytes()}),
 		platform:     platform.NewClient(s.GetPlatform().GetAddress(), settings.Duration(s.GetPlatform().GetCallTimeout())),
 		requests:     nodeloop.NewMailboxes(),
@@ -128,7 +132,7 @@
 	started := time.Now()
 	d.loop = nodeloop.New(makeMachine(d.nodeConfig(started), id.Seed), d.execute)
 	d.front = httpfront.NewHandler(d, d.maxDeadline, d.log)
-	d.admin = adminapi.New(adminBackend{d}, metrics.Handler(), d.log)
+	d.admin = adminapi.New(adminBackend{d}, metrics.Handler(), d.log.Logger())
 	d.admin.SetOperators(adminapi.NewOperators(nil, s.GetBootstrap().GetOperatorTokenSha256()))
 	return d, nil
 }
@@ -195,8 +199,8 @@
 		d.Close()
 		return fmt.Errorf("cannot listen on [listen] admin %s: %w", d.settings.GetListen().GetAdmin(), err)
 	}
-	d.log.Info().Str("incarnation", d.identity.String()).Str("caller", d.settings.GetListen().GetCaller()).
-		Str("admin", d.settings.GetListen().GetAdmin()).Str("peer", d.settings.GetListen().GetPeer()).Msg("instance started")
+	listen := d.settings.GetListen()
+	d.log.Write(eventlog.InstanceStarted{Version: version.Version, Caller: listen.GetCaller(), Peer: listen.GetPeer(), Admin: listen.GetAdmin()})
 	return nil
 }
 
@@ -217,7 +221,7 @@
 	var err error
 	d.peers, err = peer.New(peer.Config{
 		Address: s.GetListen().GetPeer(), Certificate: s.GetPeer().GetCertificate(), Key: s.GetPeer().GetKey(),
-		Authority: s.GetPeer().GetAuthority(), Seeds: seeds(s), Log: d.log,
+		Authority: s.GetPeer().GetAuthority(), Seeds: seeds(s), Log: d.log.Logger(),
 		Receive: func(f *pb.Frame) { d.loop.Post(node.FrameReceived{Frame: f}) },
 	})
 	if err != nil {
@@ -228,7 +232,7 @@
 		MaxBodyBytes: int(limits.GetMaxBodyBytes()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
 		MaxBufferedBytes: limits.GetMaxBufferedBytes(),
 		MaxConnections:   int(limits.GetMaxConnections()), ReadTimeout: settings.Duration(limits.GetReadTimeout()),
-		Handler: d.front, BadInput: d.badInput, Log: d.log,
+		Handler: d.front, BadInput: d.badInput, Log: d.log.Logger(),
 	}
 	if d.callers, err = httpfront.NewServer(config); err != nil {
 		return err
@@ -253,7 +257,7 @@
 // Drain starts a planned stop. It returns at once; Drained says when no work is left.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
-		d.log.Info().Msg("planned stop started")
+		d.log.Write(eventlog.StopStarted{})
 		d.leaving.Store(true)
 		close(d.draining)
 		d.goRun(func() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -48,6 +48,7 @@
 	engine   *httptest.Server
 	service  *httptest.Server
 	next     int
+	log      zerolog.Logger
 }
 
 func newSite(t *testing.T) *site {
@@ -62,7 +63,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); e.Run(ctx) }()
 	t.Cleanup(func() { stop(); <-done })
-	s := &site{t: t, platform: p.Listener.Addr().String(), engine: httptest.NewServer(e.Handler()), service: httptest.NewServer(service.New(service.Config{}).Handler())}
+	s := &site{t: t, log: zerolog.Nop(), platform: p.Listener.Addr().String(), engine: httptest.NewServer(e.Handler()), service: httptest.NewServer(service.New(service.Config{}).Handler())}
 	t.Cleanup(s.engine.Close)
 	t.Cleanup(s.service.Close)
 	return s
@@ -104,7 +105,7 @@
 		s.next, entry, admin, freeAddress(s.t), s.platform, digest("op"), extra)
 	loaded, err := settings.Parse("test", []byte(text))
 	require.NoError(s.t, err)
-	d, err := New(loaded, zerolog.Nop(), func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
+	d, err := New(loaded, s.log, func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
 	require.NoError(s.t, err)
 	if err := d.Start(); err != nil {
 		return nil, err
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/upstream"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/store"
@@ -98,7 +99,7 @@
 		status := d.upstream.SendOrder(d.ctx, a.Address, upstream.Order{
 			FencingNumber: a.FencingNumber, Verb: a.Verb, Argument: a.Argument,
 		}, notAfter)
-		d.log.Info().Str("upstream", a.Upstream).Str("verb", a.Verb).Uint64("fencing_number", a.FencingNumber).Uint8("status", uint8(status)).Msg("order sent")
+		d.log.Write(eventlog.OrderSent{Upstream: a.Upstream, Verb: a.Verb, FencingNumber: a.FencingNumber, Status: status.String()})
 		d.loop.Post(node.OrderDone{Order: a.Order, Status: status})
 	})
 }
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -7,14 +7,18 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/internal/adminwire"
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/standin/engine"
 	"github.com/citrongate/citrongate/internal/standin/service"
+	"github.com/citrongate/citrongate/internal/trace"
 )
 
 // TestServe guards against a broken path from caller to upstream and back.
@@ -284,3 +288,47 @@
 	require.Equal(t, "no", ran)
 	require.Contains(t, []string{"connect_failed", "expired_waiting", "shed_overload"}, code)
 }
+
+// TestLog guards against lines of an entry instance that citrongate trace does
+// not know, and against a refused request without one.
+func TestLog(t *testing.T) {
+	var out lockedBuffer
+	s := newSite(t)
+	s.log = zerolog.New(&out)
+	i := s.start("")
+	s.configure(i)
+	status, header, _ := i.call(http.MethodPost, i.entry, "/v1/call/unknown", "wrong", "{}", "X-Request-Id", "r1")
+	require.Equal(t, http.StatusUnauthorized, status)
+	require.Equal(t, "r1", header.Get("X-Request-Id"))
+	collector := trace.NewCollector("r1")
+	require.NoError(t, collector.Read(strings.NewReader(out.String())))
+	life := collector.Life()
+	require.Zero(t, life.Torn)
+	var refused []eventlog.RequestRefused
+	for _, e := range life.Entries {
+		if line, ok := e.Line.(eventlog.RequestRefused); ok {
+			refused = append(refused, line)
+		}
+	}
+	require.Len(t, refused, 1)
+	require.Equal(t, http.StatusUnauthorized, refused[0].Status)
+	require.Contains(t, out.String(), "instance started")
+}
+
+// lockedBuffer is a buffer that several goroutines may write.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -38,6 +38,7 @@
 	RequestID string  `json:"request_id" about:"the caller's id of this attempt"`
 	Send      int     `json:"send" about:"1 for the first send of the request"`
 	Upstream  string  `json:"upstream" about:"id and start of the server"`
+	WireID    string  `json:"wire_id,omitempty" about:"id that the server saw, where it is another"`
 	Status    string  `json:"status" about:"not sent, not run, failed, broken, mismatched, expired or canceled"`
 	Code      int     `json:"code,omitempty" about:"HTTP status of the server"`
 	Detail    string  `json:"detail,omitempty" about:"what was seen"`
@@ -74,7 +75,7 @@
 type RequestRefused struct {
 	RequestID     string  `json:"request_id" about:"the caller's id of this attempt; empty if the request has none"`
 	Organisation  string  `json:"organisation" about:"that the key belongs to, or none"`
-	Route         string  `json:"route" about:"by host and path; empty if none matches"`
+	Route         string  `json:"route" about:"by host and path, or the kind of an entry instance's request; empty if none matches"`
 	Priority      int     `json:"priority" about:"of the route; 0 is the most urgent, or if no route matches"`
 	GoalMs        float64 `json:"goal_ms" about:"time to the answer, or to its first event, that the route aims at"`
 	Path          string  `json:"path,omitempty" about:"of a request that no route matches"`
@@ -110,12 +111,25 @@
 	return Spec{"caller left", zerolog.InfoLevel, perRequest, "a caller closed its connection before its answer had ended"}
 }
 
+// OrderSent is written for each operator's order that was sent to an upstream.
+type OrderSent struct {
+	Upstream      string `json:"upstream" about:"that it is for"`
+	Verb          string `json:"verb" about:"what is ordered"`
+	FencingNumber uint64 `json:"fencing_number" about:"by which the upstream tells outdated orders"`
+	Status        string `json:"status" about:"what the upstream answered"`
+}
+
+// Spec describes the line.
+func (OrderSent) Spec() Spec {
+	return Spec{"order sent", zerolog.InfoLevel, perDecision, "an operator's order was sent to an upstream"}
+}
+
 // InstanceStarted is written once by each process.
 type InstanceStarted struct {
 	Version   string `json:"version" about:"of the program"`
 	Caller    string `json:"caller" about:"address for callers"`
-	Ready     string `json:"ready" about:"address for readiness"`
-	Discovery string `json:"discovery" about:"address for discovery"`
+	Ready     string `json:"ready,omitempty" about:"address for readiness, of a gateway"`
+	Discovery string `json:"discovery,omitempty" about:"address for discovery, of a gateway"`
 	Peer      string `json:"peer" about:"address for other instances"`
 	Admin     string `json:"admin" about:"address for operators and metrics"`
 }
@@ -293,7 +307,7 @@
 
 // All holds one line of each kind.
 var All = []Line{
-	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, CallerLeft{},
+	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, CallerLeft{}, OrderSent{},
 	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsRead{}, SettingsFaulty{}, ReadinessChanged{}, ConfigInForce{}, TableInForce{},
 	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, InternalFault{}, LinesDropped{},
 }
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/upstream"
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -83,7 +84,7 @@
 func start(t *testing.T, serve func(ctx context.Context, r *Request, answer Answer)) *front {
 	t.Helper()
 	f := &front{backend: &backend{serve: serve}}
-	f.handler = NewHandler(f.backend, time.Minute, zerolog.Nop())
+	f.handler = NewHandler(f.backend, time.Minute, eventlog.New(zerolog.Nop(), "", "", nil))
 	f.handler.SetAccess(NewAccess(testSet()))
 	server, err := NewServer(ServerConfig{
 		Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 2048, MaxConnections: 100, MaxBufferedBytes: 10_000,
--- a/internal/httpfront/handler.go
+++ b/internal/httpfront/handler.go
@@ -10,8 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/pkg/node"
 )
 
@@ -44,13 +43,13 @@
 	backend     Backend
 	access      atomic.Pointer[Access]
 	maxDeadline time.Duration
-	log         zerolog.Logger
+	log         *eventlog.Logger
 	// closing makes answers close their connection.
 	closing atomic.Bool
 }
 
 // NewHandler returns a handler that is not ready until SetAccess.
-func NewHandler(backend Backend, maxDeadline time.Duration, log zerolog.Logger) *Handler {
+func NewHandler(backend Backend, maxDeadline time.Duration, log *eventlog.Logger) *Handler {
 	return &Handler{backend: backend, maxDeadline: maxDeadline, log: log}
 }
 
@@ -79,7 +78,8 @@
 	if refusal := h.route(w, r, id); refusal != nil {
 		refusal.Ran = attemptNotRun(r.Header.Get("Idempotency-Key"), firstAttempt(r.Header))
 		h.backend.Refused(refusal.Code)
-		h.log.Info().Str("request_id", id).Str("reason", refusal.Code).Str("ran", string(refusal.Ran)).Str("detail", refusal.Reason).Msg("request refused")
+		h.log.Write(eventlog.RequestRefused{RequestID: id, Path: r.URL.Path, Reason: refusal.Code, Detail: refusal.Reason,
+			Ran: string(refusal.Ran), Status: refusal.Status(), RetryAfterMs: eventlog.Milliseconds(refusal.RetryAfter), ConfigAgeMs: -1})
 		writeRefusal(w, id, *refusal)
 	}
 }
--- a/internal/httpfront/tls_test.go
+++ b/internal/httpfront/tls_test.go
@@ -23,6 +23,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/internal/eventlog"
+
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -54,7 +56,7 @@
 		}
 		_ = answer.Outcome(&pb.BindingOutcome{HttpStatus: 200, Body: r.Body})
 	}}
-	handler := NewHandler(b, time.Minute, zerolog.Nop())
+	handler := NewHandler(b, time.Minute, eventlog.New(zerolog.Nop(), "", "", nil))
 	handler.SetAccess(NewAccess(testSet()))
 	certificate, key := writeKeyPair(t)
 	server, err := NewServer(ServerConfig{
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -24,6 +24,11 @@
 	Canceled
 )
 
+var statusNames = [...]string{"", "not sent", "complete", "not run", "broken", "mismatched", "expired", "canceled"}
+
+// String returns the name for log lines.
+func (s Status) String() string { return statusNames[s] }
+
 // Result is the end of a request.
 type Result struct {
 	Status Status
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -167,6 +167,11 @@
 	OrderUnknown
 )
 
+var orderStatusNames = [...]string{"", "applied", "refused for its fencing number", "not sent", "unknown"}
+
+// String returns the name for log lines.
+func (s OrderStatus) String() string { return orderStatusNames[s] }
+
 // CacheEvents reports prefix digests that an engine cached or evicted. Events
 // are late and have gaps, so they are hints.
 type CacheEvents struct {
