account: requests that end with their process hold their places until then

Sends without an end were left out. Change: such a send ends with the last line of its process. TestLostWithItsProcess fails without that.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -85,6 +85,19 @@
 	require.Equal(t, uint64(30), got.PeakPrompt)
 }
 
+// TestLostWithItsProcess guards against places that count as free although a
+// process that ended held them.
+func TestLostWithItsProcess(t *testing.T) {
+	list := attempts(t,
+		timed{1 * time.Second, sent("a", "u/1", 0)},
+		timed{2 * time.Second, eventlog.RequestAnswered{RequestID: "a", Code: 200, Events: 4}},
+		timed{2 * time.Second, sent("b", "u/1", 0)},
+		timed{5 * time.Second, eventlog.ReadinessChanged{}},
+	)
+	got := account.Slots(list, account.Engines{Count: 1, Slots: 2})
+	require.InDelta(t, 3, got.By[account.Open], 0.001)
+}
+
 // TestBound guards against a bound below what an engine can do.
 func TestBound(t *testing.T) {
 	engine := account.Engine{StepMs: 4, PromptPerMs: 100, Batch: 4, Slowness: 1}
--- a/internal/account/attempt.go
+++ b/internal/account/attempt.go
@@ -89,8 +89,12 @@
 func (c *Collector) Attempts() []*Attempt {
 	starts := eventlog.Starts(c.records)
 	byKey := map[lifeKey]*Attempt{}
+	last := map[eventlog.Process]time.Time{}
 	var out []*Attempt
 	for _, r := range c.records {
+		if at := starts[r.Process()].Add(r.Up); at.After(last[r.Process()]) {
+			last[r.Process()] = at
+		}
 		id, about := eventlog.RequestOf(r.Line)
 		if !about || id == "" {
 			continue
@@ -104,6 +108,10 @@
 		}
 		a.take(starts[key.Process].Add(r.Up), r.Line)
 	}
+	// What is open when its process ends is open until then.
+	for key, a := range byKey {
+		a.endSend(last[key.Process], false)
+	}
 	out = slices.DeleteFunc(out, func(a *Attempt) bool { return a.Goal == 0 || a.Arrived.IsZero() })
 	slices.SortStableFunc(out, func(a, b *Attempt) int { return cmp.Compare(a.Arrived.UnixNano(), b.Arrived.UnixNano()) })
 	return out
