ingress, eventlog, membership, scheduler, account: one piece each for logic that stood twice

What an instance holds of the store was written in the gateway and again in the invariants' suite: ingress.State serves both, so that the suite now plays the product's code. Readers of the list and of the store rank members by one function; the scan for a hint stood four times; milliseconds become durations in one place; Bound and Load of the account share their unit.

--- a/internal/account/attempt.go
+++ b/internal/account/attempt.go
@@ -50,9 +50,8 @@
 // Send is one send of an attempt.
 type Send struct {
 	Upstream string
-	At, End  time.Time
-	// Whole is true if its answer was relayed to the end.
-	Whole bool
+	// End is at the latest that of the process' log.
+	At, End time.Time
 }
 
 // Attempt is one request of a caller at one instance.
@@ -64,8 +63,6 @@
 	Outcome        Outcome
 	// Reason is the code of a refusal or break.
 	Reason string
-	// Code is the status of a relayed answer.
-	Code int
 	// Events and Prompt are those of a whole answer; Prompt is in tokens.
 	Events, Prompt uint64
 }
@@ -92,25 +89,27 @@
 	last := map[eventlog.Process]time.Time{}
 	var out []*Attempt
 	for _, r := range c.records {
-		if at := starts[r.Process()].Add(r.Up); at.After(last[r.Process()]) {
-			last[r.Process()] = at
+		process := r.Process()
+		at := starts[process].Add(r.Up)
+		if at.After(last[process]) {
+			last[process] = at
 		}
 		id, about := eventlog.RequestOf(r.Line)
 		if !about || id == "" {
 			continue
 		}
-		key := lifeKey{r.Process(), id}
+		key := lifeKey{process, id}
 		a := byKey[key]
 		if a == nil {
 			a = &Attempt{}
 			byKey[key] = a
 			out = append(out, a)
 		}
-		a.take(starts[key.Process].Add(r.Up), r.Line)
+		a.take(at, r.Line)
 	}
 	// What is open when its process ends is open until then.
 	for key, a := range byKey {
-		a.endSend(last[key.Process], false)
+		a.endSend(last[key.Process])
 	}
 	out = slices.DeleteFunc(out, func(a *Attempt) bool { return a.Goal == 0 || a.Arrived.IsZero() })
 	slices.SortStableFunc(out, func(a, b *Attempt) int { return cmp.Compare(a.Arrived.UnixNano(), b.Arrived.UnixNano()) })
@@ -121,26 +120,26 @@
 func (a *Attempt) take(at time.Time, line eventlog.Line) {
 	switch l := line.(type) {
 	case eventlog.RequestSent:
-		a.Kind, a.GapGoal = Kind{l.Priority, milliseconds(l.GoalMs)}, milliseconds(l.GapGoalMs)
-		a.arrive(at.Add(-milliseconds(l.QueuedMs)))
+		a.Kind, a.GapGoal = Kind{l.Priority, eventlog.Duration(l.GoalMs)}, eventlog.Duration(l.GapGoalMs)
+		a.arrive(at.Add(-eventlog.Duration(l.QueuedMs)))
 		a.Sends = append(a.Sends, Send{Upstream: l.Upstream, At: at})
 	case eventlog.SendFailed:
-		a.endSend(at, false)
+		a.endSend(at)
 	case eventlog.RequestAnswered:
-		a.endSend(at, true)
-		a.Ended, a.Code, a.Events, a.Prompt = at, l.Code, l.Events, l.Prompt
+		a.endSend(at)
+		a.Ended, a.Events, a.Prompt = at, l.Events, l.Prompt
 		a.Outcome = a.answered(l)
 	case eventlog.RequestRefused:
-		a.Kind = Kind{l.Priority, milliseconds(l.GoalMs)}
-		a.arrive(at.Add(-milliseconds(l.WaitedMs)))
-		a.endSend(at, false)
+		a.Kind = Kind{l.Priority, eventlog.Duration(l.GoalMs)}
+		a.arrive(at.Add(-eventlog.Duration(l.WaitedMs)))
+		a.endSend(at)
 		a.Ended, a.Outcome, a.Reason = at, Refused, l.Reason
 		if l.Started {
 			a.Outcome = Broken
 		}
 	case eventlog.CallerLeft:
-		a.arrive(at.Add(-milliseconds(l.WaitedMs)))
-		a.endSend(at, false)
+		a.arrive(at.Add(-eventlog.Duration(l.WaitedMs)))
+		a.endSend(at)
 		a.Ended, a.Outcome = at, CallerLeft
 	}
 }
@@ -152,9 +151,9 @@
 }
 
 // endSend ends the newest send unless it has ended.
-func (a *Attempt) endSend(at time.Time, whole bool) {
+func (a *Attempt) endSend(at time.Time) {
 	if n := len(a.Sends); n > 0 && a.Sends[n-1].End.IsZero() {
-		a.Sends[n-1].End, a.Sends[n-1].Whole = at, whole
+		a.Sends[n-1].End = at
 	}
 }
 
@@ -166,12 +165,10 @@
 	switch {
 	case l.Code >= 400:
 		return UpstreamError
-	case milliseconds(first) > a.Goal:
+	case eventlog.Duration(first) > a.Goal:
 		return LateFirst
-	case a.GapGoal > 0 && milliseconds(l.LongestGapMs) > a.GapGoal:
+	case a.GapGoal > 0 && eventlog.Duration(l.LongestGapMs) > a.GapGoal:
 		return LatePause
 	}
 	return InTime
 }
-
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/account/bound.go
+++ b/internal/account/bound.go
@@ -27,7 +27,6 @@
 
 // Demand is the work of one kind that counts.
 type Demand struct {
-	Name string
 	// Requests is how many, Worth what each earns if it is answered in time.
 	Requests, Worth float64
 	// Prompt and Tokens are the mean lengths in tokens.
@@ -38,12 +37,7 @@
 // the future known, every engine sound, batches always full and work moved
 // freely within the day. The kinds that earn most in an engine's time go first.
 func Bound(demands []Demand, engines []Engine, dayMs float64) float64 {
-	unit := Engine{Slowness: 1}
-	left := 0.0
-	for _, e := range engines {
-		left += dayMs / e.Slowness
-		unit.StepMs, unit.SlotMs, unit.PromptPerMs, unit.Batch = e.StepMs, e.SlotMs, e.PromptPerMs, e.Batch
-	}
+	unit, left := unitOf(engines, dayMs)
 	order := slices.Clone(demands)
 	density := func(d Demand) float64 { return d.Worth / unit.timeMs(d.Prompt, d.Tokens) }
 	slices.SortFunc(order, func(a, b Demand) int { return cmp.Compare(density(b), density(a)) })
@@ -59,14 +53,21 @@
 
 // Load returns the part of the engines' time in dayMs that the demands take.
 func Load(demands []Demand, engines []Engine, dayMs float64) float64 {
-	had, asked := 0.0, 0.0
-	for _, e := range engines {
-		had += dayMs / e.Slowness
-	}
+	unit, had := unitOf(engines, dayMs)
+	asked := 0.0
 	for _, d := range demands {
-		e := engines[0]
-		e.Slowness = 1
-		asked += d.Requests * e.timeMs(d.Prompt, d.Tokens)
+		asked += d.Requests * unit.timeMs(d.Prompt, d.Tokens)
 	}
 	return asked / had
 }
+
+// unitOf returns an engine like the others with slowness 1, and the time of
+// such an engine that all of them have together in dayMs.
+func unitOf(engines []Engine, dayMs float64) (unit Engine, hadMs float64) {
+	unit = engines[0]
+	unit.Slowness = 1
+	for _, e := range engines {
+		hadMs += dayMs / e.Slowness
+	}
+	return unit, hadMs
+}
--- a/internal/account/slots.go
+++ b/internal/account/slots.go
@@ -48,7 +48,7 @@
 		}
 		waiting = appendWait(waiting, a)
 		for i, s := range a.Sends {
-			if !ours[s.Upstream] || s.End.IsZero() {
+			if !ours[s.Upstream] {
 				continue
 			}
 			if s.End.After(end) {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -50,6 +50,9 @@
 	return float64(d.Round(time.Microsecond)) / float64(time.Millisecond)
 }
 
+// Duration is the inverse of Milliseconds.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // Logger writes lines within their budgets. It is safe for concurrent use.
 type Logger struct {
 	out     zerolog.Logger
--- a/internal/eventlog/parse.go
+++ b/internal/eventlog/parse.go
@@ -51,6 +51,6 @@
 	if err := json.Unmarshal(text, value.Interface()); err != nil {
 		return Record{}, ErrLine.Wrap(err, "a field of the line %q has another type; it may be from another version", h.Message)
 	}
-	return Record{Instance: h.Instance, Run: h.Run, Time: h.Time, Up: time.Duration(h.UpMs * float64(time.Millisecond)),
+	return Record{Instance: h.Instance, Run: h.Run, Time: h.Time, Up: Duration(h.UpMs),
 		Line: value.Elem().Interface().(Line)}, nil
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -35,12 +35,8 @@
 // configState follows the store. mu guards all fields but the atomics.
 type configState struct {
 	mu       sync.Mutex
-	tracker  ingress.Tracker
-	registry *ingress.Registry
-	// listing is the newest one, listedDigest its digest.
-	listing      []ingress.Upstream
-	listedDigest uint64
-	revision     uint64
+	state    ingress.State
+	revision uint64
 	// away says of each part whether its newest read failed.
 	away [len(refresh.Parts)]bool
 	// addresses are those of the upstreams that were published last.
@@ -80,9 +76,9 @@
 	g.loop.Post(read)
 }
 
-// observeConfig puts a configuration in force. ok is false if the read failed or
-// showed an older version than the one in force.
-func (g *Gateway) observeConfig(started time.Duration, config *ingress.Config, err error) (version uint64, ok bool) {
+// observeConfig puts a configuration in force and returns the version in force,
+// and false if the read failed or showed an older one.
+func (g *Gateway) observeConfig(started time.Duration, config *ingress.Config, err error) (uint64, bool) {
 	g.countCall("config", err)
 	c := &g.config
 	c.mu.Lock()
@@ -92,16 +88,17 @@
 		return 0, false
 	}
 	c.readAt = started
-	g.publishIf(c.tracker.Observe(started, config) != nil)
+	version, changed, ok := c.state.ObserveConfig(started, config)
+	g.publishIf(changed)
 	// Last, so that no request is judged by the table before with the
 	// confirmation of this one.
 	c.confirm()
-	version = c.tracker.Table().Config().Version
-	return version, config.Version == version
+	return version, ok
 }
 
-// observeUpstreams puts a listing in force.
-func (g *Gateway) observeUpstreams(started time.Duration, upstreams []ingress.Upstream, err error) (digest uint64, ok bool) {
+// observeUpstreams puts a listing in force and returns its digest, and false if
+// the read failed.
+func (g *Gateway) observeUpstreams(started time.Duration, upstreams []ingress.Upstream, err error) (uint64, bool) {
 	g.countCall("upstreams", err)
 	c := &g.config
 	c.mu.Lock()
@@ -110,10 +107,10 @@
 	if err != nil {
 		return 0, false
 	}
-	c.listing, c.listedDigest = upstreams, ingress.Digest(upstreams)
 	c.listedAt.Store(int64(started))
-	g.publishIf(c.registry.Observe(started, boottime.Now(), upstreams))
-	return c.listedDigest, true
+	digest, changed := c.state.ObserveUpstreams(started, boottime.Now(), upstreams)
+	g.publishIf(changed)
+	return digest, true
 }
 
 // copyConfirmed takes in that another instance found this one's copy to be the
@@ -125,27 +122,27 @@
 	defer c.mu.Unlock()
 	switch a.Part {
 	case refresh.Config:
-		if c.tracker.Confirm(at, a.Version) {
+		if c.state.Tracker.Confirm(at, a.Version) {
 			c.confirm()
 		}
 	case refresh.Upstreams:
-		if a.Version == c.listedDigest {
+		if changed, ok := c.state.ConfirmUpstreams(at, boottime.Now(), a.Version); ok {
 			c.listedAt.Store(int64(at))
-			g.publishIf(c.registry.Observe(at, boottime.Now(), c.listing))
+			g.publishIf(changed)
 		}
 	}
 }
 
-// publishIf publishes what has changed, once there is a configuration.
+// publishIf publishes what has changed.
 func (g *Gateway) publishIf(changed bool) {
-	if changed && g.config.tracker.Table() != nil {
+	if changed {
 		g.publish()
 	}
 }
 
 // confirm publishes the newest confirmation to the path of requests.
 func (c *configState) confirm() {
-	confirmation := c.tracker.Confirmation()
+	confirmation := c.state.Tracker.Confirmation()
 	c.confirmation.Store(&confirmation)
 }
 
@@ -170,8 +167,8 @@
 func (g *Gateway) publish() {
 	c := &g.config
 	c.revision++
-	table := c.tracker.Table()
-	upstreams := c.registry.Upstreams()
+	table := c.state.Tracker.Table()
+	upstreams := c.state.Registry.Upstreams()
 	next := &snapshot{table: table, engines: map[string]*ingress.Service{}}
 	config := table.Config()
 	for i := range config.Services {
@@ -180,7 +177,7 @@
 		}
 	}
 	g.log.Write(eventlog.ConfigInForce{Version: config.Version, Routes: len(config.Routes), Upstreams: len(upstreams),
-		Organisations: len(config.Organisations), AgeMs: eventlog.Milliseconds(boottime.Now() - c.tracker.Confirmation().At)})
+		Organisations: len(config.Organisations), AgeMs: eventlog.Milliseconds(boottime.Now() - c.state.Tracker.Confirmation().At)})
 	g.loop.Post(g.lines.setUpstreams(upstreams))
 	first, gap := config.Targets()
 	g.loop.Post(node.UseConfiguration{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,7 +122,7 @@
 		ctx:       ctx, stop: stop,
 	}
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
-	g.config.registry = ingress.NewRegistry()
+	g.config.state = ingress.NewState()
 	g.members.Store(&membersView{notReady: "this instance is starting"})
 	g.upstreams = forward.NewClient(forward.Options{DialTimeout: dialTimeout, MaxIdle: maxIdle, ReadHead: codec.ReadAnswer})
 	if err := g.observeAges(); err != nil {
--- a/internal/simtest/cmd/account/bench.go
+++ b/internal/simtest/cmd/account/bench.go
@@ -34,13 +34,12 @@
 }
 
 type class struct {
-	Name      string  `toml:"name"`
-	GoalMs    float64 `toml:"aim_ms"`
-	Worth     float64 `toml:"worth"`
-	LateWorth float64 `toml:"late_worth"`
-	Priority  int     `toml:"priority"`
-	Service   string  `toml:"service"`
-	Stream    struct {
+	Name     string  `toml:"name"`
+	GoalMs   float64 `toml:"aim_ms"`
+	Worth    float64 `toml:"worth"`
+	Priority int     `toml:"priority"`
+	Service  string  `toml:"service"`
+	Stream   struct {
 		Events mean `toml:"pieces"`
 		Prompt mean `toml:"prompt_tokens"`
 	} `toml:"stream"`
@@ -52,24 +51,16 @@
 
 // report is the part of the bench's report on a day that is used.
 type report struct {
-	Worth   float64       `json:"G"`
-	Served  float64       `json:"served"`
-	Classes []classResult `json:"classes"`
-	Windows []struct {
-		Worth float64 `json:"worth"`
-	} `json:"windows"`
-	UnservedBy []lost   `json:"unserved_by"`
-	Prices     []price  `json:"prices"`
-	Hints      []string `json:"hints"`
+	Classes    []classResult     `json:"classes"`
+	Windows    []json.RawMessage `json:"windows"`
+	UnservedBy []lost            `json:"unserved_by"`
+	Prices     []price           `json:"prices"`
+	Hints      []string          `json:"hints"`
 }
 
 type classResult struct {
 	Name    string  `json:"name"`
 	N       float64 `json:"n"`
-	InTime  float64 `json:"in_aim"`
-	Late    float64 `json:"late"`
-	Refused float64 `json:"refused"`
-	Failed  float64 `json:"failed"`
 	NotOwed float64 `json:"not_owed"`
 	// Worth is the part of the owed worth that was earned.
 	Worth float64 `json:"worth"`
@@ -90,15 +81,15 @@
 	return json.Unmarshal(text, &[]any{&l.answer, &l.count})
 }
 
-// price is a name, an amount, and the part of the worth that it costs.
+// price is a name and the part of the worth that it costs.
 type price struct {
-	name         string
-	amount, part float64
+	name string
+	part float64
 }
 
-// UnmarshalJSON reads a list of three elements.
+// UnmarshalJSON reads a list of three elements, of which the second is an amount.
 func (p *price) UnmarshalJSON(text []byte) error {
-	return json.Unmarshal(text, &[]any{&p.name, &p.amount, &p.part})
+	return json.Unmarshal(text, &[]any{&p.name, nil, &p.part})
 }
 
 func readSite(path string) (*site, error) {
--- a/internal/simtest/cmd/account/write.go
+++ b/internal/simtest/cmd/account/write.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/internal/account"
+	"github.com/citrongate/citrongate/internal/eventlog"
 )
 
 const (
@@ -125,7 +126,7 @@
 			continue
 		}
 		prompt, events := d.lengths(k)
-		demands = append(demands, account.Demand{Name: k.Name, Requests: c.owed(), Worth: k.Worth, Prompt: prompt, Tokens: events * engines.LLM.TokensPerEvent})
+		demands = append(demands, account.Demand{Requests: c.owed(), Worth: k.Worth, Prompt: prompt, Tokens: events * engines.LLM.TokensPerEvent})
 	}
 	dayMs := float64(len(d.report.Windows)) * windowMs
 	bound := plain + account.Bound(demands, engines.list(), dayMs)
@@ -137,7 +138,7 @@
 // lengths returns the mean prompt in tokens and the mean number of events of
 // the kind's whole answers, or those of the site file without any.
 func (d day) lengths(k class) (prompt, events float64) {
-	kind := account.Kind{Priority: k.Priority, Goal: time.Duration(k.GoalMs * float64(time.Millisecond))}
+	kind := account.Kind{Priority: k.Priority, Goal: eventlog.Duration(k.GoalMs)}
 	n := 0.0
 	for _, a := range d.attempts {
 		if a.Kind == kind && a.Events > 0 {
--- a/internal/simtest/cmd/experiment/main.go
+++ b/internal/simtest/cmd/experiment/main.go
@@ -56,8 +56,7 @@
 	fmt.Fprintf(w, "\n| --- | --- |%s\n", strings.Repeat(" --- |", len(policies)))
 	sums := make([]float64, len(policies))
 	for q := range compared[0] {
-		base, _ := compared[0][q].Worths()
-		fmt.Fprintf(w, "| %s | %.3f |", compared[0][q].Pattern, base)
+		fmt.Fprintf(w, "| %s | %.3f |", compared[0][q].Pattern, compared[0][q].BaseWorth())
 		for p := range policies {
 			mean, err := compared[p][q].Difference()
 			sums[p] += mean
--- a/internal/simtest/cmd/invariants/gateway_run.go
+++ b/internal/simtest/cmd/invariants/gateway_run.go
@@ -113,7 +113,7 @@
 
 // attach gives a process its side of the configuration.
 func (r *gatewayRun) attach(i *simtest.Instance) *simtest.Instance {
-	r.gates[i] = &gate{run: r, instance: i, registry: ingress.NewRegistry()}
+	r.gates[i] = &gate{run: r, instance: i, state: ingress.NewState()}
 	return i
 }
 
@@ -150,40 +150,42 @@
 
 func (g *gate) observeConfig(started time.Duration, config *ingress.Config) (version uint64, ok bool) {
 	if g.run.mutant == "oldest-wins" {
-		g.tracker = ingress.Tracker{}
+		g.state.Tracker = ingress.Tracker{}
 	}
-	g.publishIf(g.tracker.Observe(started, config) != nil)
-	g.table, g.confirmation = g.tracker.Table(), g.tracker.Confirmation()
-	version = g.table.Config().Version
-	return version, config.Version == version
+	version, changed, ok := g.state.ObserveConfig(started, config)
+	g.publishIf(changed)
+	g.table, g.confirmation = g.state.Tracker.Table(), g.state.Tracker.Confirmation()
+	return version, ok
 }
 
 func (g *gate) observeUpstreams(started time.Duration, upstreams []ingress.Upstream) (digest uint64, ok bool) {
 	if g.run.mutant == "lapsed-are-gone" {
-		g.registry = ingress.NewRegistry()
+		g.state.Registry = ingress.NewRegistry()
 	}
-	g.listing, g.digest = upstreams, ingress.Digest(upstreams)
 	g.listed = g.listed || len(upstreams) > 0
-	g.publishIf(g.registry.Observe(started, g.run.world.Loop.Now(), upstreams))
-	return g.digest, true
+	digest, changed := g.state.ObserveUpstreams(started, g.run.world.Loop.Now(), upstreams)
+	g.publishIf(changed)
+	return digest, true
 }
 
 // confirmed takes in that the store had this process' copy of a part.
 func (g *gate) confirmed(c node.CopyConfirmed) {
-	switch {
-	case c.Part == refresh.Config && g.tracker.Confirm(c.At, c.Version):
-		g.confirmation = g.tracker.Confirmation()
-	case c.Part == refresh.Upstreams && c.Version == g.digest:
-		g.publishIf(g.registry.Observe(c.At, g.run.world.Loop.Now(), g.listing))
+	if c.Part == refresh.Upstreams {
+		changed, _ := g.state.ConfirmUpstreams(c.At, g.run.world.Loop.Now(), c.Version)
+		g.publishIf(changed)
+		return
+	}
+	if g.state.Tracker.Confirm(c.At, c.Version) {
+		g.confirmation = g.state.Tracker.Confirmation()
 	}
 }
 
-// publishIf puts what has changed in force, once there is a configuration.
+// publishIf puts what has changed in force.
 func (g *gate) publishIf(changed bool) {
-	table := g.tracker.Table()
-	if !changed || table == nil {
+	if !changed {
 		return
 	}
+	table := g.state.Tracker.Table()
 	g.revision++
 	limits := table.Config().Quotas(tolerance)
 	if g.run.mutant == "quota-whole-at-each" {
@@ -191,7 +193,7 @@
 			limits[name] = quota.Limit{PerSecond: limit.PerSecond * gatewayNodes, Burst: limit.Burst * gatewayNodes}
 		}
 	}
-	g.instance.Deliver(node.UseConfiguration{Set: ingress.Objects(g.revision, table.Config(), g.registry.Upstreams()), Quotas: limits})
+	g.instance.Deliver(node.UseConfiguration{Set: ingress.Objects(g.revision, table.Config(), g.state.Registry.Upstreams()), Quotas: limits})
 }
 
 // bounds are those of the run, or a mutant's.
--- a/internal/simtest/cmd/invariants/gateways.go
+++ b/internal/simtest/cmd/invariants/gateways.go
@@ -46,15 +46,11 @@
 type gate struct {
 	run      *gatewayRun
 	instance *simtest.Instance
-	tracker  ingress.Tracker
-	registry *ingress.Registry
+	state    ingress.State
 	revision uint64
 	// confirmation is the newest one, or a mutant's.
 	confirmation ingress.Confirmation
 	table        *ingress.Table
-	// listing is the newest one, digest its digest.
-	listing []ingress.Upstream
-	digest  uint64
 	// ended is true once a mutant reads no more.
 	ended bool
 	// listed is true once the store has shown servers to this process.
--- a/internal/simtest/experiment/caller.go
+++ b/internal/simtest/experiment/caller.go
@@ -36,7 +36,7 @@
 	c.attempts = append(c.attempts, instance.Submit(simtest.Spec{
 		Kind: ingress.KindName(c.route, c.route.Priority), Organisation: organisationName(c.organisation), Model: ingress.AnyModel,
 		Labels: map[string]string{ingress.LabelService: service}, Prompt: c.prompt, Output: c.events,
-		Remaining: c.at + k.deadline - now, QuotaCost: c.cost(), MaxSends: uint32(c.run.policy.maxSends(k)), Repeatable: c.route.Repeatable(),
+		Remaining: c.at + k.deadline - now, QuotaCost: c.cost(), MaxSends: uint32(k.maxSends), Repeatable: c.route.Repeatable(),
 		StartWithin: within,
 	}))
 	c.watch(instance)
--- a/internal/simtest/experiment/compare.go
+++ b/internal/simtest/experiment/compare.go
@@ -29,13 +29,12 @@
 	return mean, math.Sqrt(square / (n - 1) / n)
 }
 
-// Worths returns the mean worth of Base and of the policy.
-func (c Comparison) Worths() (base, changed float64) {
-	for i := range c.Base {
-		base += c.Base[i].Worth() / float64(len(c.Base))
-		changed += c.Changed[i].Worth() / float64(len(c.Base))
+// BaseWorth returns the mean worth of Base.
+func (c Comparison) BaseWorth() (mean float64) {
+	for _, r := range c.Base {
+		mean += r.Worth() / float64(len(c.Base))
 	}
-	return base, changed
+	return mean
 }
 
 // Compare plays the patterns under Base and under each of the policies, with
--- a/internal/simtest/experiment/result.go
+++ b/internal/simtest/experiment/result.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,11 +29,6 @@
 	// Again is the price of callers that came back in vain, Held that of requests
 	// that were held and then refused.
 	Again, Held float64
-	// Served is the part of the requests of each kind, the most urgent first, that
-	// were answered whole.
-	Served []float64
-	// Preempted counts sequences that engines put back.
-	Preempted int
 }
 
 // Worth is the figure by which policies are ranked.
@@ -43,7 +39,6 @@
 // tally sums worth.
 type tally struct {
 	owed, earned, again, held float64
-	requests, served          float64
 }
 
 func (t *tally) share() float64 { return t.earned / max(t.owed, 1e-9) }
@@ -71,7 +66,6 @@
 	k := kinds[c.kind]
 	whole, inTime := c.served()
 	t.owed += k.worth * c.size()
-	t.requests++
 	switch {
 	case inTime:
 		t.earned += k.worth * c.size()
@@ -83,9 +77,6 @@
 	if !whole {
 		t.held += c.heldInVain() * k.worth * c.size()
 	}
-	if whole {
-		t.served++
-	}
 }
 
 // result sums up. What an organisation asks beyond the tolerated use of its
@@ -106,20 +97,11 @@
 	out := Result{Whole: all.share(), WorstKind: 1, Again: all.again / max(all.owed, 1e-9), Held: all.held / max(all.owed, 1e-9)}
 	for k := range byKind {
 		out.WorstKind = min(out.WorstKind, byKind[k].share())
-		out.Served = append(out.Served, byKind[k].served/max(byKind[k].requests, 1))
 	}
-	slices.SortFunc(windows, func(a, b tally) int {
-		if a.share() < b.share() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(windows, func(a, b tally) int { return cmp.Compare(a.share(), b.share()) })
 	for i := range worstWindows {
 		out.WorstWindows += windows[i].share() / worstWindows
 	}
-	for _, e := range r.world.Engines {
-		out.Preempted += e.Preempted
-	}
 	return out
 }
 
--- a/internal/simtest/experiment/run.go
+++ b/internal/simtest/experiment/run.go
@@ -23,12 +23,10 @@
 	ToleranceInBurst bool
 	// PromptSlowdown is that of node.UseConfiguration; 0 does not consider it.
 	PromptSlowdown float64
-	// MaxSends bounds the sends of a request where its kind allows more.
-	MaxSends int
 }
 
 // Base is the policy of the gateway.
-func Base() Policy { return Policy{Name: "base", StartShare: 0.15, PromptSlowdown: 4, MaxSends: 8} }
+func Base() Policy { return Policy{Name: "base", StartShare: 0.15, PromptSlowdown: 4} }
 
 // Changes returns policies that differ from Base in one thing each.
 func Changes() []Policy {
@@ -47,8 +45,6 @@
 	}
 }
 
-func (p Policy) maxSends(k kind) int { return min(p.MaxSends, k.maxSends) }
-
 // limits returns the quotas of a configuration.
 func (p Policy) limits(c *ingress.Config) map[string]quota.Limit {
 	limits := c.Quotas(tolerance)
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -130,5 +130,5 @@
 }
 
 func ms(value float64) string {
-	return time.Duration(value * float64(time.Millisecond)).Round(100 * time.Microsecond).String()
+	return eventlog.Duration(value).Round(100 * time.Microsecond).String()
 }
--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -64,29 +64,29 @@
 	if v.self.Leaving {
 		return false
 	}
-	scores := make([]uint64, 0, len(v.order))
-	for _, id := range v.order {
-		if m := v.members[id]; m.State != Dead && !m.Leaving {
-			scores = append(scores, score(readerKey, id))
+	ranked := v.ranked(func(m *member) bool { return m.State != Dead && !m.Leaving })
+	return slices.Contains(ranked[:min(readersPerCell, len(ranked))], v.self.Incarnation)
+}
+
+// ranked returns this instance and the members that are accepted, by rank for reading.
+func (v *View) ranked(accept func(*member) bool) []uint64 {
+	list := make([]uint64, 0, len(v.order)+1)
+	v.each(func(m *member) {
+		if accept(m) {
+			list = append(list, m.Incarnation)
 		}
-	}
-	slices.Sort(scores)
-	own := score(readerKey, v.self.Incarnation)
-	rank, _ := slices.BinarySearch(scores, own)
-	return rank < readersPerCell
+	})
+	slices.SortFunc(list, func(a, b uint64) int { return cmp.Compare(score(readerKey, a), score(readerKey, b)) })
+	return list
 }
 
 // ReaderOf returns the instance that reads the store for this one, 0 if this one
 // does so itself. One in perReader reads; instances that are suspected, leave or
 // cannot read the store do not. Without selfReads this one counts as such.
 func (v *View) ReaderOf(perReader int, selfReads bool) uint64 {
-	var candidates []uint64
-	v.each(func(m *member) {
-		if m.State == Alive && !m.Leaving && !m.Behind && (selfReads || m != v.self) {
-			candidates = append(candidates, m.Incarnation)
-		}
+	candidates := v.ranked(func(m *member) bool {
+		return m.State == Alive && !m.Leaving && !m.Behind && (selfReads || m != v.self)
 	})
-	slices.SortFunc(candidates, func(a, b uint64) int { return cmp.Compare(score(readerKey, a), score(readerKey, b)) })
 	readers := candidates[:(len(candidates)+perReader-1)/perReader]
 	if len(readers) == 0 || slices.Contains(readers, v.self.Incarnation) {
 		return 0
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -132,20 +132,14 @@
 // tokens returns the length that is probably cached at an upstream. Until a
 // length was seen, half of the prompt is assumed.
 func (s hintSet) tokens(upstream uint32, prompt uint32) int64 {
-	if s.ways == nil {
+	switch h := s.find(upstream); {
+	case h == nil:
 		return 0
-	}
-	for i := range s.ways {
-		h := &s.ways[i]
-		if h.prefix != s.prefix || h.upstream != int32(upstream) {
-			continue
-		}
-		if h.tokens == 0 {
-			return int64(prompt / 2)
-		}
+	case h.tokens == 0:
+		return int64(prompt / 2)
+	default:
 		return int64(min(h.tokens, prompt))
 	}
-	return 0
 }
 
 // promptHints are the hints on all prefixes of one prompt.
@@ -166,24 +160,24 @@
 func (h *promptHints) cached(upstream uint32, r *request) int64 {
 	most := h.prefix.tokens(upstream, r.Prompt)
 	for i, part := range r.Shared {
-		if h.shared[i].has(upstream) {
+		if h.shared[i].find(upstream) != nil {
 			most = max(most, int64(min(part.Tokens, r.Prompt)))
 		}
 	}
 	return most
 }
 
-// has reports whether an upstream probably has the prefix.
-func (s hintSet) has(upstream uint32) bool {
+// find returns the hint on the prefix at an upstream, or nil.
+func (s hintSet) find(upstream uint32) *hint {
 	if s.ways == nil {
-		return false
+		return nil
 	}
 	for i := range s.ways {
 		if h := &s.ways[i]; h.prefix == s.prefix && h.upstream == int32(upstream) {
-			return true
+			return h
 		}
 	}
-	return false
+	return nil
 }
 
 // learnPrompt records that an upstream gets a prompt.
@@ -201,17 +195,16 @@
 		return
 	}
 	t.clock++
+	if h := set.find(uint32(upstream)); h != nil {
+		h.used = t.clock
+		if tokens > 0 {
+			h.tokens = tokens
+		}
+		return
+	}
 	victim := &set.ways[0]
 	for i := range set.ways {
-		h := &set.ways[i]
-		if h.prefix == prefix && h.upstream == int32(upstream) {
-			h.used = t.clock
-			if tokens > 0 {
-				h.tokens = tokens
-			}
-			return
-		}
-		if h.used < victim.used {
+		if h := &set.ways[i]; h.used < victim.used {
 			victim = h
 		}
 	}
@@ -219,14 +212,8 @@
 }
 
 func (t *hintTable) forget(prefix uint64, upstream int) {
-	set := t.lookup(prefix)
-	if set.ways == nil {
-		return
-	}
-	for i := range set.ways {
-		if h := &set.ways[i]; h.prefix == prefix && h.upstream == int32(upstream) {
-			*h = hint{}
-		}
+	if h := t.lookup(prefix).find(uint32(upstream)); h != nil {
+		*h = hint{}
 	}
 }
 
