answer, gateway, dispatch: what is known of a request's execution only gets weaker

Cause: in the gateway a send that ended NotSent set sentAt to 0, so that an earlier send of the same request that ended Broken was forgotten; a deadline or an unconfirmed revocation then answered 503, ran: no. The dispatch table kept a flag of its own for repeated sends only. Ruled out: the owner's refusals (quota, shed, drain, owner lost, route removed) were already corrected by the table's flag; a request that expired before its first byte was called unknown although nothing had been sent, and an idle connection was used after the deadline. Change: answer.Execution holds what is known over all sends and only moves from no over unknown to yes. Gateway, own API and dispatch table each restrict every refusal by it at the one place that ends a request. forward.Result.Ran says what one exchange tells; a request whose deadline has passed is not sent on an idle connection.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -9,6 +9,7 @@
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/upstream"
+	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -29,8 +30,10 @@
 	submitted time.Time
 	// wireID identifies the request at its upstream.
 	wireID string
-	// maybeSent is true once a byte of the request may have reached an upstream.
-	maybeSent bool
+	// dispatched is true once a byte of the request may have reached an upstream.
+	dispatched bool
+	// execution is what is known of the sends that have ended.
+	execution answer.Execution
 }
 
 // handleActions executes the node's actions for the request until it ends. ctx
@@ -45,7 +48,7 @@
 	for {
 		switch a := c.mailbox.Next(waitCtx).(type) {
 		case node.Dispatch:
-			if c.maybeSent {
+			if c.dispatched {
 				// A request is dispatched at most once, also if a fault in the
 				// node's decisions orders a second dispatch.
 				c.daemon.log.Write(eventlog.InternalFault{What: "a second dispatch was not carried out", Error: "request " + c.request.CallerID})
@@ -84,20 +87,26 @@
 // refuseUndecided refuses a request for which the node made no decision in time.
 func (c *call) refuseUndecided() {
 	c.daemon.loop.Post(node.CallerDisconnected{ID: c.id})
-	c.answer.Refuse(httpfront.Refusal{Code: "internal", Ran: node.RanUnknown,
+	c.refuse(answer.Refusal{Code: "internal", Ran: answer.RanUnknown,
 		Reason: "no decision was made in time", Remedy: "report this with the request id to an operator"})
 }
 
+// refuse ends the request with a refusal that is true for all its sends.
+func (c *call) refuse(refusal answer.Refusal) {
+	c.answer.Refuse(httpfront.Refusal(c.execution.Restrict(refusal)))
+}
+
 func (c *call) refuseRequest(a node.Refuse) {
+	a.Refusal = c.execution.Restrict(a.Refusal)
 	c.daemon.log.Write(eventlog.RequestRefused{RequestID: c.request.CallerID, Organisation: c.request.Organisation, Route: c.request.Kind,
 		Reason: a.Code, Detail: a.Reason, Ran: string(a.Ran), Status: httpfront.Refusal(a.Refusal).Status(),
 		RetryAfterMs: eventlog.Milliseconds(a.RetryAfter), ConfigAgeMs: -1})
-	c.answer.Refuse(httpfront.Refusal(a.Refusal))
+	c.refuse(a.Refusal)
 }
 
 func (c *call) answerFromRecord(o *pb.BindingOutcome) {
 	if o.GetBodyOmitted() {
-		c.answer.Refuse(httpfront.Refusal{Code: "internal", Ran: node.RanYes,
+		c.refuse(answer.Refusal{Code: "internal", Ran: answer.RanYes,
 			Reason: fmt.Sprintf("the call ran and was answered with status %d; the answer was too large to record", o.GetHttpStatus()),
 			Remedy: "ask the service for the state that the call left"})
 		return
@@ -132,6 +141,7 @@
 	c.mailbox.BeginExchange(cancel)
 	result, outcome := c.sendUpstream(exchangeCtx, d)
 	c.mailbox.EndExchange()
+	c.execution.Add(result.Ran())
 	if result.Status != upstream.Complete {
 		c.daemon.log.Write(eventlog.SendFailed{RequestID: c.request.CallerID, Upstream: d.Upstream, WireID: c.wireID,
 			Status: result.Status.String(), Detail: result.Detail})
@@ -140,7 +150,7 @@
 		c.daemon.loop.Post(node.DispatchFailed{ID: c.id})
 		return false
 	}
-	c.maybeSent = true
+	c.dispatched = true
 	if ctx.Err() != nil && result.Status == upstream.Canceled {
 		c.daemon.loop.Post(node.CallerDisconnected{ID: c.id})
 		return true
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -100,8 +100,11 @@
 }
 
 // connection returns an idle connection to the address that can be used, or a new
-// one.
+// one. It fails if ctx has ended, so that nothing is sent after that.
 func (c *Client) connection(ctx context.Context, address string, repeatable bool) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	for {
 		kept := c.takeIdle(address, repeatable)
 		if kept == nil {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -65,14 +65,15 @@
 // context's error takes precedence, since its end closes the connection and so
 // causes other errors.
 func (x *exchange) failedResult(status Status, err error) Result {
+	unsent := status == NotSent
 	switch cause := x.ctx.Err(); {
-	case status == NotSent && cause == nil:
+	case unsent && cause == nil:
 	case errors.Is(err, errCallerDisconnected), errors.Is(cause, context.Canceled):
 		status = Canceled
 	case cause != nil:
 		status = Expired
 	}
-	return Result{Status: status, Detail: err.Error()}
+	return Result{Status: status, Unsent: unsent, Detail: err.Error()}
 }
 
 // send writes the request, in the background if its body is long.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // Status says how an exchange ended.
@@ -55,10 +57,23 @@
 	// Events is the number of complete events relayed, over all exchanges of the
 	// request.
 	Events uint32
+	// Unsent is true if no byte of the request was written to a connection.
+	Unsent bool
 	// Detail describes what happened, for the log.
 	Detail string
 }
 
+// Ran returns what the exchange tells about whether the upstream ran the request.
+func (r Result) Ran() answer.Ran {
+	switch {
+	case r.Unsent || r.Status == NotRun:
+		return answer.RanNo
+	case r.Status == Complete || r.Status == Failed:
+		return answer.RanYes
+	}
+	return answer.RanUnknown
+}
+
 // AnswerHead holds what an exchange needs to know from the headers of an answer.
 type AnswerHead struct {
 	// RequestID is the id of the request that the answer belongs to; empty if
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // upstream starts a server that answers each request with the next raw text of
@@ -173,6 +175,20 @@
 	require.NoError(t, listener.Close())
 	result := newClient(t).Exchange(context.Background(), request(address, "a"), (&caller{}).relay())
 	require.Equal(t, NotSent, result.Status)
+	require.Equal(t, answer.RanNo, result.Ran())
+}
+
+// TestNothingSentAfterDeadline guards against sending a request whose deadline has
+// passed, and against a result that leaves open whether it ran.
+func TestNothingSentAfterDeadline(t *testing.T) {
+	client := newClient(t)
+	address := upstream(t, plain("a", "one"), plain("b", "two"))
+	require.Equal(t, Complete, client.Exchange(context.Background(), request(address, "a"), (&caller{}).relay()).Status)
+	ctx, cancel := context.WithTimeout(context.Background(), -time.Second)
+	defer cancel()
+	result := client.Exchange(ctx, request(address, "b"), (&caller{}).relay())
+	require.Equal(t, Expired, result.Status)
+	require.Equal(t, answer.RanNo, result.Ran())
 }
 
 // TestReuse guards against an answer given to the wrong request on a reused
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,10 +33,11 @@
 	id      node.RequestID
 	mailbox *nodeloop.Mailbox
 	relay   forward.CallerAnswer
-	// sentAt is the boot time at which the current or latest send began; 0 before
-	// the first, and after a send of which no byte was sent.
-	sentAt       time.Duration
-	sends        int
+	// sentAt is the boot time at which the current or latest send began.
+	sentAt time.Duration
+	sends  int
+	// execution is what is known of the sends that have ended.
+	execution    answer.Execution
 	firstEventAt time.Duration
 	reportedAt   time.Duration
 	// lastEventAt is when the newest event arrived, longestGap the longest time
@@ -73,6 +74,12 @@
 func (c *call) serve(ctx context.Context) {
 	wait, stop := context.WithTimeout(ctx, c.deadline-boottime.Now()+answerGrace)
 	defer stop()
+	c.serveUntil(ctx, wait)
+}
+
+// serveUntil is serve with the context wait, which ends when no further action of
+// the node is awaited.
+func (c *call) serveUntil(ctx, wait context.Context) {
 	for {
 		switch a := c.mailbox.Next(wait).(type) {
 		case node.Dispatch:
@@ -87,14 +94,20 @@
 			if ctx.Err() != nil {
 				c.logCallerDisconnected("")
 			} else {
-				c.endWithRefusal(answer.Refusal{Code: "deadline_exceeded", Ran: c.ranAtDeadline(), Reason: "the deadline passed before the request was answered",
-					Remedy: "send a later deadline"})
+				c.endAtDeadline()
 			}
 			return
 		}
 	}
 }
 
+// endAtDeadline ends a request whose deadline has passed while no send of it is in
+// progress.
+func (c *call) endAtDeadline() {
+	c.endWithRefusal(answer.Refusal{Code: "deadline_exceeded", Ran: answer.RanNo,
+		Reason: "the deadline passed before the request was answered", Remedy: "send a later deadline"})
+}
+
 // configChangedRetryAfter is the Retry-After of a request during which the
 // configuration changed.
 const configChangedRetryAfter = 50 * time.Millisecond
@@ -111,18 +124,12 @@
 	return refusal
 }
 
-// ranAtDeadline returns what is known about whether a request ran whose deadline
-// passes while no exchange is in progress.
-func (c *call) ranAtDeadline() answer.Ran {
-	if c.sentAt == 0 {
-		return answer.RanNo
-	}
-	return answer.RanUnknown
-}
-
-// endWithRefusal ends a request that has no complete answer of an upstream. A
-// truncated answer must not look complete, so the caller's connection is closed.
+// endWithRefusal ends a request that has no complete answer of an upstream. It is
+// the only place that does, so that no refusal says "not run" of a request of which
+// an earlier send may have run. A truncated answer must not look complete, so the
+// caller's connection is closed.
 func (c *call) endWithRefusal(refusal answer.Refusal) {
+	refusal = c.execution.Restrict(refusal)
 	failure := c.relay.Failure
 	switch {
 	case c.relay.Started():
@@ -170,9 +177,7 @@
 	if c.organisation != nil && !c.g.config.confirmed().CoversRevocations(boottime.Now(), c.g.bounds) {
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
 		c.g.loop.Post(node.CallerDisconnected{ID: c.id})
-		refusal := *c.g.notReadyRefusal(revocationUnconfirmed)
-		refusal.Ran = c.ranAtDeadline()
-		c.endWithRefusal(refusal)
+		c.endWithRefusal(*c.g.notReadyRefusal(revocationUnconfirmed))
 		return true
 	}
 	left := c.deadline - boottime.Now()
@@ -187,10 +192,10 @@
 	c.logSent(d, left)
 	result := c.g.upstreams.Exchange(limited, c.request(d, left-sendMargin), &c.relay)
 	c.mailbox.EndExchange()
+	c.execution.Add(result.Ran())
 	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
 	if result.Status == forward.NotSent {
 		c.logSendFailed(d, result)
-		c.sentAt = 0
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
 		return false
 	}
@@ -212,6 +217,11 @@
 		return true
 	}
 	c.logSendFailed(d, result)
+	if result.Status == forward.Expired && result.Unsent {
+		// The node can not tell that nothing was sent; its refusal comes too late.
+		c.endAtDeadline()
+		return true
+	}
 	return false
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -64,7 +64,7 @@
 // that closes the connection, which is logged as a refusal.
 func (c *call) logCallerDisconnected(upstream string) {
 	if c.g.closing.Load() {
-		c.logRefused(answer.Refusal{Code: "draining", Ran: c.ranAtDeadline(), Reason: "the time for the planned stop was over"}, 0)
+		c.logRefused(answer.Refusal{Code: "draining", Ran: c.execution.Ran(), Reason: "the time for the planned stop was over"}, 0)
 		return
 	}
 	c.g.log.Write(eventlog.CallerDisconnected{
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "context"
+import (
+	"context"
+
+	"github.com/citrongate/citrongate/pkg/answer"
+)
 
 // Status says how a request ended at its upstream.
 type Status uint8
@@ -44,6 +48,17 @@
 	Detail string
 }
 
+// Ran returns what the result tells about whether the upstream ran the request.
+func (r Result) Ran() answer.Ran {
+	switch r.Status {
+	case NotSent, Refused:
+		return answer.RanNo
+	case Complete:
+		return answer.RanYes
+	}
+	return answer.RanUnknown
+}
+
 // failureResult returns the result of a request that failed with err; sent says
 // whether any byte of it was written to a connection.
 func failureResult(ctx context.Context, sent bool, err error) Result {
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -151,6 +151,7 @@
 		return
 	}
 	t.setState(r, Streaming)
+	r.execution.Add(RanUnknown)
 	r.FirstTokenAt, r.LastTokenAt = now, now
 	r.Tokens = max(r.Tokens, 1)
 	t.emit(FirstToken{ID: id, Pool: r.Pool, Holder: r.Holder, TTFT: now - r.DispatchedAt})
@@ -198,6 +199,9 @@
 	if t.cfg.ReportNotRun && refusal.Code != "" {
 		refusal.Ran = RanNo
 	}
+	if refusal.Code != "" {
+		r.execution.Add(refusal.Ran)
+	}
 	t.release(now, r, outcome, cached)
 	if !t.resend(now, r, result) {
 		t.end(r, refusal)
@@ -215,7 +219,6 @@
 	case result == UpstreamRefused:
 	case r.Repeatable && (result == AnswerBroken || result == AnswerMismatched || result == UpstreamFailed):
 		reason = Repeated
-		r.ranBefore = true
 	default:
 		return false
 	}
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -108,10 +108,10 @@
 	nextOfferAt    time.Duration
 	repeatedOffers uint8
 	callerGone     bool
-	// sends is the number of upstreams that the request was sent to; ranBefore is
-	// true once one of them may have run it before it was sent again.
-	sends     uint32
-	ranBefore bool
+	// sends is the number of upstreams that the request was sent to.
+	sends uint32
+	// execution is what is known of the sends that have ended.
+	execution answer.Execution
 }
 
 // InFlight reports whether the request was sent to its upstream and has not ended.
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -207,10 +207,8 @@
 	delete(t.records, r.ID)
 	p := t.routeFor(r.Pool)
 	p.records = slices.DeleteFunc(p.records, func(other *Record) bool { return other == r })
-	if refusal.Ran == RanNo && r.ranBefore {
-		refusal.Ran = RanUnknown
-	}
 	if refusal.Code != "" {
+		refusal = r.execution.Restrict(refusal)
 		t.count("refusals", refusal.Code)
 	}
 	t.emit(Ended{ID: r.ID, Record: r, Refusal: refusal, Silent: r.callerGone})
