forward, httpfront, gateway: bytes without end, late copies and truncated streams

Cause: an upstream's status line, header block, event and body were read without a bound; one server with an endless head took an instance to 600 MB in 3 s. A caller that did not read an endless answer kept the request for 30 s past its deadline. A late second copy of 'not run' on a kept connection was taken for the answer to the next send of the same request. A stream without a length that ended inside an event was relayed as complete. The refusal of a request waited for the body of the upstream's 'not run'. nbhttp holds a body until it is complete, and those bytes did not count against the memory for bodies. Ruled out: chunk extensions, chunk sizes and trailers of an upstream are bounded by net/http; slow streams are not cut and dripping ones end at their deadline (tests kept for both); endless request lines, headers and chunk extensions of a caller were refused already. Change: settings max_answer_header_bytes, max_event_bytes, max_answer_bytes; a head beyond its limit is a broken answer at once, interim answers included. A connection that carried a request that may be sent again is not used for that request. Events may end with CR LF. The deadline closes the connection of a caller that does not read. Incomplete bodies count as buffered.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,15 +31,23 @@
 	// unackedLimit is how long sent bytes may stay unacknowledged before the
 	// kernel closes the connection.
 	unackedLimit = 3 * time.Second
+	// maxUnfinished bounds conn.unfinished; the connection is closed beyond it.
+	maxUnfinished = 64
 )
 
 // conn is a connection to an upstream, with the times that bound its reuse.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds the bytes that reader may read for the head of an answer.
+	head *headReader
 	// served counts the requests that the connection has served.
-	served    int
-	idleSince time.Time
+	served int
+	// unfinished are the ids of requests that this connection has carried and that
+	// may be sent again. A late second copy of such an answer could not be told
+	// from the answer to the next send, so that one uses another connection.
+	unfinished []string
+	idleSince  time.Time
 	// idleUntil is when the upstream may close the idle connection.
 	idleUntil time.Time
 }
@@ -99,14 +108,14 @@
 	}
 }
 
-// connection returns an idle connection to the address that can be used, or a new
+// connection returns an idle connection that can be used for the request, or a new
 // one. It fails if ctx has ended, so that nothing is sent after that.
-func (c *Client) connection(ctx context.Context, address string, repeatable bool) (*conn, error) {
+func (c *Client) connection(ctx context.Context, request *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	for {
-		kept := c.takeIdle(address, repeatable)
+		kept := c.takeIdle(request)
 		if kept == nil {
 			break
 		}
@@ -115,37 +124,39 @@
 		}
 		_ = kept.Close()
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dialer.DialContext(ctx, "tcp", request.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headReader{Reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
-// takeIdle removes and returns the newest idle connection to the address, or nil
-// if there is none that may be used.
-func (c *Client) takeIdle(address string, repeatable bool) *conn {
+// takeIdle removes and returns the newest idle connection that the request may use,
+// or nil if there is none.
+func (c *Client) takeIdle(request *Request) *conn {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conns := c.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	last := conns[len(conns)-1]
-	if !now.Before(last.idleUntil) {
-		// The others have been idle even longer.
-		for _, old := range conns {
-			_ = old.Close()
+	conns := c.idle[request.Address]
+	for i, kept := range slices.Backward(conns) {
+		if !now.Before(kept.idleUntil) {
+			// Those before it have been idle even longer.
+			for _, old := range conns[:i+1] {
+				_ = old.Close()
+			}
+			c.setIdle(request.Address, slices.Delete(conns, 0, i+1))
+			return nil
+		}
+		if !request.Repeatable && now.Sub(kept.idleSince) > maxIdleNotRepeatable {
+			return nil
+		}
+		if !slices.Contains(kept.unfinished, request.ID) {
+			c.setIdle(request.Address, slices.Delete(conns, i, i+1))
+			return kept
 		}
-		c.setIdle(address, nil)
-		return nil
-	}
-	if !repeatable && now.Sub(last.idleSince) > maxIdleNotRepeatable {
-		return nil
 	}
-	c.setIdle(address, conns[:len(conns)-1])
-	return last
+	return nil
 }
 
 // setIdle replaces the idle connections to an address.
@@ -157,6 +168,13 @@
 	c.idle[address] = conns
 }
 
+// markUnfinished records that the request was carried by this connection and may
+// be sent again. It returns false if the connection can record no more requests.
+func (c *conn) markUnfinished(id string) bool {
+	c.unfinished = append(c.unfinished, id)
+	return len(c.unfinished) < maxUnfinished
+}
+
 // returnIdle adds a connection whose answer ended cleanly to the idle ones.
 func (c *Client) returnIdle(address string, kept *conn, header http.Header) {
 	now := time.Now()
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -9,44 +9,79 @@
 type eventSplitter struct {
 	pending  []byte
 	complete []byte
+	// scanned is the number of bytes of pending in which no event ends.
+	scanned int
 	// first is the id of the first event with an id that the last call of add
 	// returned, last that of the last event with an id since the start.
 	first, last string
 }
 
 // reset discards the start of an event that was incomplete when the stream broke.
-func (s *eventSplitter) reset() { s.pending = s.pending[:0] }
+func (s *eventSplitter) reset() { s.pending, s.scanned = s.pending[:0], 0 }
 
 // remainder returns the bytes after the last complete event.
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
-var eventEnd = []byte("\n\n")
-
 // add takes bytes of the stream and returns the events that they complete. The
 // result is valid until the next call.
 func (s *eventSplitter) add(p []byte) (complete []byte, events int) {
 	s.pending = append(s.pending, p...)
-	end := bytes.LastIndex(s.pending, eventEnd)
-	if end < 0 {
-		return nil, 0
-	}
-	end += len(eventEnd)
-	s.complete = append(s.complete[:0], s.pending[:end]...)
-	s.pending = append(s.pending[:0], s.pending[end:]...)
 	s.first = ""
-	for rest := s.complete; len(rest) > 0; events++ {
-		cut := bytes.Index(rest, eventEnd) + len(eventEnd)
-		if id := eventID(rest[:cut]); id != "" {
-			if s.first == "" {
-				s.first = id
-			}
-			s.last = id
+	start := 0
+	for {
+		end := eventEnd(s.pending, s.scanned)
+		if end < 0 {
+			break
 		}
-		rest = rest[cut:]
+		s.noteID(s.pending[start:end])
+		start, s.scanned = end, end
+		events++
+	}
+	if events == 0 {
+		s.scanned = max(0, len(s.pending)-len(longestEventEnd))
+		return nil, 0
 	}
+	s.complete = append(s.complete[:0], s.pending[:start]...)
+	s.pending = append(s.pending[:0], s.pending[start:]...)
+	s.scanned = 0
 	return s.complete, events
 }
 
+// noteID records the id of a complete event, if it has one.
+func (s *eventSplitter) noteID(event []byte) {
+	id := eventID(event)
+	if id == "" {
+		return
+	}
+	if s.first == "" {
+		s.first = id
+	}
+	s.last = id
+}
+
+// longestEventEnd is the longest text that ends an event: an empty line after a
+// line. Both may end with LF alone.
+const longestEventEnd = "\n\r\n"
+
+// eventEnd returns the offset after the first end of an event that starts at or
+// after from, or -1.
+func eventEnd(p []byte, from int) int {
+	for {
+		next := bytes.IndexByte(p[from:], '\n')
+		if next < 0 {
+			return -1
+		}
+		from += next + 1
+		rest := p[from:]
+		if len(rest) > 0 && rest[0] == '\n' {
+			return from + 1
+		}
+		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
+			return from + 2
+		}
+	}
+}
+
 // eventID returns the id field of an event, or empty.
 func eventID(event []byte) string {
 	for len(event) > 0 {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 )
 
 const (
@@ -37,12 +38,14 @@
 	written      chan struct{}
 	writeErr     error
 	writtenBytes int
+	// bodyBytes counts the bytes of the body that were read.
+	bodyBytes int64
 }
 
 // run sends the request, relays the answer and keeps the connection if it can
 // be reused.
 func (x *exchange) run() Result {
-	conn, err := x.client.connection(x.ctx, x.request.Address, x.request.Repeatable)
+	conn, err := x.client.connection(x.ctx, x.request)
 	if err != nil {
 		return x.failedResult(NotSent, err)
 	}
@@ -53,6 +56,9 @@
 	defer stop()
 	x.send()
 	result, header, reusable := x.receive()
+	if result.Status != Complete && !conn.markUnfinished(x.request.ID) {
+		reusable = false
+	}
 	if !reusable || !stop() || !x.fullySent() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return result
@@ -140,8 +146,7 @@
 	}
 	keeps := !response.Close && response.ProtoAtLeast(1, 1)
 	if result, ok := x.notRunResult(response, head); ok {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
-		return result, response.Header, keeps && err == nil
+		return result, response.Header, x.skipRefusalBody(response) == nil && keeps
 	}
 	if result, ok := x.unusableResult(response, head); ok {
 		return result, response.Header, false
@@ -171,15 +176,29 @@
 		if x.conn.served == 0 || response.Close || head.RequestID == "" {
 			return nil, head, errOtherRequest
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		if err := skipBody(response); err != nil {
 			return nil, head, err
 		}
 	}
 	return nil, AnswerHead{}, errOtherRequest
 }
 
+// skipRefusalBody skips the body of an answer that states that the request was not
+// run. The answer counts whatever its body is, so little time is spent on it.
+func (x *exchange) skipRefusalBody(response *http.Response) error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+		return err
+	}
+	if err := skipBody(response); err != nil {
+		return err
+	}
+	return x.conn.SetReadDeadline(time.Time{})
+}
+
 // readFinalResponse reads the next response that is not an interim (1xx) one.
 func (x *exchange) readFinalResponse() (*http.Response, error) {
+	x.conn.head.begin(x.client.options.MaxHeadBytes)
+	defer x.conn.head.end()
 	for {
 		response, err := http.ReadResponse(x.conn.reader, x.http)
 		if err != nil || response.StatusCode >= http.StatusOK {
@@ -208,7 +227,9 @@
 		return Result{Status: Mismatched, Code: response.StatusCode, Detail: "the answer is not the upstream's own"}, true
 	case !head.Sealed && promisesNotRun(response.StatusCode):
 		return Result{Status: Broken, Code: response.StatusCode, Detail: "the upstream failed without saying whether it ran the request"}, true
-	case x.relay.started && (!success || !x.request.Stream):
+	case response.ContentLength > x.client.options.MaxBodyBytes && x.client.options.MaxBodyBytes > 0:
+		return Result{Status: Broken, Code: response.StatusCode, Detail: errBodyTooLarge.Error()}, true
+	case x.relay.Started() && (!success || !x.request.Stream):
 		return Result{Status: Broken, Code: response.StatusCode, Detail: "the stream was not continued"}, true
 	}
 	return Result{}, false
@@ -217,7 +238,7 @@
 // withholdFailure withholds a failure of the upstream if the request asks for it.
 // A failure that is too large, or whose length is not known, is relayed.
 func (x *exchange) withholdFailure(response *http.Response) (Result, bool) {
-	if !x.request.WithholdFailure || x.relay.started || response.StatusCode < http.StatusInternalServerError ||
+	if !x.request.WithholdFailure || x.relay.Started() || response.StatusCode < http.StatusInternalServerError ||
 		response.ContentLength < 0 || response.ContentLength > maxFailureBytes {
 		return Result{}, false
 	}
@@ -242,7 +263,7 @@
 // relayAnswer relays status, headers and body.
 func (x *exchange) relayAnswer(response *http.Response) Result {
 	stream := x.request.Stream && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	if x.relay.started && !stream {
+	if x.relay.Started() && !stream {
 		return Result{Status: Broken, Code: response.StatusCode, Detail: "the stream was not continued"}
 	}
 	err := x.relayBody(response, stream)
@@ -257,7 +278,7 @@
 // relayBody relays the body: complete events of a stream as they arrive, other
 // bodies in the pieces in which they are read.
 func (x *exchange) relayBody(response *http.Response, stream bool) error {
-	if !x.relay.started && !stream {
+	if !x.relay.Started() && !stream {
 		if err := x.startAnswer(response); err != nil {
 			return err
 		}
@@ -284,10 +305,10 @@
 
 // startAnswer relays status and headers, once per caller.
 func (x *exchange) startAnswer(response *http.Response) error {
-	if x.relay.started {
+	if x.relay.Started() {
 		return nil
 	}
-	x.relay.started = true
+	x.relay.started.Store(true)
 	if err := x.relay.Sink.Start(response.StatusCode, response.Header, response.ContentLength); err != nil {
 		return errCallerDisconnected
 	}
@@ -296,14 +317,23 @@
 
 // relayBytes relays bytes that were read; of a stream only complete events.
 func (x *exchange) relayBytes(response *http.Response, p []byte, stream bool) error {
+	x.bodyBytes += int64(len(p))
+	if limit := x.client.options.MaxBodyBytes; limit > 0 && x.bodyBytes > limit {
+		return errBodyTooLarge
+	}
 	if !stream {
 		return x.writeToCaller(p)
 	}
 	complete, events := x.relay.eventSplitter.add(p)
-	if events == 0 {
-		return nil
+	if events > 0 {
+		if err := x.relayEvents(response, complete, events); err != nil {
+			return err
+		}
 	}
-	return x.relayEvents(response, complete, events)
+	if limit := x.client.options.MaxEventBytes; limit > 0 && len(x.relay.eventSplitter.remainder()) > limit {
+		return errEventTooLarge
+	}
+	return nil
 }
 
 // relayEvents relays complete events and reports progress. Events that do not
@@ -339,8 +369,12 @@
 }
 
 // endStream relays the bytes after the last complete event; a stream whose body
-// ended properly may lack the empty line after its last event.
+// ended properly may lack the empty line after its last event. Without an end
+// marker, a stream that ends inside an event broke off.
 func (x *exchange) endStream(response *http.Response) error {
+	if len(x.relay.eventSplitter.remainder()) > 0 && !hasEndMarker(response) {
+		return io.ErrUnexpectedEOF
+	}
 	if err := x.startAnswer(response); err != nil {
 		return err
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/answer"
@@ -146,15 +147,16 @@
 	Progress Progress
 	// Failure is the newest failure that was withheld, or nil.
 	Failure *Failure
-	started bool
+	started atomic.Bool
 	events  uint32
 	// lastEvent is the id of the last complete event that was relayed.
 	lastEvent     string
 	eventSplitter eventSplitter
 }
 
-// Started reports whether any of an answer, such as its headers, has been relayed.
-func (r *CallerAnswer) Started() bool { return r.started }
+// Started reports whether any of an answer, such as its headers, has been relayed. It
+// may be called by any goroutine.
+func (r *CallerAnswer) Started() bool { return r.started.Load() }
 
 // LastEvent is the id of the last complete event that was relayed, or empty.
 func (r *CallerAnswer) LastEvent() string { return r.lastEvent }
@@ -176,6 +178,12 @@
 	MaxIdle int
 	// ReadHead reads the headers of answers.
 	ReadHead ReadHead
+	// MaxHeadBytes bounds status line and headers of an answer together with the
+	// interim answers before it, MaxEventBytes one event of a stream and
+	// MaxBodyBytes a whole body. Bytes beyond a bound break the answer; 0 means no
+	// bound.
+	MaxHeadBytes, MaxEventBytes int
+	MaxBodyBytes                int64
 }
 
 // Exchange carries out one exchange. ctx must end when the caller disconnects or at the
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -183,6 +183,9 @@
 	left := c.deadline - boottime.Now()
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	// A caller that reads slowly must not keep the request beyond its deadline.
+	stopAbort := context.AfterFunc(limited, c.abortStarted)
+	defer stopAbort()
 	c.mailbox.BeginExchange(cancel)
 	c.sentAt = boottime.Now()
 	if c.sends == 0 {
@@ -225,6 +228,14 @@
 	return false
 }
 
+// abortStarted closes the caller's connection if a part of the answer was relayed, so
+// that a write that waits for the caller ends too.
+func (c *call) abortStarted() {
+	if c.relay.Started() {
+		httpfront.Abort(c.w)
+	}
+}
+
 // request builds the request to the upstream of a dispatch.
 func (c *call) request(d node.Dispatch, left time.Duration) *forward.Request {
 	send := SendHeaders{UpstreamID: ingress.IDOf(d.Upstream), Remaining: left, LastEvent: c.relay.LastEvent()}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,12 @@
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
 	g.config.state = ingress.NewState()
 	g.members.Store(&membersView{notReady: "this instance is starting"})
-	g.upstreams = forward.NewClient(forward.Options{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections, ReadHead: codec.ReadAnswerHead})
+	limits := s.GetGateway()
+	g.upstreams = forward.NewClient(forward.Options{
+		DialTimeout: dialTimeout, MaxIdle: maxIdleConnections, ReadHead: codec.ReadAnswerHead,
+		MaxHeadBytes: int(limits.GetMaxAnswerHeaderBytes()), MaxEventBytes: int(limits.GetMaxEventBytes()),
+		MaxBodyBytes: int64(limits.GetMaxAnswerBytes()),
+	})
 	if err := g.registerAgeMetrics(); err != nil {
 		stop()
 		return nil, err
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -61,8 +61,14 @@
 	nbhttp.Processor
 	*connection
 	input inputState
-	// bodyBytes counts the body bytes of the request that is being received.
+	// bodyBytes counts the body bytes of the request that is being received, as far
+	// as the parser has passed them on.
 	bodyBytes int64
+	// unparsed bounds the bytes of a body, and of the framing of its chunks, that the
+	// parser holds since it can not pass them on yet.
+	unparsed int64
+	// passedOn is true if the parser passed body bytes on in the current read.
+	passedOn bool
 }
 
 // inputState describes the request that is being received.
@@ -117,12 +123,12 @@
 		return 0, err
 	}
 	c.installProcessor(parser)
-	defer func() { c.server.buffered.Add(-c.proc.bodyBytes) }()
+	defer func() { c.server.buffered.Add(-c.proc.bodyBytes - c.proc.unparsed) }()
 	for {
 		n, err := c.Conn.Read(buffer)
 		c.markReceived(n)
 		if n > 0 && !c.discarding() {
-			c.proc.checkInput(parser.Parse(buffer[:n]), n)
+			c.proc.parse(parser, buffer[:n])
 		}
 		if err != nil {
 			c.closeAndWait()
@@ -280,6 +286,8 @@
 	if c.input.problem != nil {
 		return errRefusedInput
 	}
+	c.server.buffered.Add(-c.unparsed)
+	c.unparsed, c.passedOn = 0, true
 	c.bodyBytes += int64(len(data))
 	if c.server.buffered.Add(int64(len(data))) > c.server.config.MaxBufferedBytes {
 		c.input.reject(bodyBufferFull(c.server.config.MaxBufferedBytes))
@@ -295,6 +303,37 @@
 	}
 }
 
+// parse passes the bytes of one read to the parser and refuses input that exceeds a
+// limit.
+func (c *processor) parse(parser *nbhttp.Parser, data []byte) {
+	c.passedOn = false
+	err := parser.Parse(data)
+	c.countUnparsed(len(data))
+	c.checkInput(err, len(data))
+}
+
+// countUnparsed counts the bytes of an incomplete body that the parser holds after a
+// read of length bytes, as part of the memory for request bodies. nbhttp holds a body,
+// or a chunk with its framing, until it is complete.
+func (c *processor) countUnparsed(length int) {
+	held := int64(0)
+	if !c.input.inHeader {
+		held = int64(length)
+		if !c.passedOn {
+			held += c.unparsed
+		}
+	}
+	buffered := c.server.buffered.Add(held - c.unparsed)
+	c.unparsed = held
+	limits := &c.server.config
+	switch {
+	case c.bodyBytes+held > int64(limits.MaxBodyBytes+limits.MaxHeaderBytes)+readBufferBytes:
+		c.input.reject(bodyTooLarge(limits.MaxBodyBytes))
+	case held > 0 && buffered > limits.MaxBufferedBytes:
+		c.input.reject(bodyBufferFull(limits.MaxBufferedBytes))
+	}
+}
+
 // checkInput refuses the connection's input if the last read of length bytes
 // exceeded a limit or the parser failed with err.
 func (c *processor) checkInput(err error, length int) {
