httpfront: a planned stop answers every request that was received

Cause: after the last request in progress a stopping instance closed all connections at once. A request that was read between the last look and the close, or that waited in a connection's queue, was cut without an answer. Change: Server.Drain ends each connection once no request is being received, queued or answered on it; no byte is read afterwards, and a request that was read meanwhile is answered 503, not run. Gateway and own API drain before they close. Busy counts a request from its complete receipt.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -291,6 +291,7 @@
 	ctx, stop := context.WithTimeout(ctx, flushTimeout)
 	defer stop()
 	nodeloop.WaitWhile(ctx, func() bool { return d.heldRequests.Load() > 0 || d.callerServer.Busy() })
+	d.callerServer.Drain(ctx)
 }
 
 // Close stops the daemon at once and releases its resources. The administration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -334,6 +334,7 @@
 		return
 	}
 	nodeloop.WaitWhile(limit, func() bool { return g.inFlight.Load() > 0 || g.servers[0].Busy() })
+	g.servers[0].Drain(limit)
 }
 
 // Close stops immediately, closes all connections and waits for background work.
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -49,6 +49,11 @@
 	// of its first request and stayed silent is closed without an answer: the
 	// caller would take the answer for that of a request sent meanwhile.
 	received bool
+	// parsing is true from the receipt of bytes until they are parsed.
+	parsing bool
+	// drained is true once the connection was idle while the server drained; a
+	// request that arrives later is refused.
+	drained bool
 	// awaitingRequest is true while a request has to be received before timer fires.
 	awaitingRequest bool
 	timer           *time.Timer
@@ -112,6 +117,9 @@
 	c.server.conns.Store(c, nil)
 	defer c.server.conns.Delete(c)
 	defer func() { _ = c.Conn.Close() }()
+	c.mu.Lock()
+	c.drained = c.server.draining.Load()
+	c.mu.Unlock()
 	if c.server.openConns.Add(1) > int64(c.server.config.MaxConnections) {
 		if c.server.tls == nil {
 			// Over TLS, each refusal would cost a handshake.
@@ -126,10 +134,15 @@
 	defer func() { c.server.buffered.Add(-c.proc.bodyBytes - c.proc.unparsed) }()
 	for {
 		n, err := c.Conn.Read(buffer)
-		c.markReceived(n)
+		if !c.beginInput(n) {
+			c.answerError(stopping())
+			c.closeAndWait()
+			return 0, net.ErrClosed
+		}
 		if n > 0 && !c.discarding() {
 			c.proc.parse(parser, buffer[:n])
 		}
+		c.endInput()
 		if err != nil {
 			c.closeAndWait()
 			return 0, err
@@ -367,12 +380,38 @@
 	return bodyTooLarge(c.server.config.MaxBodyBytes)
 }
 
-// markReceived records that the connection has received its first byte.
-func (c *connection) markReceived(n int) {
-	if n > 0 && !c.received {
-		c.mu.Lock()
-		c.received = true
-		c.mu.Unlock()
+// beginInput records the receipt of n bytes. It returns false if the connection was
+// drained, so that a request that crossed the stop is answered as not run.
+func (c *connection) beginInput(n int) (accepted bool) {
+	if n <= 0 {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received, c.parsing = true, true
+	return !c.drained
+}
+
+// endInput records that all bytes received were parsed.
+func (c *connection) endInput() {
+	c.mu.Lock()
+	c.parsing = false
+	c.mu.Unlock()
+}
+
+// drainIfIdle ends the connection if no request is in progress on it, and otherwise
+// leaves it open. No byte is read afterwards: a caller whose request crossed the
+// stop sees that it was not read.
+func (c *connection) drainIfIdle() {
+	c.mu.Lock()
+	receiving := c.parsing || c.awaitingRequest && c.received
+	if !receiving && !c.running {
+		c.drained = true
+	}
+	drained := c.drained
+	c.mu.Unlock()
+	if drained {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which closes
 	}
 }
 
@@ -454,6 +493,7 @@
 		return false
 	}
 	c.queue = append(c.queue, handler)
+	c.server.unfinished.Add(1)
 	if !c.running {
 		c.running = true
 		go c.runQueue()
@@ -469,6 +509,9 @@
 			c.running = false
 			c.handlersDone.Broadcast()
 			c.mu.Unlock()
+			if c.server.draining.Load() {
+				c.drainIfIdle()
+			}
 			return
 		}
 		handler := c.queue[0]
@@ -482,7 +525,6 @@
 // runHandler runs a handler and recovers from a panic, so that a fault in one
 // request closes only its connection.
 func (c *connection) runHandler(handler func()) {
-	c.server.unfinished.Add(1)
 	defer c.server.unfinished.Add(-1)
 	defer func() {
 		if recovered := recover(); recovered != nil {
--- a/internal/httpfront/inputerror.go
+++ b/internal/httpfront/inputerror.go
@@ -53,3 +53,11 @@
 		Remedy: "use another instance of the discovery answer",
 	}
 }
+
+func stopping() InputError {
+	return InputError{
+		Status: http.StatusServiceUnavailable, Code: "draining",
+		Reason: "this instance has stopped; the request was not run",
+		Remedy: "retry at another instance of the discovery answer",
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -5,6 +5,7 @@
 package httpfront
 
 import (
+	"context"
 	"crypto/tls"
 	"math"
 	"net"
@@ -31,6 +32,8 @@
 	// Closing at once could reset the connection before the caller has read the
 	// refusal.
 	lingerTime = 500 * time.Millisecond
+	// drainInterval is the time between two searches for idle connections.
+	drainInterval = 5 * time.Millisecond
 	// stopTimeout bounds the time that Stop waits for nbio's goroutines.
 	stopTimeout = 100 * time.Millisecond
 )
@@ -78,7 +81,8 @@
 	// tls is nil for plain HTTP. TLS is handled below nbhttp: in its blocking mode
 	// nbhttp sends no answers on TLS connections whose input is read elsewhere.
 	tls *tls.Config
-	// unfinished counts the requests whose answer has not been handed to the kernel yet.
+	// unfinished counts the requests that were received completely and whose answer
+	// has not been handed to the kernel yet.
 	unfinished atomic.Int64
 	// conns holds the open connections, as keys of type *connection.
 	conns sync.Map
@@ -88,8 +92,8 @@
 	buffered atomic.Int64
 	// listener is set by Listen; the engine takes it over in Start.
 	listener net.Listener
-	// started is true once the engine listens.
-	started atomic.Bool
+	// started is true once the engine listens, draining once Drain was called.
+	started, draining atomic.Bool
 }
 
 // NewServer loads the TLS files, if any, and returns a server that is not started.
@@ -168,6 +172,31 @@
 // Busy reports whether any answer has not been handed to the kernel yet.
 func (s *Server) Busy() bool { return s.unfinished.Load() > 0 }
 
+// Drain ends each connection as soon as no request is in progress on it, until none
+// is open or ctx ends. Every request that was received gets its answer first;
+// requests on new connections are refused.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		open := false
+		s.conns.Range(func(c, _ any) bool {
+			open = true
+			c.(*connection).drainIfIdle()
+			return true
+		})
+		if !open {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Stop closes the listener and all connections at once. nbio (1.6.8) sometimes
 // waits for ever for a poller that missed its wake-up, in both of its modes and
 // most often if no request was served; Stop then leaves the idle poller behind
