gateway: the abort at a deadline ends before its request does

Cause: the function that closes the caller's connection at the deadline could still run after the handler had returned, when nbhttp had released the response; the instance ended with code 2. Change: the exchange waits for the function before it returns. Measured: TestAbortEndsWithRequest panics within its 500 requests without the wait; green with it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -183,9 +183,7 @@
 	left := c.deadline - boottime.Now()
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	// A caller that reads slowly must not keep the request beyond its deadline.
-	stopAbort := context.AfterFunc(limited, c.abortStarted)
-	defer stopAbort()
+	endAbort := c.abortAtEnd(limited)
 	c.mailbox.BeginExchange(cancel)
 	c.sentAt = boottime.Now()
 	if c.sends == 0 {
@@ -194,6 +192,7 @@
 	c.sends++
 	c.logSent(d, left)
 	result := c.g.upstreams.Exchange(limited, c.request(d, left-sendMargin), &c.relay)
+	endAbort()
 	c.mailbox.EndExchange()
 	c.execution.Add(result.Ran())
 	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
@@ -228,11 +227,21 @@
 	return false
 }
 
-// abortStarted closes the caller's connection if a part of the answer was relayed, so
-// that a write that waits for the caller ends too.
-func (c *call) abortStarted() {
-	if c.relay.Started() {
-		httpfront.Abort(c.w)
+// abortAtEnd closes the caller's connection once ctx ends, if a part of the answer was
+// relayed by then: a caller that reads slowly must not keep the request beyond its
+// deadline. After the returned function, nothing uses the connection any more.
+func (c *call) abortAtEnd(ctx context.Context) (end func()) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		if c.relay.Started() {
+			httpfront.Abort(c.w)
+		}
+	})
+	return func() {
+		if !stop() {
+			<-ended
+		}
 	}
 }
 
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -130,3 +130,18 @@
 		})
 	}
 }
+
+// TestAbortEndsWithRequest guards against an abort that runs after its request has
+// ended and then uses an answer that belongs to nobody, or to the next request.
+func TestAbortEndsWithRequest(t *testing.T) {
+	front, ended := gatewayTo(t, endlessUpstream(t), 2*time.Millisecond)
+	for range 500 {
+		conn, err := net.Dial("tcp", front)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		_, _ = conn.Read(make([]byte, 1))
+		require.NoError(t, conn.Close())
+		<-ended
+	}
+}
