--- a/cmd/citrongate/certificates.go
+++ b/cmd/citrongate/certificates.go
@@ -49,7 +49,7 @@
 			return newUsageError("instance %q is not of the form NAME=IP", instance)
 		}
 		if err := ca.issue(dir, name, ip, valid); err != nil {
-			return err
+			return fmt.Errorf("%s: %w; those before it were written, so name only the rest", name, err)
 		}
 		fmt.Fprintf(writer(command), "%s: certificate = %s, key = %s, authority = %s\n", name,
 			filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), filepath.Join(dir, "authority.pem"))
@@ -110,8 +110,13 @@
 	}, key, nil
 }
 
-// writePair signs a certificate and writes it and its key.
+// writePair signs a certificate and writes it and its key. The certificate is written
+// last, so that a key without one is left over from a run that broke off and is
+// replaced. It fails if the certificate exists.
 func writePair(certPath, keyPath string, template, parent *x509.Certificate, key *ecdsa.PrivateKey, signer crypto.PrivateKey) error {
+	if _, err := os.Stat(certPath); !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%s exists; remove it and its key to issue another", certPath)
+	}
 	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
 	if err != nil {
 		return err
@@ -126,15 +131,18 @@
 	return writePEM(certPath, "CERTIFICATE", der, 0o644)
 }
 
-// writePEM creates a PEM file. It fails if the file exists.
+// writePEM writes a PEM file completely or not at all.
 func writePEM(path, kind string, der []byte, mode fs.FileMode) error {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
 	if err != nil {
 		return err
 	}
-	if err := pem.Encode(file, &pem.Block{Type: kind, Bytes: der}); err != nil {
-		file.Close()
-		return err
+	err = errors.Join(file.Chmod(mode), pem.Encode(file, &pem.Block{Type: kind, Bytes: der}), file.Sync(), file.Close())
+	if err == nil {
+		err = os.Rename(file.Name(), path)
 	}
-	return file.Close()
+	if err != nil {
+		return errors.Join(err, os.Remove(file.Name()))
+	}
+	return nil
 }
--- a/cmd/citrongate/commands_test.go
+++ b/cmd/citrongate/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -152,3 +154,57 @@
 	code, _, errOut = runApp(t, "keys", "certificates", "--dir", dir, "--instance", "entry-2=10.0.0.2")
 	require.Equal(t, exitOK, code, errOut)
 }
+
+// TestDrainWaitsUntilGone guards against a drain that reports an instance as stopped
+// because it answered with an error, too late or not completely.
+func TestDrainWaitsUntilGone(t *testing.T) {
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+		asked++
+		if asked%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	address := strings.TrimPrefix(server.URL, "http://")
+	code, _, _ := runApp(t, "drain", "--admin", address, "--wait", "--timeout", "1s")
+	require.NotEqual(t, exitOK, code)
+	require.Greater(t, asked, 1)
+	done := make(chan int, 1)
+	go func() {
+		code, _, _ := runApp(t, "drain", "--admin", address, "--wait", "--timeout", "30s")
+		done <- code
+	}()
+	time.Sleep(300 * time.Millisecond)
+	server.Close()
+	require.Equal(t, exitOK, <-done)
+}
+
+// TestCertificatesGoOn guards against a directory that can not be used any more after
+// a run that broke off between a key and its certificate.
+func TestCertificatesGoOn(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"authority.key", "entry-1.key"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte("partial"), 0o600))
+	}
+	code, _, errOut := runApp(t, "keys", "certificates", "--dir", dir, "--instance", "entry-1=10.0.0.1")
+	require.Equal(t, exitOK, code, errOut)
+	_, err := tls.LoadX509KeyPair(filepath.Join(dir, "entry-1.pem"), filepath.Join(dir, "entry-1.key"))
+	require.NoError(t, err)
+	left, err := filepath.Glob(filepath.Join(dir, "*.*.*"))
+	require.NoError(t, err)
+	require.Empty(t, left)
+}
+
+// TestObjectFileTooLarge guards against a file of which only the first part is applied.
+func TestObjectFileTooLarge(t *testing.T) {
+	text, err := readAtMost(strings.NewReader("[]   "), 5)
+	require.NoError(t, err)
+	require.Equal(t, "[]   ", string(text))
+	_, err = readAtMost(strings.NewReader("[]    "), 5)
+	require.ErrorContains(t, err, "split")
+}
--- a/cmd/citrongate/drain.go
+++ b/cmd/citrongate/drain.go
@@ -59,7 +59,7 @@
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
-		if _, _, err := admin.Status(ctx); err != nil && ctx.Err() == nil {
+		if _, _, err := admin.Status(ctx); client.Gone(err) {
 			return nil
 		}
 		select {
--- a/cmd/citrongate/objects.go
+++ b/cmd/citrongate/objects.go
@@ -15,8 +15,7 @@
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
-// maxObjectFile is the maximum size of a file of objects in bytes; the rest of a
-// larger one is ignored.
+// maxObjectFile is the maximum size of a file of objects in bytes.
 const maxObjectFile = 256 << 20
 
 // kinds are the object kinds, in the order in which they are listed.
@@ -46,7 +45,7 @@
 		defer file.Close()
 		source = file
 	}
-	text, err := io.ReadAll(io.LimitReader(source, maxObjectFile))
+	text, err := readAtMost(source, maxObjectFile)
 	if err != nil {
 		return nil, newUsageError("cannot read the objects: %v", err)
 	}
@@ -57,6 +56,15 @@
 	return objects, nil
 }
 
+// readAtMost reads everything up to limit bytes; more is an error.
+func readAtMost(source io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(source, limit+1))
+	if err == nil && int64(len(text)) > limit {
+		return nil, fmt.Errorf("there are more than %d bytes; split them and apply the parts in turn", limit)
+	}
+	return text, err
+}
+
 // parseObjects parses objects. Its error names every object that is not valid, not
 // only the first.
 func parseObjects(text []byte) ([]*pb.Object, error) {
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -4,22 +4,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/citrongate/citrongate/internal/adminwire"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
-// maxAnswerBytes is the maximum size of an answer that is read; the rest of a
-// longer one is ignored.
-const maxAnswerBytes = 64 << 20
-
 // Admin calls the administration API of the first reachable one of several
 // instances.
 type Admin struct {
@@ -182,6 +180,15 @@
 	return err
 }
 
+// Gone reports whether the error of a call shows that no process listens at the
+// addresses any more. A time-out or a broken answer does not show that.
+func Gone(err error) bool {
+	if wrapped := errorx.Cast(err); wrapped != nil {
+		err = wrapped.Cause()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // call sends the request to the first address that accepts a connection. Once the
 // request was sent, it is not sent to another address, since it may have taken
 // effect.
@@ -200,7 +207,7 @@
 	if lastErr != nil && !notSent(lastErr) && method != http.MethodGet {
 		return nil, NotReached.Wrap(lastErr, "the request was sent but not answered, so it may have taken effect; remedy: look at citrongate status before trying again")
 	}
-	return nil, NotReached.New("no administration address answered (%s): %v; remedy: name a running instance with --admin", strings.Join(a.Addresses, ", "), lastErr)
+	return nil, NotReached.Wrap(lastErr, "no administration address answered (%s); remedy: name a running instance with --admin", strings.Join(a.Addresses, ", "))
 }
 
 func (a *Admin) send(ctx context.Context, method, target string, body []byte, header http.Header) (*http.Response, error) {
@@ -222,9 +229,9 @@
 
 func readAdminAnswer(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readAnswer(response)
 	if err != nil {
-		return nil, NotReached.Wrap(err, "the answer ended early")
+		return nil, NotReached.Wrap(err, "the answer is not complete")
 	}
 	if response.StatusCode < 300 {
 		return body, nil
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	mrand "math/rand/v2"
 	"net/http"
 	"net/url"
@@ -14,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // defaultAttempts is the default maximum number of attempts of one call.
@@ -154,10 +155,13 @@
 	result  *Result
 	// key is the current key; ticketEntry issued its ticket.
 	key, ticketEntry string
-	// mayHaveRun is true if an attempt with the current key may have run.
-	mayHaveRun bool
+	// execution is what is known of the attempts with the current key.
+	execution answer.Execution
 }
 
+// mayHaveRun reports whether an attempt with the current key may have run.
+func (c *call) mayHaveRun() bool { return c.execution.Ran() != answer.RanNo }
+
 func (c *call) run(ctx context.Context) (*Result, error) {
 	limit := c.request.MaxAttempts
 	if limit == 0 {
@@ -190,7 +194,7 @@
 		if err != nil {
 			return "", err
 		}
-		c.key, c.ticketEntry, c.mayHaveRun = route.ticket+"."+rand.Text()[:16], route.address, false
+		c.key, c.ticketEntry, c.execution = route.ticket+"."+rand.Text()[:16], route.address, answer.Execution{}
 		return c.ticketEntry, nil
 	}
 	if ticketed && c.ticketEntry != "" && c.result.Last().Ending != NotSent {
@@ -205,17 +209,16 @@
 	if attempt.Ending != Complete {
 		c.caller.Directory.avoid(attempt.Entry)
 	}
-	if canHaveRun(attempt.Ending, attempt.Refusal) {
-		c.mayHaveRun = true
-	}
-	if attempt.Refusal.Code == "ticket_expired" && attempt.Refusal.Ran == "no" {
-		c.mayHaveRun = false
+	c.execution.Add(ranOf(attempt.Ending, attempt.Refusal))
+	if attempt.Refusal.Code == "ticket_expired" && attempt.Refusal.Ran == string(answer.RanNo) {
+		// The entry says so of all attempts with the key.
+		c.execution = answer.Execution{}
 	}
 	return decide(attemptState{
 		ending: attempt.Ending, refusal: attempt.Refusal,
 		keyed:      c.key != "",
 		ticketed:   c.request.Keyed && c.request.Key == "",
-		mayHaveRun: c.mayHaveRun,
+		mayHaveRun: c.mayHaveRun(),
 		repeatable: c.request.Repeatable,
 	})
 }
@@ -238,12 +241,7 @@
 func (c *call) finishResult() *Result {
 	c.result.Key = c.key
 	c.result.Total = time.Since(c.start)
-	switch {
-	case c.result.Complete:
-		c.result.Ran = "yes"
-	case c.mayHaveRun:
-		c.result.Ran = "unknown"
-	}
+	c.result.Ran = string(c.execution.Ran())
 	return c.result
 }
 
@@ -310,7 +308,7 @@
 	}
 	if c.key != "" {
 		header.Set("Idempotency-Key", c.key)
-		if !c.mayHaveRun && (c.request.Key == "" || c.request.FirstUse) {
+		if !c.mayHaveRun() && (c.request.Key == "" || c.request.FirstUse) {
 			// No earlier attempt with this key can have run.
 			header.Set("Citrongate-Attempt", "1")
 		}
@@ -335,7 +333,7 @@
 
 // readBody reads an answer that is not streamed.
 func (c *call) readBody(response *http.Response, attempt *Attempt) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readAnswer(response)
 	if err != nil {
 		attempt.Ending, attempt.Err = Incomplete, err.Error()
 		return
--- a/internal/client/discovery.go
+++ b/internal/client/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -167,7 +166,7 @@
 		return answer, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readAnswer(response)
 	if err != nil {
 		return answer, err
 	}
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // Ending is how one attempt ended.
@@ -124,9 +126,19 @@
 	return resend
 }
 
-// canHaveRun reports whether an attempt with this ending may have run.
-func canHaveRun(ending Ending, refusal Refusal) bool {
-	return ending == Incomplete || ending == Refused && refusal.Ran != "no"
+// ranOf returns what the end of an attempt tells about whether it ran.
+func ranOf(ending Ending, refusal Refusal) answer.Ran {
+	switch ending {
+	case Complete:
+		return answer.RanYes
+	case NotSent:
+		return answer.RanNo
+	case Refused:
+		if refusal.Ran != "" {
+			return answer.Ran(refusal.Ran)
+		}
+	}
+	return answer.RanUnknown
 }
 
 const (
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -73,7 +73,7 @@
 	s := adminwire.Status{
 		Name: d.settings.GetInstance().GetName(), Incarnation: d.identity.String(),
 		FailureDomain: d.settings.GetInstance().GetFailureDomain(), Cell: d.settings.GetInstance().GetCell(),
-		StoreAvailable: !d.storeUnavailable.Load(),
+		StoreAvailable: d.storeStatus.available(),
 	}
 	var pools []node.PoolSummary
 	leaving := map[string]bool{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,8 +77,8 @@
 	// config is the configuration in force, nil until there is one.
 	config atomic.Pointer[configstate.Set]
 	// notReady is the reason why the instance should receive no requests; empty if it is ready.
-	notReady         atomic.Pointer[string]
-	storeUnavailable atomic.Bool
+	notReady    atomic.Pointer[string]
+	storeStatus storeStatus
 
 	configsToCompile chan *configstate.Set
 	storeCallSlots   chan struct{}
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -55,11 +55,12 @@
 		d.loop.PostLocal(node.StoreDone{Call: a.Call, Result: store.Result{Status: store.Throttled}})
 		return
 	}
+	number := d.storeStatus.begin()
 	d.runInBackground(func() {
 		defer func() { <-d.storeCallSlots }()
 		result := d.platform.Execute(d.ctx, a.Op)
 		d.metrics.StoreCall(opNames[a.Op.Kind], statusNames[result.Status])
-		d.storeUnavailable.Store(result.Status == store.Unavailable || result.Status == store.Unknown)
+		d.storeStatus.end(number, result.Status != store.Unavailable && result.Status != store.Unknown)
 		d.loop.Post(node.StoreDone{Call: a.Call, Result: result})
 	})
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/internal/httpfront"
+	"github.com/citrongate/citrongate/internal/upstream"
 	"github.com/citrongate/citrongate/pkg/node"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -82,11 +83,19 @@
 
 // discardedAnswer is the Answer of a forwarded call. It discards the result,
 // since the caller is connected to another instance, which the node answers.
-type discardedAnswer struct{ httpfront.Answer }
+type discardedAnswer struct{}
+
+var _ httpfront.Answer = discardedAnswer{}
 
 // Outcome does nothing: the node sends the recorded outcome.
 func (discardedAnswer) Outcome(*pb.BindingOutcome) error { return nil }
 
+// Chunk does nothing. A forwarded call is a call to a plain service.
+func (discardedAnswer) Chunk([]byte, *upstream.Chunk) error { return nil }
+
+// Done does nothing, like Outcome.
+func (discardedAnswer) Done() error { return nil }
+
 // Refuse does nothing: the node sends the refusal.
 func (discardedAnswer) Refuse(httpfront.Refusal) {}
 
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -541,6 +541,7 @@
 	c.mu.Lock()
 	c.disconnected = true
 	notify := c.onDisconnect
+	c.onDisconnect = nil
 	c.timer.Stop()
 	c.mu.Unlock()
 	if notify != nil {
@@ -553,8 +554,10 @@
 // registration.
 func (c *connection) setOnDisconnect(notify func()) {
 	c.mu.Lock()
-	c.onDisconnect = notify
 	disconnected := c.disconnected
+	if !disconnected {
+		c.onDisconnect = notify
+	}
 	c.mu.Unlock()
 	if disconnected && notify != nil {
 		notify()
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -10,9 +10,6 @@
 type Config struct {
 	// Self is this instance's incarnation.
 	Self uint64
-	// OwnerTimeout is the time without a message after which an owner is regarded
-	// as unreachable.
-	OwnerTimeout time.Duration
 	// RetryBudgetPercent is the ratio of retries to first attempts, in percent; no
 	// retry is allowed if it is negative.
 	RetryBudgetPercent int
--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -50,7 +50,7 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, requests: map[dispatch.ID]*requestModel{}, open: map[permit]bool{}}
-	m.table = dispatch.NewTable(dispatch.Config{Self: self, OwnerTimeout: 300 * time.Millisecond,
+	m.table = dispatch.NewTable(dispatch.Config{Self: self,
 		RetryBudgetPercent: 10, MaxRequests: 20, Seed: 1})
 	return m
 }
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -144,3 +144,22 @@
 	require.Equal(t, target.Pool, same.Pool)
 	require.Equal(t, target.Class, same.Class)
 }
+
+// TestLeftUpstreamIsNotUsedAgain guards against an upstream that has left and is used
+// again because a late write lists it as ready.
+func TestLeftUpstreamIsNotUsedAgain(t *testing.T) {
+	r := ingress.NewRegistry()
+	at := time.Second
+	observe := func(list ...ingress.Upstream) {
+		at += 600 * time.Millisecond
+		r.Observe(at, at, list)
+	}
+	observe(upstream("a", "1", false), upstream("b", "1", false))
+	observe(upstream("a", "1", true), upstream("b", "1", false))
+	observe()
+	require.Empty(t, names(r))
+	observe(upstream("a", "1", false), upstream("b", "1", false))
+	require.Equal(t, []string{"a/1 leaving", "b/1"}, names(r), "an entry that only expired is used again")
+	observe(upstream("a", "2", false))
+	require.Equal(t, []string{"a/2"}, names(r), "another incarnation")
+}
--- a/pkg/ingress/registry.go
+++ b/pkg/ingress/registry.go
@@ -16,16 +16,23 @@
 	// reappearGrace is how long after an outage expired entries are kept, so that
 	// their upstreams can register again.
 	reappearGrace = 2 * time.Second
+	// leftRetention is how long a leaving incarnation is remembered after its removal,
+	// far longer than a write to the store may be delayed.
+	leftRetention = 10 * time.Minute
 )
 
 // Registry tracks the upstreams through successive listings of the store. Leaving is
 // permanent: an incarnation that was listed as leaving stays leaving for as long as
 // it is known, even if a later listing shows it as ready. An incarnation that is no
 // longer listed is removed, but after an outage only once reappearGrace has passed.
-// It is used again if it is listed again, since its entry may only have expired.
+// It is used again if it is listed again, since its entry may only have expired,
+// unless it was leaving.
 type Registry struct {
 	upstreams map[string]*registration
-	listed    bool
+	// left are the leaving incarnations that were removed, by name, with the time of
+	// their removal. A late write may list one of them again as ready.
+	left   map[string]time.Duration
+	listed bool
 	// listedAt is when the newest successful listing began.
 	listedAt time.Duration
 	// graceUntil is the time until which entries missing from a listing are kept.
@@ -39,7 +46,9 @@
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{upstreams: map[string]*registration{}} }
+func NewRegistry() *Registry {
+	return &Registry{upstreams: map[string]*registration{}, left: map[string]time.Duration{}}
+}
 
 // Observe updates the registry from a listing that began at started and ended at now.
 // A listing that began before the newest one is ignored. Observe returns true if the
@@ -52,6 +61,7 @@
 		r.graceUntil = now + reappearGrace
 	}
 	r.listed, r.listedAt = true, started
+	maps.DeleteFunc(r.left, func(_ string, removed time.Duration) bool { return now-removed > leftRetention })
 	current := map[string]bool{}
 	incarnations := map[string]string{}
 	for i := range list {
@@ -67,6 +77,9 @@
 		newer, replaced := incarnations[known.ID]
 		replaced = replaced && newer != known.Incarnation
 		if replaced || now >= r.graceUntil {
+			if known.draining {
+				r.left[name] = now
+			}
 			delete(r.upstreams, name)
 			changed = true
 		}
@@ -77,6 +90,9 @@
 func (r *Registry) observeEntry(name string, u Upstream) (changed bool) {
 	known, ok := r.upstreams[name]
 	if !ok {
+		if _, left := r.left[name]; left {
+			u.Leaving = true
+		}
 		r.upstreams[name] = &registration{Upstream: u, draining: u.Leaving}
 		return true
 	}
--- a/pkg/lease/state.go
+++ b/pkg/lease/state.go
@@ -202,6 +202,7 @@
 	}
 	data, err := proto.Marshal(a.lease)
 	if err != nil {
+		l.retryAt = now + l.backoff.Next()
 		return
 	}
 	op := store.Op{Kind: store.Update, Key: leaseKey(l.upstream), Value: data, Version: a.baseVersion}
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -24,6 +24,8 @@
 	addresses []string
 	// otherCells maps peer addresses in other cells to the names of their cells.
 	otherCells map[string]string
+	// otherCellOrder lists the keys of otherCells, the oldest first.
+	otherCellOrder []string
 }
 
 // maxOtherCellAddresses bounds the remembered addresses in other cells.
@@ -32,18 +34,39 @@
 // recordOtherCellAddresses remembers which addresses are in other cells, so that
 // no join is sent to them while enough contacts are known in their cell.
 func (v *View) recordOtherCellAddresses(updates []*pb.MemberUpdate) {
-	if v.join.otherCells == nil || len(v.join.otherCells) >= maxOtherCellAddresses {
-		v.join.otherCells = map[string]string{}
-	}
 	for _, u := range updates {
 		switch {
 		case u.GetPeerAddress() == "" || u.GetCell() == "":
 		case u.Cell == v.self.Cell:
-			delete(v.join.otherCells, u.PeerAddress)
+			v.join.forgetOtherCell(u.PeerAddress)
 		default:
-			v.join.otherCells[u.PeerAddress] = u.Cell
+			v.join.rememberOtherCell(u.PeerAddress, u.Cell)
+		}
+	}
+}
+
+// rememberOtherCell records that an address is in another cell. Beyond
+// maxOtherCellAddresses it forgets the address that was recorded first.
+func (j *joiner) rememberOtherCell(address, cell string) {
+	if j.otherCells == nil {
+		j.otherCells = map[string]string{}
+	}
+	if _, known := j.otherCells[address]; !known {
+		if len(j.otherCellOrder) >= maxOtherCellAddresses {
+			j.forgetOtherCell(j.otherCellOrder[0])
 		}
+		j.otherCellOrder = append(j.otherCellOrder, address)
+	}
+	j.otherCells[address] = cell
+}
+
+func (j *joiner) forgetOtherCell(address string) {
+	if _, known := j.otherCells[address]; !known {
+		return
 	}
+	delete(j.otherCells, address)
+	i := slices.Index(j.otherCellOrder, address)
+	j.otherCellOrder = slices.Delete(j.otherCellOrder, i, i+1)
 }
 
 // Settled reports whether the instance joined its cell, or waited settleTime
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -44,6 +44,8 @@
 	// bound maps the name and platform incarnation of an entry to the
 	// incarnation of a member.
 	bound map[string]uint64
+	// boundMembers are the incarnations that bound refers to.
+	boundMembers map[uint64]bool
 }
 
 // WantsList reports whether the instance list should be read now. The caller
@@ -142,17 +144,18 @@
 		}
 	}
 	if v.list.bound == nil {
-		v.list.bound = map[string]uint64{}
+		v.list.bound, v.list.boundMembers = map[string]uint64{}, map[uint64]bool{}
 	}
 	id := entry.Name + "/" + entry.Incarnation
 	if incarnation, ok := v.list.bound[id]; ok {
 		return v.memberOrSelf(incarnation)
 	}
 	m := v.memberAt(entry.PeerAddress)
-	if m == nil || v.hasBinding(m.Incarnation) {
+	if m == nil || v.list.boundMembers[m.Incarnation] {
 		return nil
 	}
 	v.list.bound[id] = m.Incarnation
+	v.list.boundMembers[m.Incarnation] = true
 	return m
 }
 
@@ -161,19 +164,11 @@
 	for id, incarnation := range v.list.bound {
 		if v.memberOrSelf(incarnation) == nil {
 			delete(v.list.bound, id)
+			delete(v.list.boundMembers, incarnation)
 		}
 	}
 }
 
-func (v *View) hasBinding(incarnation uint64) bool {
-	for _, bound := range v.list.bound {
-		if bound == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
 func (v *View) memberOrSelf(incarnation uint64) *member {
 	if incarnation == v.self.Incarnation {
 		return v.self
--- a/pkg/node/frame_fuzz_test.go
+++ b/pkg/node/frame_fuzz_test.go
@@ -26,6 +26,7 @@
 		{Body: &pb.PeerMessage_BindingCall{BindingCall: &pb.BindingCall{Sequence: 1, Key: "k", Home: 1}}},
 		{Body: &pb.PeerMessage_MemberUpdates{MemberUpdates: &pb.MemberUpdates{Updates: []*pb.MemberUpdate{{Upstream: "e1", State: pb.MemberState_MEMBER_STATE_LEAVING}}}}},
 	}
+	messages = append(messages, emptyMessages()...)
 	var seeds [][]byte
 	for _, m := range messages {
 		data, err := proto.Marshal(&pb.Frame{From: 2, ConfigRevision: 1, Messages: []*pb.PeerMessage{m}})
@@ -37,6 +38,17 @@
 	return seeds
 }
 
+// emptyMessages returns a message of each type without content.
+func emptyMessages() (messages []*pb.PeerMessage) {
+	fields := (&pb.PeerMessage{}).ProtoReflect().Descriptor().Oneofs().ByName("body").Fields()
+	for i := range fields.Len() {
+		m := &pb.PeerMessage{}
+		m.ProtoReflect().Mutable(fields.Get(i))
+		messages = append(messages, m)
+	}
+	return messages
+}
+
 // FuzzFrame guards against a corrupt or malicious frame of another instance that
 // crashes a node or makes it send without end.
 func FuzzFrame(f *testing.F) {
--- a/pkg/node/fuzz_test.go
+++ b/pkg/node/fuzz_test.go
@@ -50,7 +50,7 @@
 	case 5:
 		return node.UpstreamTokens{ID: s.id(), Total: uint32(s.IntN(50))}
 	case 6:
-		return node.UpstreamDone{ID: s.id(), Result: node.UpstreamResult(s.IntN(7)), OutputTokens: uint32(s.IntN(50))}
+		return node.UpstreamDone{ID: s.id(), Result: node.UpstreamResult(s.IntN(int(node.ResultExpired) + 1)), OutputTokens: uint32(s.IntN(50))}
 	case 7:
 		return node.StoreDone{Call: store.CallID(s.IntN(20)), Result: store.Result{Status: store.Status(s.IntN(8)), Version: s.Uint64()}}
 	case 8:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -114,7 +114,7 @@
 			Seeds: cfg.Seeds, Seed: seed, IgnoreLeaving: cfg.Mutations.IgnoreLeaving,
 		}),
 		table: dispatch.NewTable(dispatch.Config{
-			Self: self, OwnerTimeout: cfg.OwnerTimeout, RetryBudgetPercent: cfg.RetryBudgetPercent, RepeatedSends: cfg.RepeatedSends,
+			Self: self, RetryBudgetPercent: cfg.RetryBudgetPercent, RepeatedSends: cfg.RepeatedSends,
 			MaxRequests: cfg.MaxRequests, Seed: seed,
 			DispatchTwice: cfg.Mutations.DispatchTwice, CancelOnDrain: cfg.Mutations.DrainCancels, ReportNotRun: cfg.Mutations.ReportNotRun,
 		}),
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/dispatch"
@@ -165,7 +167,8 @@
 
 // tickQuotas ends the wait for answers that did not arrive in time.
 func (n *Node) tickQuotas() {
-	for organisation, waiting := range n.quotas.waiting {
+	for _, organisation := range slices.Sorted(maps.Keys(n.quotas.waiting)) {
+		waiting := n.quotas.waiting[organisation]
 		if len(waiting) > 0 && n.now >= waiting[0].until {
 			n.quotas.pendingAnswers[organisation] = 0
 			n.retryQuota(organisation)
--- a/pkg/refresh/refresh.go
+++ b/pkg/refresh/refresh.go
@@ -162,16 +162,15 @@
 }
 
 // OnRead records the end of a read. If ok is true, the store had the version at the
-// start of the read. It returns whether the version of the copy changed, and a
-// repeated read if one was requested during this read.
+// start of the read; a read that started before the copy's time says nothing new. It
+// returns whether the version of the copy changed, and a repeated read if one was
+// requested during this read.
 func (r *Refresher) OnRead(now time.Duration, p Part, started time.Duration, ok bool, version uint64) (changed bool, due Due) {
 	state := &r.parts[p]
 	state.reading = false
-	if ok {
+	if ok && (!state.Known || started > state.At) {
 		changed = !state.Known || state.Version != version
-		if changed || started > state.At {
-			state.Copy = Copy{Version: version, At: started, Known: true}
-		}
+		state.Copy = Copy{Version: version, At: started, Known: true}
 	}
 	if state.readAgain {
 		r.startRead(now, p, &due)
--- a/pkg/refresh/refresh_test.go
+++ b/pkg/refresh/refresh_test.go
@@ -146,3 +146,14 @@
 	require.Zero(t, r.Tick(2*interval, stale).QueryPeer)
 	require.Equal(t, uint64(7), r.Tick(bound/2, stale).QueryPeer)
 }
+
+// TestLateRead guards against a read that ends late and replaces a newer copy: its
+// version is the older one.
+func TestLateRead(t *testing.T) {
+	r := newWithCopies(0)
+	changed, _ := r.OnRead(interval+10*ms, refresh.Config, interval, true, 2)
+	require.True(t, changed)
+	changed, _ = r.OnRead(interval+20*ms, refresh.Config, interval-ms, true, 1)
+	require.False(t, changed)
+	require.Equal(t, refresh.Copy{Version: 2, At: interval, Known: true}, r.Copies()[refresh.Config])
+}
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -24,7 +24,9 @@
 		if u == nil {
 			// The request waits for an upstream where its prompt fits; lower tiers
 			// may use the others.
-			p.nextAnyUpstream = r.anyUpstreamFrom
+			if p.nextAnyUpstream == 0 || r.anyUpstreamFrom < p.nextAnyUpstream {
+				p.nextAnyUpstream = r.anyUpstreamFrom
+			}
 			break
 		}
 		out = append(out, p.grant(now, r, u))
@@ -222,7 +224,12 @@
 		u.failures.observe(now, true)
 	case ConnectRefused:
 		p.quarantine(now, u)
-	case Broken, Refused:
+	case Refused:
+		// An upstream that answers is alive, also if it is full. One that refuses more
+		// than the others is chosen last.
+		u.lastProgress = now
+		u.failures.observe(now, true)
+	case Broken:
 		u.brokenStreams++
 		if u.brokenStreams >= deadAfterBroken {
 			p.quarantineOrCutLimit(now, u)
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -39,7 +39,7 @@
 	suspectSince time.Duration
 	// lastProgress is the last time at which the upstream was seen to work normally.
 	lastProgress time.Duration
-	// brokenStreams counts broken or refused requests since the last answer.
+	// brokenStreams counts broken requests since the last answer.
 	brokenStreams int
 	nextProbe     time.Duration
 	// probeWait is the present interval between probes.
