scheduler: TestWakesForEarliestRequest lets both requests wait

Measured: fails with the old code now (the wait of the lower tier overwrites 200 ms), green with the new.

--- a/pkg/scheduler/takeover_test.go
+++ b/pkg/scheduler/takeover_test.go
@@ -27,8 +27,11 @@
 	p.Submit(0, longPrompt(2, 0))
 	p.Step(0, nil)
 	require.Equal(t, 200*time.Millisecond, p.nextAnyUpstream)
-	p.Submit(100*time.Millisecond, longPrompt(3, 1))
-	p.Step(100*time.Millisecond, nil)
+	patient := longPrompt(3, 1)
+	patient.StartBy = 30 * time.Second
+	p.Submit(100*time.Millisecond, patient)
+	require.Empty(t, p.Step(100*time.Millisecond, nil))
+	require.Equal(t, 2, p.waiting)
 	require.Equal(t, 200*time.Millisecond, p.nextAnyUpstream, "of the first of both requests")
 }
 
