servers' own load reports: slowdown on their machines counts in the choice of an upstream

Cause: servers say with each answer how long work takes on their machine now; nothing read it, and a slowed server was chosen until its measured times showed it. The entry passes the percentage on with the first token or the release. The scheduler weighs each upstream's expected finish by its recent slowdown against its mean, which fades with the report's age in 0.5 s, so that a slowed server is left at its first report and used again soon. No call is made for it.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,6 +87,21 @@
 	// Encoded is true if the body has a content encoding, so that it is not what
 	// the upstream's service produced.
 	Encoded bool
+	// Load is what the upstream says of its load.
+	Load LoadReport
+	// LoadInvalid is true if what it says could not be read; Load is then empty.
+	LoadInvalid bool
+}
+
+// LoadReport is what an upstream says of its load when it answers. The zero value
+// means that it says nothing.
+type LoadReport struct {
+	// Running and Waiting are the numbers of requests that it processes and that wait
+	// there, Slots the number that it processes at the same time.
+	Running, Waiting, Slots uint32
+	// SlowdownPercent is how long work takes there now, in percent of the usual time;
+	// 0 if it does not say.
+	SlowdownPercent uint32
 }
 
 // ReadHead reads the headers of an answer.
@@ -147,8 +162,11 @@
 	Progress Progress
 	// Failure is the newest failure that was withheld, or nil.
 	Failure *Failure
-	started atomic.Bool
-	events  uint32
+	// Load is the load report of the newest exchange, LoadInvalid as in AnswerHead.
+	Load        LoadReport
+	LoadInvalid bool
+	started     atomic.Bool
+	events      uint32
 	// lastEvent is the id of the last complete event that was relayed.
 	lastEvent     string
 	eventSplitter eventSplitter
@@ -189,6 +207,7 @@
 // Exchange carries out one exchange. ctx must end when the caller disconnects or at the
 // deadline.
 func (c *Client) Exchange(ctx context.Context, request *Request, relay *CallerAnswer) Result {
+	relay.Load, relay.LoadInvalid = LoadReport{}, false
 	x := exchange{client: c, ctx: ctx, request: request, relay: relay}
 	result := x.run()
 	result.Events = relay.events
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -195,6 +195,9 @@
 	endAbort()
 	c.mailbox.EndExchange()
 	c.execution.Add(result.Ran())
+	if c.relay.LoadInvalid {
+		c.g.metrics.Count("load_reports", "invalid")
+	}
 	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
 	if result.Status == forward.NotSent {
 		c.logSendFailed(d, result)
@@ -208,9 +211,9 @@
 	}
 	outcome := nodeResult(result)
 	if outcome == node.ResultComplete && c.route.Kind != ingress.Stream {
-		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
+		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id, SlowdownPercent: c.relay.Load.SlowdownPercent})
 	}
-	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events})
+	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events, SlowdownPercent: c.relay.Load.SlowdownPercent})
 	if result.Status == forward.Complete {
 		if result.Events > 0 {
 			c.g.metrics.LongestPause(c.longestGap)
@@ -263,7 +266,7 @@
 	c.reportedAt = boottime.Now()
 	c.firstEventAt, c.lastEventAt = c.reportedAt, c.reportedAt
 	c.g.metrics.FirstToken(c.firstEventAt - c.sentAt)
-	c.g.loop.Post(node.UpstreamFirstToken{ID: c.id})
+	c.g.loop.Post(node.UpstreamFirstToken{ID: c.id, SlowdownPercent: c.relay.Load.SlowdownPercent})
 }
 
 // Events reports progress to the node, at most once per progressInterval.
--- a/internal/simtest/measurement/decision.go
+++ b/internal/simtest/measurement/decision.go
@@ -75,7 +75,7 @@
 	id := l.inFlight[i]
 	l.inFlight[i] = l.inFlight[len(l.inFlight)-1]
 	l.inFlight = l.inFlight[:len(l.inFlight)-1]
-	l.pool.FirstToken(l.now, id, 300*time.Millisecond)
+	l.pool.FirstToken(l.now, id, 300*time.Millisecond, 0)
 	l.pool.Release(l.now, scheduler.Completion{
 		ID: id, Outcome: scheduler.Complete, OutputTokens: 110, TTFT: 300 * time.Millisecond, InterToken: 30 * time.Millisecond,
 	})
--- a/internal/simtest/measurement/poolhost.go
+++ b/internal/simtest/measurement/poolhost.go
@@ -134,7 +134,7 @@
 }
 
 func (h *poolHost) firstToken(c *call, ttft time.Duration) {
-	h.runAndStep(func(now time.Duration) { h.pool.FirstToken(now, c.id, ttft) })
+	h.runAndStep(func(now time.Duration) { h.pool.FirstToken(now, c.id, ttft, 0) })
 }
 
 func (h *poolHost) release(c *call, done scheduler.Completion) {
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -64,7 +64,7 @@
 		t.startAttempt(now, r, PermitLapsed)
 		return
 	}
-	r.Upstream, r.DispatchedAt = upstream, now
+	r.Upstream, r.DispatchedAt, r.SlowdownPercent = upstream, now, 0
 	r.sends++
 	t.setState(r, Dispatched)
 	t.emit(Send{ID: r.ID, Upstream: upstream, Deadline: r.Deadline})
@@ -144,6 +144,13 @@
 	return retryJitterMin + time.Duration(t.random.Float64()*float64(retryJitterMax-retryJitterMin))
 }
 
+// ReportLoad records what the upstream of a dispatched request reported of its load.
+func (t *Table) ReportLoad(id ID, slowdownPercent uint32) {
+	if r, ok := t.records[id]; ok && r.InFlight() && slowdownPercent > 0 {
+		r.SlowdownPercent = slowdownPercent
+	}
+}
+
 // FirstToken records the arrival of the first token and reports it to the holder.
 func (t *Table) FirstToken(now time.Duration, id ID) {
 	r, ok := t.records[id]
@@ -154,7 +161,7 @@
 	r.execution.Add(RanUnknown)
 	r.FirstTokenAt, r.LastTokenAt = now, now
 	r.Tokens = max(r.Tokens, 1)
-	t.emit(FirstToken{ID: id, Pool: r.Pool, Holder: r.Holder, TTFT: now - r.DispatchedAt})
+	t.emit(FirstToken{ID: id, Pool: r.Pool, Holder: r.Holder, TTFT: now - r.DispatchedAt, SlowdownPercent: r.SlowdownPercent})
 }
 
 // Tokens records the number of output tokens so far. A total that is not higher
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -30,6 +30,8 @@
 	// time. Both are 0 if unknown.
 	TTFT, InterToken time.Duration
 	CachedPrompt     uint32
+	// SlowdownPercent is as in Record; 0 also if FirstToken carried it.
+	SlowdownPercent uint32
 }
 
 // FirstToken reports the first token to the holder that granted the permit.
@@ -38,6 +40,8 @@
 	Pool   uint64
 	Holder Holder
 	TTFT   time.Duration
+	// SlowdownPercent is as in Record.
+	SlowdownPercent uint32
 }
 
 // Send tells the upstream adapter to send the request.
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -94,6 +94,9 @@
 	Attempt  uint32
 	Upstream string
 
+	// SlowdownPercent is how long work takes at the upstream now, as it reported for
+	// this dispatch, in percent of the usual time; 0 if it did not.
+	SlowdownPercent uint32
 	// Tokens is the number of output tokens received.
 	Tokens uint32
 	// Started, DispatchedAt, FirstTokenAt and LastTokenAt are times on the local
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -254,6 +254,9 @@
 func (t *Table) release(now time.Duration, r *Record, outcome Outcome, cached uint32) {
 	e := Release{ID: r.ID, Pool: r.Pool, Attempt: r.Attempt, Holder: r.Holder, Outcome: outcome,
 		OutputTokens: r.Tokens, CachedPrompt: cached}
+	if r.State == Dispatched {
+		e.SlowdownPercent = r.SlowdownPercent
+	}
 	if r.FirstTokenAt > 0 {
 		e.TTFT = r.FirstTokenAt - r.DispatchedAt
 		if r.Tokens > 1 {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -156,6 +156,7 @@
 	c := scheduler.Completion{
 		ID: n.globalID(e.ID), Outcome: e.Outcome, OutputTokens: e.OutputTokens,
 		TTFT: e.TTFT, InterToken: e.InterToken, CachedPrompt: e.CachedPrompt,
+		SlowdownPercent: e.SlowdownPercent,
 	}
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
@@ -166,7 +167,8 @@
 	n.send(e.Holder.Owner, &pb.PeerMessage{Body: &pb.PeerMessage_Release{Release: &pb.Release{
 		Sequence: uint64(e.ID), Pool: e.Pool, Attempt: e.Attempt, Outcome: pb.ReleaseOutcome(e.Outcome),
 		OutputTokens: e.OutputTokens, TtftMs: milliseconds(e.TTFT),
-		InterTokenUs: uint32(e.InterToken / time.Microsecond), CachedPromptTokens: e.CachedPrompt}}})
+		InterTokenUs: uint32(e.InterToken / time.Microsecond), CachedPromptTokens: e.CachedPrompt,
+		SlowdownPercent: e.SlowdownPercent}}})
 }
 
 func (h *hostedPool) releaseAttempt(now time.Duration, c scheduler.Completion, attempt uint32) {
@@ -179,7 +181,7 @@
 func (n *Node) firstToken(e dispatch.FirstToken) {
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
-			h.sched.FirstToken(n.now, n.globalID(e.ID), e.TTFT)
+			h.sched.FirstToken(n.now, n.globalID(e.ID), e.TTFT, e.SlowdownPercent)
 		}
 		return
 	}
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -72,7 +72,12 @@
 
 // UpstreamFirstToken reports the first token, or the first byte of a plain
 // service's answer.
-type UpstreamFirstToken struct{ ID RequestID }
+type UpstreamFirstToken struct {
+	ID RequestID
+	// SlowdownPercent is how long work takes at the upstream now, as it reports, in
+	// percent of the usual time; 0 if it did not say.
+	SlowdownPercent uint32
+}
 
 // UpstreamTokens reports how many output tokens have arrived in total. The
 // adapter may coalesce these reports.
@@ -112,6 +117,8 @@
 	CachedPromptTokens uint32
 	// Outcome is the answer of a non-idempotent call, for its record.
 	Outcome *pb.BindingOutcome
+	// SlowdownPercent is as in UpstreamFirstToken.
+	SlowdownPercent uint32
 }
 
 // FrameReceived is a frame from another instance.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -154,6 +154,7 @@
 	case DispatchFailed:
 		n.table.OnDispatchFailed(n.now, dispatch.ID(e.ID))
 	case UpstreamFirstToken:
+		n.table.ReportLoad(dispatch.ID(e.ID), e.SlowdownPercent)
 		n.table.FirstToken(n.now, dispatch.ID(e.ID))
 	case UpstreamTokens:
 		n.table.Tokens(n.now, dispatch.ID(e.ID), e.Total)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -156,7 +156,7 @@
 
 func (n *Node) onFirstToken(from uint64, m *pb.FirstToken) {
 	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
-		h.sched.FirstToken(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond)
+		h.sched.FirstToken(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond, m.SlowdownPercent)
 		h.dirty = true
 	}
 }
@@ -170,6 +170,7 @@
 		ID: scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, Outcome: scheduler.Outcome(m.Outcome),
 		OutputTokens: m.OutputTokens, TTFT: time.Duration(m.TtftMs) * time.Millisecond,
 		InterToken: time.Duration(m.InterTokenUs) * time.Microsecond, CachedPrompt: m.CachedPromptTokens,
+		SlowdownPercent: m.SlowdownPercent,
 	}, m.Attempt)
 }
 
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -192,6 +192,7 @@
 	if call := n.calls.byID[id]; call != nil {
 		call.outcome = e.Outcome
 	}
+	n.table.ReportLoad(id, e.SlowdownPercent)
 	n.table.Finish(n.now, id, dispatchResults[e.Result], e.OutputTokens, e.CachedPromptTokens)
 }
 
--- a/pkg/scheduler/bench_test.go
+++ b/pkg/scheduler/bench_test.go
@@ -79,7 +79,7 @@
 	id := s.flight[i]
 	s.flight[i] = s.flight[len(s.flight)-1]
 	s.flight = s.flight[:len(s.flight)-1]
-	s.pool.FirstToken(s.now, id, 300*time.Millisecond)
+	s.pool.FirstToken(s.now, id, 300*time.Millisecond, 0)
 	s.pool.Release(s.now, Completion{ID: id, Outcome: Complete, OutputTokens: 110, TTFT: 300 * time.Millisecond, InterToken: 30 * time.Millisecond})
 	s.step()
 }
--- a/pkg/scheduler/differential_test.go
+++ b/pkg/scheduler/differential_test.go
@@ -110,7 +110,7 @@
 		return
 	}
 	r := rapid.SampledFrom(d.flight).Draw(t, "started")
-	d.pool.FirstToken(d.now, r.ID, time.Duration(rapid.IntRange(1, 2000).Draw(t, "ttft"))*time.Millisecond)
+	d.pool.FirstToken(d.now, r.ID, time.Duration(rapid.IntRange(1, 2000).Draw(t, "ttft"))*time.Millisecond, rapid.SampledFrom([]uint32{0, 100, 400}).Draw(t, "slowdown"))
 }
 
 func (d *driver) adopt(t *rapid.T) {
--- a/pkg/scheduler/learning_test.go
+++ b/pkg/scheduler/learning_test.go
@@ -36,7 +36,7 @@
 		for _, d := range p.Step(now, nil) {
 			if d.Reason == 0 {
 				flight = append(flight, d)
-				p.FirstToken(now, d.ID, 100*time.Millisecond)
+				p.FirstToken(now, d.ID, 100*time.Millisecond, 0)
 			}
 		}
 		if sequence%2 == 0 && len(flight) > 0 {
@@ -73,7 +73,7 @@
 			}
 			for _, d := range p.Step(0, nil) {
 				if !c.frozen || d.Upstream == 1 {
-					p.FirstToken(0, d.ID, 100*time.Millisecond)
+					p.FirstToken(0, d.ID, 100*time.Millisecond, 0)
 				}
 			}
 			for u := range uint32(2) {
@@ -117,7 +117,7 @@
 		p.Submit(0, Descriptor{ID: GlobalID{1, sequence}, PromptLength: 4000, MeanOutput: 10, HighOutput: 10, Deadline: time.Hour, Prefix: prefix})
 		out := p.Step(0, nil)
 		require.Len(t, out, 1)
-		p.FirstToken(0, out[0].ID, 400*time.Millisecond)
+		p.FirstToken(0, out[0].ID, 400*time.Millisecond, 0)
 		return out[0].Upstream
 	}
 	first := grantFor(7)
@@ -142,7 +142,7 @@
 			Shared: SharedPrefixes{{Digest: 5, Tokens: 60}, {Digest: document, Tokens: 3800}}})
 		out := p.Step(0, nil)
 		require.Len(t, out, 1)
-		p.FirstToken(0, out[0].ID, 400*time.Millisecond)
+		p.FirstToken(0, out[0].ID, 400*time.Millisecond, 0)
 		return out[0].Upstream
 	}
 	first := grantFor(7)
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -81,6 +81,7 @@
 	pendingPrefill       int64
 
 	stragglerState
+	slowdown slowdown
 	failures failureCount
 	// failing is true while the failure ratio is well above that of the other upstreams.
 	failing bool
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -133,12 +133,13 @@
 }
 
 // FirstToken reports the first token of a request in flight. The time to first
-// token counts from dispatch.
-func (p *Pool) FirstToken(now time.Duration, id GlobalID, ttft time.Duration) {
+// token counts from dispatch. slowdownPercent is as in Completion.
+func (p *Pool) FirstToken(now time.Duration, id GlobalID, ttft time.Duration, slowdownPercent uint32) {
 	r := p.requests.get(id)
 	if r == nil || r.state != stateInFlight || r.started {
 		return
 	}
+	r.upstream.slowdown.observe(now, slowdownPercent)
 	p.observeFirstToken(now, r, ttft)
 }
 
@@ -198,6 +199,7 @@
 // learnOutcome updates the learned state of the upstream.
 func (p *Pool) learnOutcome(now time.Duration, r *request, c Completion) {
 	u := r.upstream
+	u.slowdown.observe(now, c.SlowdownPercent)
 	switch c.Outcome {
 	case Complete, Late:
 		u.lastProgress = now
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -35,13 +35,15 @@
 
 // finishTime estimates the time in nanoseconds until a request would finish on
 // an upstream: prefill of the prompts that wait there and of its own prompt
-// without the probably cached tokens, and decoding of its output.
-func (u *upstream) finishTime(r *request, cached int64) float64 {
+// without the probably cached tokens, and decoding of its output. All of it takes
+// longer while the upstream reports that it is slowed down.
+func (u *upstream) finishTime(now time.Duration, r *request, cached int64) float64 {
+	slowed := u.slowdown.relative(now)
 	if u.Service {
-		return u.slotTime * float64(u.inFlight+1) / max(1, u.limit)
+		return slowed * u.slotTime * float64(u.inFlight+1) / max(1, u.limit)
 	}
 	prefill := float64(u.pendingPrefill+max(0, int64(r.PromptLength)-cached)) * u.prefillPerToken
-	return prefill + float64(r.MeanOutput)*u.expectedInterToken(u.inFlight+1)
+	return slowed * (prefill + float64(r.MeanOutput)*u.expectedInterToken(u.inFlight+1))
 }
 
 // prefillFits reports whether an upstream may prefill the prompt of a request
@@ -75,7 +77,7 @@
 		if !u.free || !p.prefillFits(now, u, r) {
 			continue
 		}
-		finish := u.finishTime(r, hints.cachedTokens(index, r))
+		finish := u.finishTime(now, r, hints.cachedTokens(index, r))
 		load := float64(u.inFlight) / u.limit
 		switch {
 		case best == nil:
--- a/pkg/scheduler/script_test.go
+++ b/pkg/scheduler/script_test.go
@@ -133,7 +133,7 @@
 	case "withdraw":
 		s.pool.Withdraw(s.now, id(a))
 	case "first":
-		s.pool.FirstToken(s.now, id(a), a.duration("ttft"))
+		s.pool.FirstToken(s.now, id(a), a.duration("ttft"), 0)
 	case "release":
 		s.pool.Release(s.now, Completion{
 			ID: id(a), Outcome: outcomes[a["outcome"]], OutputTokens: a.number("tokens", 10),
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -13,7 +13,7 @@
 	// overdueFirstToken and overdueFactor bound the time without a first token.
 	overdueFirstToken = 1200 * time.Millisecond
 	overdueFactor     = 2
-	// deadAfterBroken broken or refused requests without an answer between them
+	// deadAfterBroken broken requests without an answer between them
 	// mark an upstream as dead.
 	deadAfterBroken = 2
 	// probeInterval separates probes. A probe that is overdue by overdueProbe
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -190,6 +190,9 @@
 	InterToken time.Duration
 	// CachedPrompt is the number of prompt tokens found in the prefix cache.
 	CachedPrompt uint32
+	// SlowdownPercent is how long work takes at the upstream now, as it reports, in
+	// percent of the usual time; 0 if it did not say.
+	SlowdownPercent uint32
 	// Attempt is the attempt whose permit ends; the permit of a later attempt
 	// stays. 0 means any.
 	Attempt uint32
