--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -238,8 +238,8 @@
 
 func bucketOf(inFlight uint32) int { return min(bits.Len32(inFlight), profileBuckets-1) }
 
-func (u *upstream) learnProfile(interToken float64) {
-	smooth(&u.profile[bucketOf(u.inFlight)], interToken, slowSmoothing)
+func (u *upstream) learnProfile(now time.Duration, inFlight uint32, interToken float64) {
+	smooth(&u.profile[bucketOf(inFlight)], interToken/u.slowdown.usual(now), slowSmoothing)
 }
 
 // expectedInterToken returns the time between tokens to expect with the given
@@ -269,9 +269,9 @@
 // learnSlotThroughput updates the cost per second that one slot serves. It uses
 // the expected cost, since queued work is counted by its expected cost too: if
 // predictions are too low on average, both are.
-func (u *upstream) learnSlotThroughput(cost int64, duration time.Duration) {
+func (u *upstream) learnSlotThroughput(now time.Duration, cost int64, duration time.Duration) {
 	smooth(&u.slotCost, float64(cost), slowSmoothing)
-	smooth(&u.slotTime, float64(max(duration, time.Millisecond)), slowSmoothing)
+	smooth(&u.slotTime, float64(max(duration, time.Millisecond))/u.slowdown.usual(now), slowSmoothing)
 }
 
 // capacityInterval is the time between updates of the class capacities.
@@ -284,18 +284,18 @@
 	for _, u := range p.upstreams {
 		u.capacity = 0
 		if !u.Leaving && !u.quarantined {
-			u.capacity = float64(p.limitOf(u)) * u.slotCost / u.slotTime * float64(time.Second)
+			u.capacity = float64(p.limitOf(u)) * u.slotCost / (u.slowdown.usual(now) * u.slotTime) * float64(time.Second)
 			if u.hasHeadroom {
 				u.capacity *= headroomFactor
 			}
 		}
 	}
 	for c := range p.classes {
-		p.updateClass(&p.classes[c])
+		p.updateClass(now, &p.classes[c])
 	}
 }
 
-func (p *Pool) updateClass(c *class) {
+func (p *Pool) updateClass(now time.Duration, c *class) {
 	c.capacity, c.meetsInterToken = 0, false
 	first, weight := true, 0.0
 	var sum speed
@@ -305,8 +305,8 @@
 			continue
 		}
 		c.capacity += u.capacity
-		c.meetsInterToken = c.meetsInterToken || !u.quarantined && p.meetsInterToken(u)
-		idle, loaded := u.speedAt(1), u.speedAt(uint32(u.limit))
+		c.meetsInterToken = c.meetsInterToken || !u.quarantined && p.meetsInterToken(now, u)
+		idle, loaded := u.speedAt(now, 1), u.speedAt(now, uint32(u.limit))
 		if !first {
 			idle = idle.minimum(c.idle)
 		}
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -156,7 +156,7 @@
 	if r.prefillAhead > 0 && !u.quarantined {
 		// The fraction of the step time that is not prefill is small for long
 		// prompts, but would make the prefill of short ones look slow.
-		if perToken := float64(ttft) / float64(r.prefillAhead); r.prefillAhead >= minPrefillSample {
+		if perToken := float64(ttft) / float64(r.prefillAhead) / u.slowdown.expected(now); r.prefillAhead >= minPrefillSample {
 			smooth(&u.prefillPerToken, perToken, slowSmoothing)
 		}
 	}
@@ -206,7 +206,7 @@
 		u.brokenStreams = 0
 		u.failures.observe(now, false)
 		p.observeServiceAnswer(now, u)
-		u.learnSlotThroughput(r.cost, now-r.grantedAt)
+		u.learnSlotThroughput(now, r.cost, now-r.grantedAt)
 		if !u.Service {
 			p.adjustTargetFraction(r.Tier, c.Outcome == Late)
 		}
@@ -248,7 +248,7 @@
 		smooth(&u.interToken, interToken, smoothing)
 	}
 	if !u.quarantined && u.suspectSince == 0 {
-		smooth(&u.profile[bucketOf(r.inFlightAtGrant)], interToken, slowSmoothing)
+		u.learnProfile(now, r.inFlightAtGrant, interToken)
 	}
 	p.sampleLimit(now, u, &u.interTokenCount, interToken, p.interTokenTarget())
 }
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -26,11 +26,12 @@
 	s.perOutput += weight * other.perOutput
 }
 
-func (u *upstream) speedAt(inFlight uint32) speed {
+func (u *upstream) speedAt(now time.Duration, inFlight uint32) speed {
+	usual := u.slowdown.usual(now)
 	if u.Service {
-		return speed{fixed: u.slotTime}
+		return speed{fixed: usual * u.slotTime}
 	}
-	return speed{perPrompt: u.prefillPerToken, perOutput: u.expectedInterToken(inFlight)}
+	return speed{perPrompt: usual * u.prefillPerToken, perOutput: usual * u.expectedInterToken(inFlight)}
 }
 
 // finishTime estimates the time in nanoseconds until a request would finish on
@@ -38,7 +39,7 @@
 // without the probably cached tokens, and decoding of its output. All of it takes
 // longer while the upstream reports that it is slowed down.
 func (u *upstream) finishTime(now time.Duration, r *request, cached int64) float64 {
-	slowed := u.slowdown.relative(now)
+	slowed := u.slowdown.expected(now)
 	if u.Service {
 		return slowed * u.slotTime * float64(u.inFlight+1) / max(1, u.limit)
 	}
@@ -52,17 +53,18 @@
 // the request has waited for selectiveFraction of the time until its latest
 // start: a late answer is better than none.
 func (p *Pool) prefillFits(now time.Duration, u *upstream, r *request) bool {
-	if p.meetsInterToken(u) || !p.classes[r.Class].meetsInterToken || now >= r.anyUpstreamFrom {
+	if p.meetsInterToken(now, u) || !p.classes[r.Class].meetsInterToken || now >= r.anyUpstreamFrom {
 		return true
 	}
 	prefill := float64(u.pendingPrefill+int64(r.PromptLength)) * u.prefillPerToken
-	return prefill <= float64(p.config.TargetInterToken)-u.expectedInterToken(u.inFlight+1)
+	pause := u.slowdown.usual(now) * (prefill + u.expectedInterToken(u.inFlight+1))
+	return pause <= float64(p.config.TargetInterToken)
 }
 
 // meetsInterToken reports whether an engine meets the inter-token target even
 // while it prefills a prompt.
-func (p *Pool) meetsInterToken(u *upstream) bool {
-	return u.Service || u.expectedInterToken(uint32(u.limit))*p.config.PromptSlowdown <= float64(p.config.TargetInterToken)
+func (p *Pool) meetsInterToken(now time.Duration, u *upstream) bool {
+	return u.Service || u.slowdown.usual(now)*u.expectedInterToken(uint32(u.limit))*p.config.PromptSlowdown <= float64(p.config.TargetInterToken)
 }
 
 // chooseUpstream returns the free upstream with the least expected finish time,
--- a/pkg/scheduler/reports.go
+++ b/pkg/scheduler/reports.go
@@ -23,7 +23,7 @@
 	if mean > 0 {
 		smooth(&u.interToken, mean, smoothing)
 		if !u.quarantined && u.suspectSince == 0 {
-			u.learnProfile(mean)
+			u.learnProfile(now, u.inFlight, mean)
 		}
 	}
 	p.updateSuspicion(now, u, mean, streams, stalled)
--- a/pkg/scheduler/slowdown.go
+++ b/pkg/scheduler/slowdown.go
@@ -6,24 +6,27 @@
 )
 
 const (
-	// slowdownAge is the time constant with which a report of an upstream's slowdown
-	// loses its weight against the mean: a report says little about the speed at which
-	// a later request will run.
-	slowdownAge = 500 * time.Millisecond
-	// recentSmoothing is the weight of a new report in the recent slowdown. Several
-	// reports in a row say more than one, since the speed changes quickly.
-	recentSmoothing = 0.5
+	// recentAge is the time constant with which the recent reports of an upstream lose
+	// their weight against their mean: they say little about the time at which a later
+	// request will run.
+	recentAge = 500 * time.Millisecond
+	// meanAge is the time constant with which the mean fades, so that an upstream that
+	// was slow, and gets no requests that could show otherwise, is used again.
+	meanAge = 10 * time.Second
+	// recentSmoothing and meanSmoothing are the weights of a new report.
+	recentSmoothing, meanSmoothing = 0.5, 0.1
 	// maxSlowdown bounds the effect of a report in both directions.
 	maxSlowdown = 10
 )
 
 // slowdown is how long work takes at an upstream compared with the usual time, as the
-// upstream reports. Its zero value, without any report, is 1.
+// upstream reports. Learned speeds are those of the usual time. The zero value,
+// without any report, is 1.
 type slowdown struct {
-	// recent and mean are smoothed over few and over many reports; 0 before the first.
+	// recent and mean are averages over few and over many reports, valid at the time
+	// of the newest report; mean is 0 before the first.
 	recent, mean float64
-	// at is the time of the newest report.
-	at time.Duration
+	at           time.Duration
 }
 
 // observe records a report in percent; 0 is no report.
@@ -32,13 +35,14 @@
 		return
 	}
 	ratio := min(max(float64(percent)/100, 1.0/maxSlowdown), maxSlowdown)
-	s.recent = s.expected(now)
 	if s.mean == 0 {
-		s.recent = ratio
+		s.recent, s.mean, s.at = ratio, ratio, now
+		return
 	}
-	smooth(&s.recent, ratio, recentSmoothing)
-	smooth(&s.mean, ratio, slowSmoothing)
-	s.at = now
+	recent, mean := s.expected(now), s.usual(now)
+	smooth(&recent, ratio, recentSmoothing)
+	smooth(&mean, ratio, meanSmoothing)
+	s.recent, s.mean, s.at = recent, mean, now
 }
 
 // expected returns the slowdown to expect for a request that is sent now.
@@ -46,14 +50,18 @@
 	if s.mean == 0 {
 		return 1
 	}
-	return s.mean + (s.recent-s.mean)*math.Exp(-float64(now-s.at)/float64(slowdownAge))
+	return s.usual(now) + (s.recent-s.mean)*fade(now-s.at, recentAge)
 }
 
-// relative returns the expected slowdown compared with the mean, which is part of all
-// learned speeds.
-func (s *slowdown) relative(now time.Duration) float64 {
+// usual returns the mean slowdown to expect over the next seconds.
+func (s *slowdown) usual(now time.Duration) float64 {
 	if s.mean == 0 {
 		return 1
 	}
-	return s.expected(now) / s.mean
+	return 1 + (s.mean-1)*fade(now-s.at, meanAge)
+}
+
+// fade returns the weight that is left after age.
+func fade(age, constant time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(constant))
 }
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -54,7 +54,7 @@
 	if u.Service || u.quarantined {
 		return
 	}
-	slow := mean > float64(p.config.TargetInterToken) && mean > slowRatio*u.expectedInterToken(u.inFlight)
+	slow := mean > float64(p.config.TargetInterToken) && mean > slowRatio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight)
 	stalls := streams >= 2 && 2*stalled >= streams
 	switch {
 	case !slow && !stalls:
@@ -86,7 +86,7 @@
 	if oldest == nil {
 		return false
 	}
-	expected := time.Duration(float64(oldest.prefillAhead) * u.prefillPerToken)
+	expected := time.Duration(u.slowdown.expected(now) * float64(oldest.prefillAhead) * u.prefillPerToken)
 	age := now - max(oldest.grantedAt, u.lastProgress)
 	return age > max(overdueFirstToken, overdueFactor*expected)
 }
@@ -201,7 +201,7 @@
 		return
 	}
 	_, stalled, mean := u.combineReports(now)
-	if !inTime || stalled > 0 || mean > recoveredRatio*u.expectedInterToken(u.inFlight) {
+	if !inTime || stalled > 0 || mean > recoveredRatio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight) {
 		u.probeRequest = nil
 		return
 	}
