--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -124,10 +124,15 @@
 		ReadLimit:              s.config.MaxBodyBytes + s.config.MaxHeaderBytes + readBufferBytes,
 		MaxHTTPBodySize:        s.config.MaxBodyBytes,
 		BlockingReadBufferSize: readBufferBytes,
-		KeepaliveTime:          s.config.IdleTimeout,
-		Handler:                s.config.Handler,
-		Addrs:                  []string{s.config.Address},
-		Listen:                 func(string, string) (net.Listener, error) { return s.listener, nil },
+		// In blocking mode neither nbio's read buffers nor nbhttp's worker pools are
+		// used; by default they take 1 MB for each server.
+		ReadBufferSize:    readBufferBytes,
+		SupportServerOnly: true,
+		ServerExecutor:    func(f func()) { go f() },
+		KeepaliveTime:     s.config.IdleTimeout,
+		Handler:           s.config.Handler,
+		Addrs:             []string{s.config.Address},
+		Listen:            func(string, string) (net.Listener, error) { return s.listener, nil },
 	})
 	engine.OnOpen(s.onOpen)
 	return engine
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -21,10 +20,14 @@
 
 // link is the send queue of one peer and the goroutine that sends its frames in order.
 type link struct {
-	endpoint    *Endpoint
-	address     string
-	queue       chan queuedFrame
-	queuedBytes atomic.Int64
+	endpoint *Endpoint
+	address  string
+	// queue holds the frames to send in order, with queuedBytes in total. The
+	// endpoint's lock guards both.
+	queue       []queuedFrame
+	queuedBytes int
+	// wake receives a value when the queue is no longer empty.
+	wake chan struct{}
 
 	conn   *quic.Conn
 	stream *quic.SendStream
@@ -38,16 +41,33 @@
 // enqueue queues a frame, or drops it if the queue is full. The caller holds the
 // endpoint's lock.
 func (l *link) enqueue(q queuedFrame) {
-	if l.queuedBytes.Load()+int64(q.size) > maxQueuedBytes {
+	if len(l.queue) >= maxQueuedFrames || l.queuedBytes+q.size > maxQueuedBytes {
 		return
 	}
+	l.queue = append(l.queue, q)
+	l.queuedBytes += q.size
 	select {
-	case l.queue <- q:
-		l.queuedBytes.Add(int64(q.size))
+	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
+// takeFrame removes and returns the next queued frame; ok is false if there is none.
+func (l *link) takeFrame() (q queuedFrame, ok bool) {
+	l.endpoint.mu.Lock()
+	defer l.endpoint.mu.Unlock()
+	if len(l.queue) == 0 {
+		return queuedFrame{}, false
+	}
+	q, l.queue[0] = l.queue[0], queuedFrame{}
+	l.queue = l.queue[1:]
+	l.queuedBytes -= q.size
+	if len(l.queue) == 0 {
+		l.queue = nil
+	}
+	return q, true
+}
+
 // run sends queued frames until the endpoint closes or no frame was sent for
 // linkIdleTimeout.
 func (l *link) run() {
@@ -56,9 +76,10 @@
 	defer idle.Stop()
 	for {
 		select {
-		case q := <-l.queue:
-			l.queuedBytes.Add(-int64(q.size))
-			l.sendFrame(q)
+		case <-l.wake:
+			for q, ok := l.takeFrame(); ok; q, ok = l.takeFrame() {
+				l.sendFrame(q)
+			}
 			idle.Reset(linkIdleTimeout)
 		case <-idle.C:
 			if l.removeIfEmpty() {
@@ -111,19 +132,13 @@
 // discardQueue drops the frames queued for an unreachable peer and then waits for
 // redialDelay.
 func (l *link) discardQueue() {
-	for {
-		select {
-		case q := <-l.queue:
-			l.queuedBytes.Add(-int64(q.size))
-		default:
-			timer := time.NewTimer(redialDelay)
-			defer timer.Stop()
-			select {
-			case <-timer.C:
-			case <-l.endpoint.ctx.Done():
-			}
-			return
-		}
+	for _, ok := l.takeFrame(); ok; _, ok = l.takeFrame() {
+	}
+	timer := time.NewTimer(redialDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.endpoint.ctx.Done():
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -148,7 +148,7 @@
 		if len(e.links) >= maxLinks {
 			return
 		}
-		l = &link{endpoint: e, address: address, queue: make(chan queuedFrame, maxQueuedFrames)}
+		l = &link{endpoint: e, address: address, wake: make(chan struct{}, 1)}
 		e.links[address] = l
 		e.goroutines.Add(1)
 		go l.run()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -193,9 +193,9 @@
 		a.Send(silent.LocalAddr().String(), large)
 	}
 	a.mu.Lock()
-	l := a.links[silent.LocalAddr().String()]
+	queued := a.links[silent.LocalAddr().String()].queuedBytes
 	a.mu.Unlock()
-	require.LessOrEqual(t, l.queuedBytes.Load(), int64(maxQueuedBytes))
+	require.LessOrEqual(t, queued, maxQueuedBytes)
 	require.Equal(t, uint64(5), sendUntilReceived(t, a, b.Address(), b.frames, newFrame(5)).GetFrom())
 }
 
