refresh: many changes in a row cost few reads of the store

Cause: each change of the upstreams or the configuration cost one read by each instance. Ruled out: readers (12 reads in 2 s for four readers) and the lists of instances (a tenth of a call each) are small beside it.

--- a/pkg/refresh/refresh.go
+++ b/pkg/refresh/refresh.go
@@ -50,6 +50,10 @@
 	// reports is accepted. With an older copy this instance reads the store itself,
 	// and a reader queries a peer.
 	maxAgeFraction = 0.45
+	// maxAllowance bounds the reads after changes that may follow each other at once;
+	// further ones are intervalsPerRead intervals apart.
+	maxAllowance     = 2
+	intervalsPerRead = 2
 	// responseTimeout is how long to wait for a peer's response.
 	responseTimeout = 150 * time.Millisecond
 	// readTimeout is the time after which a read is regarded as lost.
@@ -76,8 +80,12 @@
 	// readStartedAt is when the read in progress started, if reading is true.
 	readStartedAt time.Duration
 	reading       bool
-	// readAgain is true if the part must be read again once the read in progress ends.
-	readAgain bool
+	// wanted is true if another instance has another version, so that the part must be
+	// read once no read is in progress and allowance permits it.
+	wanted bool
+	// allowance is the number of wanted reads that may start now, as of allowanceAt.
+	allowance   float64
+	allowanceAt time.Duration
 }
 
 // Refresher decides when to refresh the copies of one instance.
@@ -93,7 +101,11 @@
 // New returns a Refresher without copies. Changes in the store must take effect at
 // this instance within bound.
 func New(bound time.Duration) *Refresher {
-	return &Refresher{interval: time.Duration(intervalFraction * float64(bound)), maxAge: time.Duration(maxAgeFraction * float64(bound))}
+	r := &Refresher{interval: time.Duration(intervalFraction * float64(bound)), maxAge: time.Duration(maxAgeFraction * float64(bound))}
+	for p := range r.parts {
+		r.parts[p].allowance = maxAllowance
+	}
+	return r
 }
 
 // Copies returns the versions and times of all copies.
@@ -119,6 +131,9 @@
 // returns a peer if there is any, since this instance has not refreshed its copies in
 // time. readerOf is called only if a read or query may be due.
 func (r *Refresher) Tick(now time.Duration, readerOf func(stale bool) uint64) (due Due) {
+	for _, p := range Parts {
+		r.startWanted(now, p, &due)
+	}
 	if r.asking && now-r.askedAt >= responseTimeout {
 		r.asking = false
 		r.startReads(now, &due)
@@ -156,7 +171,7 @@
 	if state.reading && now-state.readStartedAt < readTimeout {
 		return
 	}
-	state.reading, state.readStartedAt, state.readAgain = true, now, false
+	state.reading, state.readStartedAt, state.wanted = true, now, false
 	state.nextRead = now + r.interval
 	due.Read[p] = true
 }
@@ -172,9 +187,7 @@
 		changed = !state.Known || state.Version != version
 		state.Copy = Copy{Version: version, At: started, Known: true}
 	}
-	if state.readAgain {
-		r.startRead(now, p, &due)
-	}
+	r.startWanted(now, p, &due)
 	return changed, due
 }
 
@@ -213,13 +226,40 @@
 	return due
 }
 
-// requestRead starts to read a part. If a read is in progress, which may have started
-// too early to return the new version, another read follows it.
+// requestRead has a part read because its version changed. If a read is in progress,
+// which may have started too early to return the new version, another read follows it.
 func (r *Refresher) requestRead(now time.Duration, p Part, due *Due) {
-	r.parts[p].readAgain = true
+	r.parts[p].wanted = true
+	r.startWanted(now, p, due)
+}
+
+// startWanted starts a read that was requested, as far as the allowance permits it.
+func (r *Refresher) startWanted(now time.Duration, p Part, due *Due) {
+	state := &r.parts[p]
+	if !state.wanted || state.reading && now-state.readStartedAt < readTimeout {
+		return
+	}
+	if state.Known && !state.consumeAllowance(now, r.interval) {
+		return
+	}
 	r.startRead(now, p, due)
 }
 
+// consumeAllowance takes one read from the allowance. It returns false if that is used
+// up. While a part changes many times in a row, as the upstreams do when all of them
+// start, one read then returns several changes.
+func (s *partState) consumeAllowance(now, interval time.Duration) bool {
+	earned := float64(now-s.allowanceAt) / float64(intervalsPerRead*interval)
+	allowance := min(maxAllowance, s.allowance+earned)
+	s.allowanceAt = now
+	if allowance < 1 {
+		s.allowance = allowance
+		return false
+	}
+	s.allowance = allowance - 1
+	return true
+}
+
 // Ages returns the copies with At as their age, to be sent to a peer.
 func (r *Refresher) Ages(now time.Duration) Copies {
 	c := r.Copies()
--- a/pkg/refresh/refresh_test.go
+++ b/pkg/refresh/refresh_test.go
@@ -157,3 +157,33 @@
 	require.False(t, changed)
 	require.Equal(t, refresh.Copy{Version: 2, At: interval, Known: true}, r.Copies()[refresh.Config])
 }
+
+// TestManyChangesFewReads guards against one read by each instance for every change of
+// the upstreams: many changes that follow each other cost few reads, and the last of
+// them is read within two intervals.
+func TestManyChangesFewReads(t *testing.T) {
+	r := newWithCopies(0)
+	reads, current, readAt := 0, uint64(1), time.Duration(0)
+	step := func(now time.Duration, due refresh.Due) {
+		if due.Read[refresh.Upstreams] {
+			reads++
+			readAt = now
+			_, again := r.OnRead(now+ms, refresh.Upstreams, now, true, current)
+			require.False(t, again.Reads())
+		}
+	}
+	end := interval
+	for ; end < 5*interval; end += 20 * ms {
+		current++
+		announced := ages(1, 0)
+		announced[refresh.Upstreams].Version = current
+		step(end, r.OnAnnouncement(end, announced))
+	}
+	require.LessOrEqual(t, reads, 5)
+	changed := end
+	for now := end; now <= changed+2*interval; now += 20 * ms {
+		step(now, r.Tick(now, func(bool) uint64 { return 0 }))
+	}
+	require.Equal(t, current, r.Copies()[refresh.Upstreams].Version)
+	require.LessOrEqual(t, readAt-changed, 2*interval)
+}
