--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -5,7 +5,6 @@
 package httpfront
 
 import (
-	"context"
 	"crypto/tls"
 	"math"
 	"net"
@@ -32,8 +31,6 @@
 	// Closing at once could reset the connection before the caller has read the
 	// refusal.
 	lingerTime = 500 * time.Millisecond
-	// drainInterval is the time between two searches for idle connections.
-	drainInterval = 5 * time.Millisecond
 	// stopTimeout bounds the time that Stop waits for nbio's goroutines.
 	stopTimeout = 100 * time.Millisecond
 )
@@ -177,31 +174,6 @@
 // Busy reports whether any answer has not been handed to the kernel yet.
 func (s *Server) Busy() bool { return s.unfinished.Load() > 0 }
 
-// Drain ends each connection as soon as no request is in progress on it, until none
-// is open or ctx ends. Every request that was received gets its answer first;
-// requests on new connections are refused.
-func (s *Server) Drain(ctx context.Context) {
-	s.draining.Store(true)
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	for {
-		open := false
-		s.conns.Range(func(c, _ any) bool {
-			open = true
-			c.(*connection).drainIfIdle()
-			return true
-		})
-		if !open {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Stop closes the listener and all connections at once. nbio (1.6.8) sometimes
 // waits for ever for a poller that missed its wake-up, in both of its modes and
 // most often if no request was served; Stop then leaves the idle poller behind
