forward: an answer that belongs to no request of its connection is not waited behind

Cause: on a kept connection any answer with another id was taken for a late copy of an earlier answer and skipped; a foreign answer left the request waiting until its deadline. Change: a connection remembers the ids of the last 16 requests that it carried; only copies of their answers are skipped. TestDrainWaitsUntilGone counts with an atomic (a race in the test). Measured: TestFaultsOfServers and TestForeignAnswerOnKeptConnection fail with the code before, green now.

--- a/cmd/citrongate/commands_test.go
+++ b/cmd/citrongate/commands_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,14 +159,13 @@
 // TestDrainWaitsUntilGone guards against a drain that reports an instance as stopped
 // because it answered with an error, too late or not completely.
 func TestDrainWaitsUntilGone(t *testing.T) {
-	asked := 0
+	var asked atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			w.WriteHeader(http.StatusAccepted)
 			return
 		}
-		asked++
-		if asked%2 == 0 {
+		if asked.Add(1)%2 == 0 {
 			panic(http.ErrAbortHandler)
 		}
 		w.WriteHeader(http.StatusInternalServerError)
@@ -173,7 +173,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	code, _, _ := runApp(t, "drain", "--admin", address, "--wait", "--timeout", "1s")
 	require.NotEqual(t, exitOK, code)
-	require.Greater(t, asked, 1)
+	require.Greater(t, asked.Load(), int32(1))
 	done := make(chan int, 1)
 	go func() {
 		code, _, _ := runApp(t, "drain", "--admin", address, "--wait", "--timeout", "30s")
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -31,6 +31,9 @@
 	// unackedLimit is how long sent bytes may stay unacknowledged before the
 	// kernel closes the connection.
 	unackedLimit = 3 * time.Second
+	// maxServed bounds conn.served. A later copy of an older answer is taken for that
+	// of another request.
+	maxServed = 16
 	// maxUnfinished bounds conn.unfinished; the connection is closed beyond it.
 	maxUnfinished = 64
 )
@@ -41,8 +44,9 @@
 	reader *bufio.Reader
 	// head bounds the bytes that reader may read for the head of an answer.
 	head *headReader
-	// served counts the requests that the connection has served.
-	served int
+	// served are the ids of the requests that the connection has carried last, the
+	// newest at the end. A second copy of one of their answers may still arrive.
+	served []string
 	// unfinished are the ids of requests that this connection has carried and that
 	// may be sent again. A late second copy of such an answer could not be told
 	// from the answer to the next send, so that one uses another connection.
@@ -175,8 +179,17 @@
 	return len(c.unfinished) < maxUnfinished
 }
 
-// returnIdle adds a connection whose answer ended cleanly to the idle ones.
-func (c *Client) returnIdle(address string, kept *conn, header http.Header) {
+// markServed records that the answer to the request has ended.
+func (c *conn) markServed(id string) {
+	if len(c.served) >= maxServed {
+		c.served = slices.Delete(c.served, 0, 1)
+	}
+	c.served = append(c.served, id)
+}
+
+// returnIdle adds a connection on which the answer to the request with the id ended
+// cleanly to the idle ones.
+func (c *Client) returnIdle(address, id string, kept *conn, header http.Header) {
 	now := time.Now()
 	limit := defaultIdleLimit
 	if stated, ok := keepAlive(header); ok {
@@ -186,7 +199,7 @@
 		_ = kept.Close()
 		return
 	}
-	kept.served++
+	kept.markServed(id)
 	kept.idleSince, kept.idleUntil = now, now.Add(limit)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -211,6 +211,22 @@
 	require.Equal(t, "ran", got.body.String())
 }
 
+// TestForeignAnswerOnKeptConnection guards against waiting until the deadline behind an
+// answer that belongs to no request of the connection: it is no late copy, so no other
+// answer follows it.
+func TestForeignAnswerOnKeptConnection(t *testing.T) {
+	client := boundedClient(t)
+	address := upstream(t, plain("a", "one"), plain("z", "foreign"))
+	require.Equal(t, Complete, client.Exchange(context.Background(), request(address, "a"), (&caller{}).relay()).Status)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	got := &caller{}
+	result := client.Exchange(ctx, request(address, "b"), got.relay())
+	require.Equal(t, Mismatched, result.Status, result.Detail)
+	require.Empty(t, got.body.String())
+	require.NoError(t, ctx.Err())
+}
+
 // copyingServer answers the first request with first. It sends a second copy of the
 // first answer of a connection before any later answer on it; all other requests
 // get the answer then.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 )
@@ -63,7 +64,7 @@
 		_ = conn.Close()
 		return result
 	}
-	x.client.returnIdle(x.request.Address, conn, header)
+	x.client.returnIdle(x.request.Address, x.request.ID, conn, header)
 	return result
 }
 
@@ -162,8 +163,8 @@
 var errOtherRequest = errors.New("the answer belongs to another request")
 
 // head reads status and headers of the answer to this request. On a reused
-// connection, a late second answer to an earlier request may come first; it is
-// skipped.
+// connection, a late second answer to a request that it has carried may come first;
+// it is skipped.
 func (x *exchange) head() (*http.Response, AnswerHead, error) {
 	for range maxStaleAnswers + 1 {
 		response, err := x.readFinalResponse()
@@ -171,10 +172,10 @@
 			return nil, AnswerHead{}, err
 		}
 		head := x.client.options.ReadHead(response.StatusCode, response.Header)
-		if head.RequestID == x.request.ID || head.RequestID == "" && x.conn.served == 0 {
+		if head.RequestID == x.request.ID || head.RequestID == "" && len(x.conn.served) == 0 {
 			return response, head, nil
 		}
-		if x.conn.served == 0 || response.Close || head.RequestID == "" {
+		if response.Close || !slices.Contains(x.conn.served, head.RequestID) {
 			return nil, head, errOtherRequest
 		}
 		if err := skipBody(response); err != nil {
