--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. Tests that KNOWN-RED.txt lists run apart; their
+# result is printed and does not decide.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go=${GO:-go}
+
+skip=()
+if [ -f KNOWN-RED.txt ]; then
+  while read -r _ package name; do
+    skip+=("$name")
+    if "$go" test -race "$package" -run "^$name\$"; then
+      echo "known red: $package $name passed this time"
+    else
+      echo "known red: $package $name failed"
+    fi
+  done < <(grep '^test: ' KNOWN-RED.txt)
+fi
+if [ "${#skip[@]}" -eq 0 ]; then
+  exec "$go" test -race ./...
+fi
+pattern=$(IFS='|'; echo "${skip[*]}")
+exec "$go" test -race -skip "^($pattern)\$" ./...
