forward: one scripted server for the tests of slow answers

Cause: two tests had the same server, as the read-through showed. Measured: go test ./internal/forward green; test code only.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -298,28 +298,38 @@
 	}
 }
 
-// TestSlowRefusal guards against a refusal that reaches its caller only at the
-// deadline because the body of the upstream's "not run" does not end.
-func TestSlowRefusal(t *testing.T) {
+// answerOnce starts a server that reads one request and answers it with a function,
+// and returns its address.
+func answerOnce(t *testing.T, answer func(c net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		defer c.Close()
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, err = c.Write([]byte("HTTP/1.1 503 E\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 9999\r\n\r\n"))
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestSlowRefusal guards against a refusal that reaches its caller only at the
+// deadline because the body of the upstream's "not run" does not end.
+func TestSlowRefusal(t *testing.T) {
+	address := answerOnce(t, func(c net.Conn) {
+		_, err := c.Write([]byte("HTTP/1.1 503 E\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 9999\r\n\r\n"))
 		for err == nil {
 			time.Sleep(10 * time.Millisecond)
 			_, err = c.Write([]byte("x"))
 		}
-	}()
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	result := boundedClient(t).Exchange(ctx, request(listener.Addr().String(), "a"), (&caller{}).relay())
+	result := boundedClient(t).Exchange(ctx, request(address, "a"), (&caller{}).relay())
 	require.Equal(t, NotRun, result.Status)
 	require.NoError(t, ctx.Err())
 }
@@ -327,24 +337,15 @@
 // TestSlowStreamLives guards against a slow but sound stream that is cut: pauses
 // between its bytes do not end it while its deadline has not passed.
 func TestSlowStreamLives(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		_, _ = http.ReadRequest(bufio.NewReader(c))
+	address := answerOnce(t, func(c net.Conn) {
 		for _, b := range []byte(streamAnswer(chunk("id: 1\ndata: x\n\n") + streamEnd)) {
 			time.Sleep(5 * time.Millisecond)
 			_, _ = c.Write([]byte{b})
 		}
-	}()
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	r := request(listener.Addr().String(), "a")
+	r := request(address, "a")
 	r.Stream = true
 	got := &caller{}
 	result := boundedClient(t).Exchange(ctx, r, got.relay())
