--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -71,6 +71,11 @@
 // gatewayTo starts a gateway that sends every request to one upstream. Each request
 // has the given time; ended receives a value when its handler has returned.
 func gatewayTo(t *testing.T, address string, limit time.Duration) (front string, ended chan time.Duration) {
+	return gatewayOf(t, address, &ingress.Route{Kind: ingress.Idempotent, MaxSends: 1}, limit)
+}
+
+// gatewayOf is gatewayTo with a route for all requests.
+func gatewayOf(t *testing.T, address string, route *ingress.Route, limit time.Duration) (front string, ended chan time.Duration) {
 	metrics, err := telemetry.NewMetrics()
 	require.NoError(t, err)
 	t.Cleanup(func() { metrics.Close(context.Background()) })
@@ -87,7 +92,7 @@
 		now := boottime.Now()
 		g.serveAdmitted(w, &admittedRequest{
 			head: RequestHead{ID: "a"}, http: r, snapshot: &snapshot{table: ingress.NewTable(&ingress.Config{})},
-			route: &ingress.Route{Kind: ingress.Idempotent, MaxSends: 1}, arrived: now, deadline: now + limit,
+			route: route, arrived: now, deadline: now + limit,
 		})
 		ended <- boottime.Now() - now
 	})
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -333,6 +333,21 @@
 	return resp
 }
 
+// TestStreamToOldCaller guards against a stream to a caller of HTTP/1.0, which has no chunks,
+// that is framed as complete after its first event.
+func TestStreamToOldCaller(t *testing.T) {
+	f := start(t, func(_ context.Context, r *Request, answer Answer) {
+		twoChunks(t, r, answer)
+		require.NoError(t, answer.Done())
+	})
+	body := chatJSON + `,"stream":true}`
+	resp := f.raw(t, fmt.Sprintf("POST /v1/chat/completions HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer acme-token\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	require.Equal(t, 200, resp.StatusCode)
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(string(text), "data: [DONE]\n\n"), string(text))
+}
+
 const rawHead = "POST /v1/call/quote HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer acme-token\r\n"
 
 // TestDisconnect guards against requests that continue after their caller has
