forward: a stream that ends inside an event is broken in any framing

Callers got a stream that its server broke off inside an event, framed as complete. Cause: the end was trusted if the body had a length or chunks; only streams without were checked. Change: an unfinished event means a broken stream, whatever the framing; empty lines and comments between events are no event (they were, in streams without an end marker).

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -22,6 +22,21 @@
 // remainder returns the bytes after the last complete event.
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
+// insideEvent reports whether the bytes after the last complete event belong to an
+// event. Empty lines and complete comment lines belong to none.
+func (s *eventSplitter) insideEvent() bool {
+	rest := s.pending
+	for len(rest) > 0 {
+		line, after, complete := bytes.Cut(rest, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if !complete || len(line) > 0 && line[0] != ':' {
+			return true
+		}
+		rest = after
+	}
+	return false
+}
+
 // add takes bytes of the stream and returns the events that they complete. The
 // result is valid until the next call.
 func (s *eventSplitter) add(p []byte) (complete []byte, events int) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -370,11 +370,10 @@
 	return nil
 }
 
-// endStream relays the bytes after the last complete event; a stream whose body
-// ended properly may lack the empty line after its last event. Without an end
-// marker, a stream that ends inside an event broke off.
+// endStream ends a stream whose body has ended. A stream that ends inside an event broke
+// off, however its body was framed; lines between events are relayed.
 func (x *exchange) endStream(response *http.Response) error {
-	if len(x.relay.eventSplitter.remainder()) > 0 && !hasEndMarker(response) {
+	if x.relay.eventSplitter.insideEvent() {
 		return io.ErrUnexpectedEOF
 	}
 	if err := x.startAnswer(response); err != nil {
