forward: a stream without events and without an end marker is broken

A server that ends right after the head of its answer closes the connection; with neither length nor chunks that was a complete empty stream, at the first server and at one that continues a stream. Change: without an end marker at least one event has to have come in the exchange.

Left: the end of such a stream between two events can't be told from its end.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -41,6 +41,8 @@
 	writtenBytes int
 	// bodyBytes counts the bytes of the body that were read.
 	bodyBytes int64
+	// eventsBefore is the number of events that earlier exchanges have relayed.
+	eventsBefore uint32
 }
 
 // run sends the request, relays the answer and keeps the connection if it can
@@ -371,9 +373,10 @@
 }
 
 // endStream ends a stream whose body has ended. A stream that ends inside an event broke
-// off, however its body was framed; lines between events are relayed.
+// off, however its body was framed; lines between events are relayed. A closed connection
+// alone does not prove that a stream without events is complete.
 func (x *exchange) endStream(response *http.Response) error {
-	if x.relay.eventSplitter.insideEvent() {
+	if x.relay.eventSplitter.insideEvent() || x.relay.events == x.eventsBefore && !hasEndMarker(response) {
 		return io.ErrUnexpectedEOF
 	}
 	if err := x.startAnswer(response); err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -208,7 +208,7 @@
 // deadline.
 func (c *Client) Exchange(ctx context.Context, request *Request, relay *CallerAnswer) Result {
 	relay.Load, relay.LoadInvalid = LoadReport{}, false
-	x := exchange{client: c, ctx: ctx, request: request, relay: relay}
+	x := exchange{client: c, ctx: ctx, request: request, relay: relay, eventsBefore: relay.events}
 	result := x.run()
 	result.Events = relay.events
 	return result
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -55,3 +55,9 @@
 	}
 	return err
 }
+
+// hasEndMarker reports whether a body has a length or is chunked, so that its end
+// can be told from a connection that ended early.
+func hasEndMarker(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
