forward: a stream is announced without the length that its first server stated

A stream that another server continues differs from the first server's length: shorter than announced, the next answer on the caller's connection was read as its rest; longer, it was cut and looked complete. Such a stream was also held back until its end, since only answers without a length are flushed. Change: streams have no announced length.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -283,7 +283,7 @@
 // bodies in the pieces in which they are read.
 func (x *exchange) relayBody(response *http.Response, stream bool) error {
 	if !x.relay.Started() && !stream {
-		if err := x.startAnswer(response); err != nil {
+		if err := x.startAnswer(response, response.ContentLength); err != nil {
 			return err
 		}
 	}
@@ -307,13 +307,17 @@
 	}
 }
 
-// startAnswer relays status and headers, once per caller.
-func (x *exchange) startAnswer(response *http.Response) error {
+// unknownLength is announced for streams: another server may continue one, so that its
+// length is not the one that the first server stated.
+const unknownLength = -1
+
+// startAnswer relays status, headers and the length of the body, once per caller.
+func (x *exchange) startAnswer(response *http.Response, length int64) error {
 	if x.relay.Started() {
 		return nil
 	}
 	x.relay.started.Store(true)
-	if err := x.relay.Sink.Start(response.StatusCode, response.Header, response.ContentLength); err != nil {
+	if err := x.relay.Sink.Start(response.StatusCode, response.Header, length); err != nil {
 		return errCallerDisconnected
 	}
 	return nil
@@ -347,7 +351,7 @@
 	if !x.relay.eventSplitter.continuesAfter(x.relay.lastEvent) {
 		return errOutOfOrder
 	}
-	if err := x.startAnswer(response); err != nil {
+	if err := x.startAnswer(response, unknownLength); err != nil {
 		return err
 	}
 	if err := x.writeToCaller(complete); err != nil {
@@ -379,7 +383,7 @@
 	if x.relay.eventSplitter.insideEvent() || x.relay.events == x.eventsBefore && !hasEndMarker(response) {
 		return io.ErrUnexpectedEOF
 	}
-	if err := x.startAnswer(response); err != nil {
+	if err := x.startAnswer(response, unknownLength); err != nil {
 		return err
 	}
 	return x.writeToCaller(x.relay.eventSplitter.remainder())
