httpfront, gateway: callers of HTTP/1.0 get answers without a length as a whole

A caller of HTTP/1.0 got the first event, or the first piece of an answer without a length, framed by its length as the complete answer, and the rest as bytes of no answer, in the gateway and in the own API. Cause: nbhttp writes Content-Length from what it holds when the answer is flushed, and HTTP/1.0 has no chunks. Change: PieceWriter, used by both, holds such a body (4 MiB at most) until the handler returns; a broken one then closes the connection with nothing sent.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,7 +55,7 @@
 	id := node.RequestID(g.nextID.Add(1))
 	c := &call{admittedRequest: j, g: g, w: w, id: id, mailbox: g.mailboxes.Add(id)}
 	defer g.mailboxes.Remove(id)
-	c.relay.Sink = &sink{g: g, w: w}
+	c.relay.Sink = &sink{g: g, w: w, request: j.http}
 	c.relay.Progress = c
 	now := boottime.Now()
 	if now >= j.deadline {
@@ -283,9 +283,11 @@
 
 // sink writes an upstream's answer to the caller's connection.
 type sink struct {
-	g           *Gateway
-	w           http.ResponseWriter
-	flushWrites bool
+	g       *Gateway
+	w       http.ResponseWriter
+	request *http.Request
+	// pieces writes a body whose length is not known; nil otherwise.
+	pieces *httpfront.PieceWriter
 }
 
 // Start writes status and headers to the caller.
@@ -298,18 +300,21 @@
 		out["Connection"] = []string{"close"}
 	}
 	httpfront.SetLength(out, length)
-	s.flushWrites = length < 0
+	if length < 0 {
+		pieces := httpfront.NewPieceWriter(s.w, s.request)
+		s.pieces = &pieces
+	}
 	s.w.WriteHeader(code)
 	return nil
 }
 
-// Write sends bytes to the caller, flushed at once if the length is unknown.
+// Write sends bytes to the caller, at once if the length is unknown.
 func (s *sink) Write(p []byte) error {
+	if s.pieces != nil {
+		return s.pieces.Write(p)
+	}
 	if _, err := s.w.Write(p); err != nil {
 		return err
 	}
-	if flusher, ok := s.w.(http.Flusher); ok && s.flushWrites {
-		flusher.Flush()
-	}
 	return httpfront.WriteFailure(s.w)
 }
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -184,7 +184,7 @@
 		arrived: boottime.Now(), deadline: boottime.Now() + time.Minute,
 	}
 	s.call = &call{admittedRequest: admitted, g: g, w: w, id: 1, mailbox: g.mailboxes.Add(1)}
-	s.call.relay.Sink, s.call.relay.Progress = &sink{g: g, w: w}, s.call
+	s.call.relay.Sink, s.call.relay.Progress = &sink{g: g, w: w, request: admitted.http}, s.call
 	go g.loop.Run(running)
 	g.loop.Post(node.SubmitRequest{ID: 1})
 	s.call.serveUntil(ctx, wait)
--- a/internal/httpfront/answer.go
+++ b/internal/httpfront/answer.go
@@ -33,10 +33,10 @@
 
 // newAnswer returns an Answer that streams if the caller asked for a stream and
 // otherwise collects the chunks into one response.
-func newAnswer(w http.ResponseWriter, r *Request) Answer {
+func newAnswer(w http.ResponseWriter, call *http.Request, r *Request) Answer {
 	base := baseAnswer{w: w, id: r.CallerID}
 	if r.Stream {
-		return &streamAnswer{baseAnswer: base}
+		return &streamAnswer{baseAnswer: base, pieces: NewPieceWriter(w, call)}
 	}
 	return &collectedAnswer{baseAnswer: base, model: r.Model}
 }
@@ -58,16 +58,7 @@
 	if _, err := a.w.Write(o.GetBody()); err != nil {
 		return err
 	}
-	return a.connectionFailure()
-}
-
-// connectionFailure returns an error once a write to the caller's connection has
-// failed.
-func (a *baseAnswer) connectionFailure() error {
-	if c := connectionOf(a.w); c != nil {
-		return c.writeFailure()
-	}
-	return nil
+	return WriteFailure(a.w)
 }
 
 // Refuse writes the refusal as an error response.
@@ -76,6 +67,7 @@
 // streamAnswer relays each chunk as a server-sent event.
 type streamAnswer struct {
 	baseAnswer
+	pieces  PieceWriter
 	started bool
 	event   bytes.Buffer
 }
@@ -109,16 +101,8 @@
 	a.w.WriteHeader(http.StatusOK)
 }
 
-// writeEvent writes and flushes the buffered event.
-func (a *streamAnswer) writeEvent() error {
-	if _, err := a.w.Write(a.event.Bytes()); err != nil {
-		return err
-	}
-	if flusher, ok := a.w.(http.Flusher); ok {
-		flusher.Flush()
-	}
-	return a.connectionFailure()
-}
+// writeEvent sends the buffered event.
+func (a *streamAnswer) writeEvent() error { return a.pieces.Write(a.event.Bytes()) }
 
 // Done writes the end marker of the stream.
 func (a *streamAnswer) Done() error {
--- a/internal/httpfront/handler.go
+++ b/internal/httpfront/handler.go
@@ -180,7 +180,7 @@
 		stop := context.AfterFunc(r.Context(), func() { cancel(ErrCallerDisconnected) })
 		defer stop()
 	}
-	h.backend.Serve(ctx, request, newAnswer(w, request))
+	h.backend.Serve(ctx, request, newAnswer(w, r, request))
 }
 
 func (h *Handler) discover(w http.ResponseWriter, r *http.Request) *Refusal {
