--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -38,6 +38,9 @@
 	WriteInstance(ctx context.Context, i InstanceEntry) error
 }
 
+// MaxPromptParts bounds the parts of a prompt that are distinguished.
+const MaxPromptParts = 64
+
 // RequestHead holds the values that the gateway reads from the headers of a request.
 type RequestHead struct {
 	// ID is the caller's id of this attempt.
@@ -52,6 +55,9 @@
 	Prefix uint64
 	// Shared holds the prompt's prefixes that are shared with other requests.
 	Shared scheduler.SharedPrefixes
+	// Parts identifies the parts of the prompt that other prompts may have too, at most
+	// MaxPromptParts.
+	Parts []uint64
 	// Remaining is how long the caller will wait, if HasDeadline.
 	Remaining   time.Duration
 	HasDeadline bool
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/citrongate/citrongate/internal/boottime"
@@ -31,10 +33,23 @@
 }
 
 func (c *call) logSendFailed(d node.Dispatch, result forward.Result) {
-	c.g.log.Write(eventlog.SendFailed{
+	line := eventlog.SendFailed{
 		RequestID: c.head.ID, Send: c.sends, Upstream: d.Upstream, Status: result.Status.String(), Code: result.Code, Detail: result.Detail,
 		AfterMs: eventlog.Milliseconds(boottime.Now() - c.sentAt), Events: uint64(result.Events),
-	})
+	}
+	if result.Status == forward.Broken {
+		line.Parts = partsText(c.head.Parts)
+	}
+	c.g.log.Write(line)
+}
+
+// partsText returns the parts of a prompt in hexadecimal, separated by spaces.
+func partsText(parts []uint64) string {
+	texts := make([]string, len(parts))
+	for i, part := range parts {
+		texts[i] = strconv.FormatUint(part, 16)
+	}
+	return strings.Join(texts, " ")
 }
 
 func (c *call) logAnswered(d node.Dispatch, result forward.Result) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -173,7 +173,7 @@
 	s := node.SubmitRequest{
 		ID: id, Organisation: j.organisationName(), QuotaCost: j.quotaCost(), Kind: ingress.KindName(j.route, ingress.PriorityOf(j.route, j.organisation)),
 		Labels:    map[string]string{ingress.LabelService: j.service},
-		Remaining: j.deadline - now, Prefix: j.head.Prefix, Shared: j.head.Shared,
+		Remaining: j.deadline - now, Prefix: j.head.Prefix, Shared: j.head.Shared, Parts: j.head.Parts,
 		MaxSends: uint32(j.route.MaxSends), Repeatable: j.route.Repeatable(),
 	}
 	if engine := j.snapshot.engines[j.service]; engine != nil && j.route.ModelCall {
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -41,6 +41,8 @@
 	Prefix uint64
 	// Shared holds shorter prefixes of the prompt that other prompts have too.
 	Shared scheduler.SharedPrefixes
+	// Parts identifies the parts of the prompt that other prompts may have too.
+	Parts []uint64
 	// IdempotencyKey is set for non-idempotent calls.
 	IdempotencyKey string
 	// FirstAttempt is true if the caller declares that it sent no call with
