--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -290,6 +290,34 @@
 	return Spec{"pool scheduled here", zerolog.DebugLevel, perRequest, "written twice a second by each instance that schedules the pool"}
 }
 
+// PromptPartChanged is written when a part of prompts is blocked, may be tried again or is
+// lifted.
+type PromptPartChanged struct {
+	Part   string  `json:"part" about:"id of the part, in hexadecimal"`
+	Pool   uint64  `json:"pool" about:"pool of upstreams that ended under the part"`
+	State  string  `json:"state" about:"blocked: requests with the part are refused; trial: the next end of an upstream blocks it again; lifted: it is no longer suspected"`
+	Ends   int     `json:"ends" about:"number of upstreams whose end counts against the part"`
+	Round  uint32  `json:"round" about:"number of times that the part was blocked"`
+	LeftMs float64 `json:"left_ms,omitempty" about:"time until the end of the block"`
+	Here   bool    `json:"here" about:"whether this instance decided it; others follow"`
+}
+
+// Spec describes the line.
+func (PromptPartChanged) Spec() Spec {
+	return Spec{"prompt part changed", zerolog.WarnLevel, perDecision, "upstreams ended one after the other under requests with this part in their prompts, or such a part was answered or lifted"}
+}
+
+// PromptPartNotWritten is written for each failed write of a record of a part.
+type PromptPartNotWritten struct {
+	Part  string `json:"part" about:"id of the part, in hexadecimal"`
+	Error string `json:"error" about:"error of the write"`
+}
+
+// Spec describes the line.
+func (PromptPartNotWritten) Spec() Spec {
+	return Spec{"prompt part not written", zerolog.WarnLevel, perDecision, "writing the record of a part to the store failed; the write is repeated, and the block is in force meanwhile"}
+}
+
 // InternalFault is written for a failure that is a fault of the program.
 type InternalFault struct {
 	What  string `json:"what" about:"what failed"`
@@ -316,5 +344,5 @@
 var All = []Line{
 	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, CallerDisconnected{}, OrderSent{},
 	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsReloaded{}, InvalidSettings{}, ReadinessChanged{}, ConfigInForce{}, TableInForce{},
-	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, InternalFault{}, LinesDropped{},
+	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, PromptPartChanged{}, PromptPartNotWritten{}, InternalFault{}, LinesDropped{},
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/poison"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -89,6 +90,9 @@
 	bounds  ingress.Bounds
 	members atomic.Pointer[membersView]
 	lists   instanceLists
+	// partFaultsLoggedAt is the boot time at which invalid records of parts were last
+	// logged.
+	partFaultsLoggedAt atomic.Int64
 
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
@@ -177,6 +181,8 @@
 		},
 		TicketSecret:  g.identity.TicketSecret,
 		RefreshWithin: refreshWithin(s.GetGateway()),
+		PartBlocks: poison.Config{Ends: int(s.GetGateway().GetPartBlockEnds()),
+			Trial: settings.Duration(s.GetGateway().GetPartBlockTrial())},
 	}
 }
 
@@ -301,6 +307,14 @@
 		g.goRun(func() { g.readStore(a.Part) })
 	case node.CopyConfirmed:
 		g.goRun(func() { g.copyConfirmed(a) })
+	case node.PartChanged:
+		g.logPart(a)
+	case node.WritePartRecord:
+		g.goRun(func() { g.writePartRecord(a.Record) })
+	case node.DeletePartRecord:
+		g.goRun(func() { g.deletePartRecord(a.Key) })
+	case node.ReadPartRecords:
+		g.goRun(g.readPartRecords)
 	case node.Count:
 		g.metrics.Count(a.Name, a.Reason)
 	case node.ConfigInForce:
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -11,6 +11,7 @@
 
 	"github.com/citrongate/citrongate/internal/forward"
 	"github.com/citrongate/citrongate/pkg/ingress"
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 )
 
@@ -36,6 +37,21 @@
 	Instances(ctx context.Context, mayBeOld bool) (instances []InstanceEntry, faults []error, err error)
 	// WriteInstance writes this instance's entry.
 	WriteInstance(ctx context.Context, i InstanceEntry) error
+	// PartRecords lists the records of parts of prompts, which may be a few seconds old.
+	// faults are the errors of records that could not be read.
+	PartRecords(ctx context.Context) (stored PartRecords, faults []error, err error)
+	// WritePartRecord creates or replaces a record, and DeletePartRecord deletes one, if
+	// it exists. Until is the time that is left of a block.
+	WritePartRecord(ctx context.Context, record poison.Record) error
+	DeletePartRecord(ctx context.Context, key poison.Key) error
+}
+
+// PartRecords are the stored records of parts of prompts.
+type PartRecords struct {
+	// Records are those of instances; their Until is the time that is left of a block.
+	Records []poison.Record
+	// Lifts are the parts whose block an operator lifts.
+	Lifts []poison.Key
 }
 
 // MaxPromptParts bounds the parts of a prompt that are distinguished.
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -304,7 +304,7 @@
 	for _, code := range strings.Fields(`unauthenticated forbidden bad_request too_large unknown_kind unknown_model
 		no_route limit_rate limit_in_flight limit_queue infeasible_deadline shed_overload expired_waiting draining
 		not_ready connect_failed upstream_refused upstream_broke answer_mismatched deadline_exceeded ticket_expired
-		ticket_home_gone store_unavailable canceled internal`) {
+		ticket_home_gone store_unavailable canceled internal part_blocked`) {
 		require.Contains(t, statuses, code)
 	}
 }
--- a/internal/httpfront/refusal.go
+++ b/internal/httpfront/refusal.go
@@ -33,6 +33,7 @@
 	"shed_overload":       http.StatusServiceUnavailable,
 	"expired_waiting":     http.StatusServiceUnavailable,
 	"draining":            http.StatusServiceUnavailable,
+	"part_blocked":        http.StatusServiceUnavailable,
 	"not_ready":           http.StatusServiceUnavailable,
 	"store_unavailable":   http.StatusServiceUnavailable,
 	"connect_failed":      http.StatusBadGateway,
--- a/internal/trace/cause.go
+++ b/internal/trace/cause.go
@@ -80,6 +80,7 @@
 	"unauthenticated":     "its key is not in the configuration in force",
 	"unknown_kind":        "no route of the configuration in force matches its host and path",
 	"no_route":            "no upstream of its service was known",
+	"part_blocked":        "a part of its prompt was blocked, since upstreams had ended under it",
 	"not_ready":           "this instance was not ready to evaluate it",
 	"draining":            "this instance was stopping",
 	"bad_request":         "it was malformed",
--- a/pkg/dispatch/record.go
+++ b/pkg/dispatch/record.go
@@ -70,6 +70,8 @@
 	MeanOutput, HighOutput uint32
 	Prefix                 uint64
 	Shared                 scheduler.SharedPrefixes
+	// Parts identifies the parts of the prompt that other prompts may have too.
+	Parts []uint64
 	// Deadline is a time on the local monotonic clock.
 	Deadline time.Duration
 	// KeepRunning is set for non-idempotent calls: once dispatched they are not
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/answer"
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -85,6 +86,24 @@
 	At      time.Duration
 }
 
+// PartChanged reports that a part of prompts was blocked, is on trial or was lifted.
+type PartChanged struct {
+	Record poison.Record
+	// Here is true if this instance decided it.
+	Here bool
+}
+
+// WritePartRecord writes what is held of a part of prompts to the store, so that it outlives
+// all instances. Record.Until is the time that is left of a block. A PartRecordWritten
+// follows.
+type WritePartRecord struct{ Record poison.Record }
+
+// DeletePartRecord deletes the stored record of a part that is no longer held.
+type DeletePartRecord struct{ Key poison.Key }
+
+// ReadPartRecords reads all records of parts from the store; a PartRecordsRead follows.
+type ReadPartRecords struct{}
+
 // SendOrder sends an order to an upstream.
 type SendOrder struct {
 	Order         uint64
@@ -124,19 +143,23 @@
 // Drained reports that no work is left after a Drain.
 type Drained struct{}
 
-func (Dispatch) isAction()       {}
-func (Refuse) isAction()         {}
-func (ReplyRecorded) isAction()  {}
-func (CancelUpstream) isAction() {}
-func (RunForwarded) isAction()   {}
-func (SendFrame) isAction()      {}
-func (StoreCall) isAction()      {}
-func (ListInstances) isAction()  {}
-func (ReadStore) isAction()      {}
-func (CopyConfirmed) isAction()  {}
-func (SendOrder) isAction()      {}
-func (OrderResult) isAction()    {}
-func (ChangeDone) isAction()     {}
-func (ConfigInForce) isAction()  {}
-func (Count) isAction()          {}
-func (Drained) isAction()        {}
+func (Dispatch) isAction()         {}
+func (Refuse) isAction()           {}
+func (ReplyRecorded) isAction()    {}
+func (CancelUpstream) isAction()   {}
+func (RunForwarded) isAction()     {}
+func (SendFrame) isAction()        {}
+func (StoreCall) isAction()        {}
+func (ListInstances) isAction()    {}
+func (ReadStore) isAction()        {}
+func (CopyConfirmed) isAction()    {}
+func (PartChanged) isAction()      {}
+func (WritePartRecord) isAction()  {}
+func (ReadPartRecords) isAction()  {}
+func (DeletePartRecord) isAction() {}
+func (SendOrder) isAction()        {}
+func (OrderResult) isAction()      {}
+func (ChangeDone) isAction()       {}
+func (ConfigInForce) isAction()    {}
+func (Count) isAction()            {}
+func (Drained) isAction()          {}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/poison"
 )
 
 // Config holds the settings of one instance. Zero durations and counts take
@@ -87,6 +88,10 @@
 	// and which copies are confirmed; 0 leaves that to its caller.
 	RefreshWithin time.Duration
 
+	// PartBlocks says when a part of prompts is blocked under which upstreams ended; by
+	// default none is.
+	PartBlocks poison.Config
+
 	// Mutations break guarantees on purpose, so that a test can show that its
 	// checks detect the violation. It must be zero outside tests.
 	Mutations Mutations
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -179,6 +179,7 @@
 	scheduler.LimitInFlight: pb.ShedReason_SHED_REASON_LIMIT_IN_FLIGHT,
 	scheduler.LimitQueue:    pb.ShedReason_SHED_REASON_LIMIT_QUEUE,
 	scheduler.NoUpstream:    pb.ShedReason_SHED_REASON_NO_UPSTREAM,
+	scheduler.PartBlocked:   pb.ShedReason_SHED_REASON_PART_BLOCKED,
 }
 
 func shedFromProto(reason pb.ShedReason) scheduler.ShedReason {
@@ -209,6 +210,8 @@
 	case scheduler.NoUpstream:
 		r.Code, r.Reason = "no_route", "every eligible upstream is leaving or was removed"
 		r.Remedy = "run citrongate explain with this kind, organisation and labels"
+	case scheduler.PartBlocked:
+		r.Code, r.Reason, r.Remedy = partBlockedCode, "a part of the prompt is blocked, since upstreams ended under it", partBlockedRemedy
 	default:
 		r.Code, r.Reason = "shed_overload", "there is more work than the upstreams can serve in time"
 		r.Remedy = "retry after the time given, or use a more urgent tier"
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -51,6 +51,10 @@
 	if r.State != dispatch.Waiting {
 		return
 	}
+	if part, left, blocked := n.poison.Find(n.now, r.Pool, r.Parts); blocked {
+		n.table.Refuse(n.now, r.ID, partRefusal(part, left))
+		return
+	}
 	h, here := n.hostedAt(r.Pool, r.Holder)
 	if here {
 		if h == nil || !n.submitOwn(h, r) {
@@ -70,6 +74,10 @@
 	if !ok {
 		return false
 	}
+	if part, left, blocked := n.tryParts(h, d); blocked {
+		n.table.Refuse(n.now, r.ID, partRefusal(part, left))
+		return true
+	}
 	h.submit(n.now, d)
 	return true
 }
@@ -85,7 +93,7 @@
 		ID: n.globalID(r.ID), Attempt: r.Attempt, Tier: n.effectiveTier(r.Tier),
 		Kind: n.kinds.intern(r.Kind), Org: n.orgs.intern(r.Organisation), Class: class,
 		PromptLength: r.PromptLength, MeanOutput: r.MeanOutput, HighOutput: r.HighOutput, Deadline: r.Deadline, Prefix: r.Prefix,
-		Shared: r.Shared, StartBy: r.StartBy,
+		Shared: r.Shared, Parts: r.Parts, StartBy: r.StartBy,
 	}, true
 }
 
@@ -102,7 +110,7 @@
 		Sequence: uint64(r.ID), Pool: r.Pool, Tier: uint32(r.Tier), Kind: r.Kind, Organisation: r.Organisation,
 		Class: r.Class, PromptTokens: r.PromptLength, OutputMean: r.MeanOutput, OutputHigh: r.HighOutput,
 		RemainingMs: milliseconds(r.Deadline - n.now), Prefix: r.Prefix, Attempt: r.Attempt,
-		StartWithinMs: startWithin(n.now, r.StartBy), Shared: sharedMessages(r.Shared),
+		StartWithinMs: startWithin(n.now, r.StartBy), Shared: sharedMessages(r.Shared), Parts: r.Parts,
 	}
 }
 
@@ -160,7 +168,7 @@
 	}
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
-			h.releaseAttempt(n.now, c, e.Attempt)
+			n.releaseAttempt(h, c, e.Attempt)
 		}
 		return
 	}
@@ -171,9 +179,10 @@
 		SlowdownPercent: e.SlowdownPercent}}})
 }
 
-func (h *hostedPool) releaseAttempt(now time.Duration, c scheduler.Completion, attempt uint32) {
+func (n *Node) releaseAttempt(h *hostedPool, c scheduler.Completion, attempt uint32) {
 	if it := h.ledger.get(c.ID); it != nil && it.descriptor.Attempt <= attempt {
-		h.release(now, c)
+		n.noteRelease(h, it, c.Outcome)
+		h.release(n.now, c)
 	}
 }
 
@@ -181,6 +190,7 @@
 func (n *Node) firstToken(e dispatch.FirstToken) {
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
+			n.noteFirstToken(h, n.globalID(e.ID))
 			h.sched.FirstToken(n.now, n.globalID(e.ID), e.TTFT, e.SlowdownPercent)
 		}
 		return
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/quota"
 	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/scheduler"
@@ -227,6 +228,21 @@
 	Version uint64
 }
 
+// PartRecordsRead is the result of a ReadPartRecords action. Record.Until is as in
+// WritePartRecord.
+type PartRecordsRead struct {
+	OK      bool
+	Records []poison.Record
+	// Lifts are the parts that an operator lifts.
+	Lifts []poison.Key
+}
+
+// PartRecordWritten is the result of a WritePartRecord action.
+type PartRecordWritten struct {
+	Key poison.Key
+	OK  bool
+}
+
 // Drain starts a planned stop.
 type Drain struct{}
 
@@ -248,5 +264,7 @@
 func (ApplyChange) isEvent()        {}
 func (UseConfiguration) isEvent()   {}
 func (StoreReadDone) isEvent()      {}
+func (PartRecordsRead) isEvent()    {}
+func (PartRecordWritten) isEvent()  {}
 func (Drain) isEvent()              {}
 func (Tick) isEvent()               {}
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -9,6 +9,7 @@
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/quota"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -26,19 +27,52 @@
 	version          uint64
 	storeUnreachable map[string]bool
 	reads            map[string]int
+	// parts is the store's content of records of parts; partLifts are an operator's lifts.
+	parts     map[poison.Key]poison.Record
+	partLifts []poison.Key
 	// actions holds all other actions of each node, by its address.
 	actions map[string][]node.Action
 }
 
 func newCluster(t *testing.T, addresses ...string) *cluster {
-	c := &cluster{t: t, nodes: map[string]*node.Node{}, cut: map[string]bool{}, storeUnreachable: map[string]bool{}, reads: map[string]int{}, actions: map[string][]node.Action{}, order: addresses}
+	c := &cluster{t: t, nodes: map[string]*node.Node{}, cut: map[string]bool{}, storeUnreachable: map[string]bool{}, reads: map[string]int{}, parts: map[poison.Key]poison.Record{}, actions: map[string][]node.Action{}, order: addresses}
 	for i, a := range addresses {
-		c.nodes[a] = node.New(node.Config{Incarnation: node.Incarnation(i + 1), PeerAddress: a, CallerAddress: "c" + a, Region: "r",
-			ExternalConfig: true, RefreshWithin: 2 * time.Second, Seeds: addresses, RepeatedSends: dispatch.SendBudget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}}, uint64(i+1))
+		c.start(a, uint64(i+1))
 	}
 	return c
 }
 
+// start starts a node, or a new incarnation of one.
+func (c *cluster) start(at string, incarnation uint64) {
+	c.nodes[at] = node.New(node.Config{Incarnation: node.Incarnation(incarnation), PeerAddress: at, CallerAddress: "c" + at, Region: "r", Started: c.now,
+		ExternalConfig: true, RefreshWithin: 2 * time.Second, Seeds: c.order, RepeatedSends: dispatch.SendBudget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
+		PartBlocks: poison.Config{Ends: 3, Trial: time.Minute}}, incarnation)
+}
+
+// partStoreStep carries out an action on the stored records of parts, and returns false for
+// any other action.
+func (c *cluster) partStoreStep(at string, action node.Action) bool {
+	ok := !c.storeUnreachable[at]
+	switch a := action.(type) {
+	case node.WritePartRecord:
+		if ok {
+			c.parts[a.Record.Key] = a.Record
+		}
+		c.step(at, node.PartRecordWritten{Key: a.Record.Key, OK: ok})
+	case node.DeletePartRecord:
+		delete(c.parts, a.Key)
+	case node.ReadPartRecords:
+		read := node.PartRecordsRead{OK: ok, Lifts: c.partLifts}
+		for _, record := range c.parts {
+			read.Records = append(read.Records, record)
+		}
+		c.step(at, read)
+	default:
+		return false
+	}
+	return true
+}
+
 func (c *cluster) step(at string, ev node.Event) {
 	for _, action := range c.nodes[at].Step(c.now, ev, nil) {
 		if read, ok := action.(node.ReadStore); ok {
@@ -52,7 +86,9 @@
 			}
 			continue
 		}
-		c.actions[at] = append(c.actions[at], action)
+		if !c.partStoreStep(at, action) {
+			c.actions[at] = append(c.actions[at], action)
+		}
 	}
 }
 
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/routing"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 )
@@ -39,7 +40,9 @@
 	// upstreams maps names to indices of def.Upstreams.
 	upstreams map[string]uint32
 	ledger    ledger
-	dirty     bool
+	// watch finds the ends of upstreams.
+	watch poison.Watch
+	dirty bool
 	// limitDivisor divides the limits of a local pool; 0 if not set.
 	limitDivisor int
 
@@ -202,8 +205,11 @@
 		h.drop(now, f.Descriptor.ID, scheduler.Unused)
 	}
 	h.dirty = true
-	h.ledger.add(&item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream,
-		since: now, auditAt: now + firstAuditAge})
+	it := &item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream, since: now, auditAt: now + firstAuditAge}
+	if f.OutputTokens > 0 {
+		it.firstTokenAt = now
+	}
+	h.ledger.add(it)
 	h.sched.Adopt(now, f)
 }
 
--- a/pkg/node/ledger.go
+++ b/pkg/node/ledger.go
@@ -18,6 +18,8 @@
 	// auditAt is when the entry is asked about the item.
 	auditAt time.Duration
 	audits  uint8
+	// firstTokenAt is when the first token was reported; 0 if it was not.
+	firstTokenAt time.Duration
 	// postponed is the reason of a shed that waits for the end of the
 	// synchronisation; 0 if none.
 	postponed scheduler.ShedReason
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/lease"
 	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/refresh"
 	"github.com/citrongate/citrongate/pkg/routing"
 	"github.com/citrongate/citrongate/pkg/scheduler"
@@ -70,6 +71,8 @@
 	sentOrders map[uint64]sentOrder
 	quotas     quotaState
 	refresher  *refresh.Refresher
+	poison     *poison.Registry
+	partStore  partStore
 	// learnedAddresses holds the addresses of upstreams that are known only from
 	// grants so far; removedUpstreams holds when upstreams left the configuration.
 	learnedAddresses map[string]string
@@ -103,6 +106,8 @@
 		outputPredictor:  newOutputPredictor(),
 		quotas:           newQuotaState(cfg),
 		refresher:        refresh.New(cfg.RefreshWithin),
+		poison:           poison.New(cfg.PartBlocks),
+		partStore:        newPartStore(),
 		learnedAddresses: map[string]string{},
 		removedUpstreams: map[string]time.Duration{},
 		view: membership.New(membership.Config{
@@ -178,6 +183,10 @@
 		n.useConfiguration(e)
 	case StoreReadDone:
 		n.storeRead(e)
+	case PartRecordsRead:
+		n.partRecordsRead(e)
+	case PartRecordWritten:
+		n.partRecordWritten(e)
 	case Drain:
 		n.startDrain()
 	case Tick:
@@ -230,6 +239,7 @@
 	n.tickCalls()
 	n.tickQuotas()
 	n.tickRefresh()
+	n.tickParts()
 	n.home.Step(n.now)
 	n.claims.Step(n.now, n.unixSeconds())
 	n.leases.Step(n.now)
--- /dev/null
+++ b/pkg/node/parts.go
@@ -0,0 +1,258 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citrongate/citrongate/pkg/dispatch"
+	"github.com/citrongate/citrongate/pkg/membership"
+	"github.com/citrongate/citrongate/pkg/poison"
+	"github.com/citrongate/citrongate/pkg/routing"
+	"github.com/citrongate/citrongate/pkg/scheduler"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
+)
+
+const (
+	// partExchangeInterval is the time after which each instance sends records to one
+	// other, so that an instance that missed a change or has started learns of it.
+	partExchangeInterval = time.Second
+	// maxExchanged bounds the records that are sent at a time; more are sent in turn.
+	maxExchanged = 32
+)
+
+const (
+	partBlockedCode   = "part_blocked"
+	partBlockedRemedy = "leave the part out of the prompt, or have an operator check the model and lift the block"
+)
+
+// refusalOfParts returns a refusal if a part of the request's prompt is blocked.
+func (n *Node) refusalOfParts(r *request) dispatch.Refusal {
+	if len(r.Parts) == 0 || !n.poison.AnyBlocked() {
+		return dispatch.Refusal{}
+	}
+	target, err := n.routes.Resolve(r.route())
+	if err != nil {
+		return dispatch.Refusal{} // refused later with its reason
+	}
+	part, left, blocked := n.poison.Find(n.now, uint64(target.Pool), r.Parts)
+	if !blocked {
+		return dispatch.Refusal{}
+	}
+	return partRefusal(part, left)
+}
+
+// partRefusal is the refusal of a request with a blocked part.
+func partRefusal(part uint64, left time.Duration) dispatch.Refusal {
+	return dispatch.Refusal{Code: partBlockedCode, Ran: dispatch.RanNo, RetryAfter: left, Remedy: partBlockedRemedy,
+		Reason: fmt.Sprintf("the part %x of the prompt is blocked, since upstreams ended under it", part)}
+}
+
+// tryParts reports whether a request must not be queued in a pool hosted here, because of a
+// part of its prompt. One that is queued already may stay.
+func (n *Node) tryParts(h *hostedPool, d scheduler.Descriptor) (part uint64, left time.Duration, blocked bool) {
+	if h.ledger.get(d.ID) != nil {
+		return 0, 0, false
+	}
+	return n.poison.Try(n.now, uint64(h.id), d.Parts)
+}
+
+// noteFirstToken records the first token of a request in a pool hosted here.
+func (n *Node) noteFirstToken(h *hostedPool, id scheduler.GlobalID) {
+	it := h.ledger.get(id)
+	if it == nil || !it.granted || it.upstream == noUpstream {
+		return
+	}
+	it.firstTokenAt = n.now
+	n.noteAlive(h, h.upstreamDigest(it))
+}
+
+func (n *Node) noteAlive(h *hostedPool, upstream uint64) {
+	if h.watch.Alive(n.now, upstream) {
+		n.poison.UpstreamAlive(n.now, uint64(h.id), upstream)
+	}
+}
+
+func (h *hostedPool) upstreamDigest(it *item) uint64 {
+	return xxhash.Sum64String(h.def.Upstreams[it.upstream].Name)
+}
+
+// noteRelease records how a request ended in a pool hosted here, before its permit is
+// released.
+func (n *Node) noteRelease(h *hostedPool, it *item, outcome scheduler.Outcome) {
+	if !it.granted || it.upstream == noUpstream || !n.poison.Enabled() {
+		return
+	}
+	upstream, parts := h.upstreamDigest(it), it.descriptor.Parts
+	switch outcome {
+	case scheduler.Complete:
+		n.noteAlive(h, upstream)
+		n.poison.Answered(n.now, uint64(h.id), parts)
+	case scheduler.Failed, scheduler.Refused:
+		n.noteAlive(h, upstream)
+	case scheduler.ConnectRefused:
+		h.watch.Refused(upstream)
+	case scheduler.Broken:
+		if !poison.Young(n.now, it.firstTokenAt) {
+			n.poison.Answered(n.now, uint64(h.id), parts)
+			parts = nil
+		}
+		h.watch.Broke(n.now, upstream, func() int { return h.ledger.inFlightAt(it.upstream) }, parts)
+	}
+}
+
+// inFlightAt returns the number of permits at an upstream.
+func (l *ledger) inFlightAt(upstream uint32) (count int) {
+	for _, it := range l.items {
+		if it.granted && it.upstream == upstream {
+			count++
+		}
+	}
+	return count
+}
+
+// tickParts judges the ends of upstreams and exchanges records.
+func (n *Node) tickParts() {
+	if !n.poison.Enabled() {
+		return
+	}
+	for _, h := range n.pools.list {
+		for _, ending := range h.watch.Step(n.now) {
+			n.count("upstream_ends", "seen")
+			n.poison.UpstreamEnded(n.now, uint64(h.id), ending.Upstream, ending.Young)
+		}
+	}
+	for _, record := range n.poison.Tick(n.now) {
+		n.partChanged(record, false)
+	}
+	n.announceParts()
+	n.exchangeParts()
+	n.tickPartStore()
+}
+
+// announceParts tells all live instances what changed here, and has it written to the store.
+func (n *Node) announceParts() {
+	changes := n.poison.TakeChanges()
+	if len(changes) == 0 {
+		return
+	}
+	message := n.partsMessage(changes)
+	n.view.EachLive(func(m membership.Member) { n.send(m.Incarnation, message) })
+	for _, record := range changes {
+		if record.Kept() {
+			n.partChanged(record, true)
+			n.partStore.write(record.Key)
+		}
+	}
+}
+
+// partChanged reports a change and ends the requests that wait with a blocked part.
+func (n *Node) partChanged(record poison.Record, here bool) {
+	n.count("prompt_parts", record.State.String())
+	n.emit(PartChanged{Record: record, Here: here})
+	if record.State == poison.Blocked {
+		n.refuseWaiting(record.Pool)
+	}
+}
+
+// refuseWaiting refuses the waiting requests of a pool that have a blocked part, both those
+// of this instance and those of others that wait here.
+func (n *Node) refuseWaiting(pool uint64) {
+	var waiting []*dispatch.Record
+	n.table.Each(func(r *dispatch.Record) {
+		if r.Pool == pool && r.State == dispatch.Waiting {
+			waiting = append(waiting, r)
+		}
+	})
+	for _, r := range waiting {
+		if part, left, blocked := n.poison.Find(n.now, pool, r.Parts); blocked {
+			n.table.Refuse(n.now, r.ID, partRefusal(part, left))
+		}
+	}
+	h := n.pools.get(routing.PoolID(pool), false)
+	if h == nil {
+		return
+	}
+	for _, id := range h.ledger.order {
+		it := h.ledger.get(id)
+		if it == nil || it.granted || id.Entry == n.self {
+			continue
+		}
+		if _, left, blocked := n.poison.Find(n.now, pool, it.descriptor.Parts); blocked {
+			attempt := it.descriptor.Attempt
+			h.drop(n.now, id, scheduler.Unused)
+			n.shed(h, scheduler.Decision{ID: id, Attempt: attempt, Reason: scheduler.PartBlocked, RetryAfter: left})
+		}
+	}
+}
+
+// exchangeParts sends records to one live instance every partExchangeInterval, to each in
+// turn.
+func (n *Node) exchangeParts() {
+	if n.now < n.partStore.nextExchange {
+		return
+	}
+	n.partStore.nextExchange = n.now + partExchangeInterval
+	records := n.poison.Records()
+	if len(records) == 0 {
+		return
+	}
+	var live []uint64
+	n.view.EachLive(func(m membership.Member) { live = append(live, m.Incarnation) })
+	if len(live) > 0 {
+		// Instances start at different members, so that each is told by some soon.
+		to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
+		windows := uint64(len(records)+maxExchanged-1) / maxExchanged
+		first := int(n.partStore.exchanges/uint64(len(live))%windows) * maxExchanged
+		n.send(to, n.partsMessage(records[first:min(first+maxExchanged, len(records))]))
+		n.partStore.exchanges++
+	}
+}
+
+// onPromptParts merges the records of another instance.
+func (n *Node) onPromptParts(m *pb.PromptParts) {
+	for _, part := range m.Parts {
+		n.mergePart(n.partFromProto(part))
+	}
+}
+
+func (n *Node) mergePart(record poison.Record) {
+	if n.poison.Merge(n.now, record) {
+		n.partChanged(record, false)
+	}
+}
+
+var partStateToProto = map[poison.State]pb.PromptPartState{
+	poison.Suspect: pb.PromptPartState_PROMPT_PART_STATE_SUSPECT,
+	poison.Blocked: pb.PromptPartState_PROMPT_PART_STATE_BLOCKED,
+	poison.Trial:   pb.PromptPartState_PROMPT_PART_STATE_TRIAL,
+	poison.Lifted:  pb.PromptPartState_PROMPT_PART_STATE_LIFTED,
+}
+
+func (n *Node) partsMessage(records []poison.Record) *pb.PeerMessage {
+	parts := &pb.PromptParts{}
+	for _, r := range records {
+		part := &pb.PromptPart{Pool: r.Pool, Part: r.Part, State: partStateToProto[r.State],
+			Generation: r.Generation, Round: r.Round, LeftMs: milliseconds(r.Until - n.now)}
+		for _, end := range r.Ends {
+			part.Ends = append(part.Ends, &pb.UpstreamEnd{Upstream: end.Upstream, AgeMs: milliseconds(n.now - end.At)})
+		}
+		parts.Parts = append(parts.Parts, part)
+	}
+	return &pb.PeerMessage{Body: &pb.PeerMessage_PromptParts{PromptParts: parts}}
+}
+
+func (n *Node) partFromProto(m *pb.PromptPart) poison.Record {
+	r := poison.Record{Key: poison.Key{Pool: m.GetPool(), Part: m.GetPart()}, Generation: m.GetGeneration(), Round: m.GetRound(),
+		Until: n.now + time.Duration(m.GetLeftMs())*time.Millisecond, Touched: n.now}
+	for state, other := range partStateToProto {
+		if other == m.GetState() {
+			r.State = state
+		}
+	}
+	for _, end := range m.GetEnds() {
+		r.Ends = append(r.Ends, poison.End{Upstream: end.GetUpstream(), At: n.now - time.Duration(end.GetAgeMs())*time.Millisecond})
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/node/partstore.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/citrongate/citrongate/pkg/poison"
+)
+
+const (
+	// partReadInterval is the time between reads of the stored records by an instance
+	// that reads the store for others, and partReadRetry that between reads by one that
+	// has not read them yet.
+	partReadInterval = 5 * time.Second
+	partReadRetry    = time.Second
+	// partWriteRetry is the time between attempts to write a record.
+	partWriteRetry = 2 * time.Second
+)
+
+// partStore is what an instance knows of the records of parts in the store.
+type partStore struct {
+	// known is true once they were read.
+	known           bool
+	nextRead        time.Duration
+	nextExchange    time.Duration
+	exchanges       uint64
+	unwritten       map[poison.Key]time.Duration
+	writing, absent map[poison.Key]bool
+}
+
+func newPartStore() partStore {
+	return partStore{unwritten: map[poison.Key]time.Duration{}, writing: map[poison.Key]bool{}, absent: map[poison.Key]bool{}}
+}
+
+// write has the record of a part written.
+func (s *partStore) write(key poison.Key) { s.unwritten[key] = 0 }
+
+// tickPartStore reads and writes the stored records that are due. All instances read them
+// once; afterwards those that read the store for others do, so that a record of another
+// cell or an operator's change is found.
+func (n *Node) tickPartStore() {
+	s := &n.partStore
+	if n.cfg.RefreshWithin == 0 {
+		return
+	}
+	if n.now >= s.nextRead && (!s.known || n.view.ReaderOf(instancesPerReader, true) == 0) {
+		s.nextRead = n.now + partReadRetry
+		n.emit(ReadPartRecords{})
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(s.unwritten), poison.CompareKeys) {
+		if s.writing[key] || n.now < s.unwritten[key] {
+			continue
+		}
+		record, ok := n.poison.Record(key)
+		if !ok {
+			delete(s.unwritten, key)
+			continue
+		}
+		s.writing[key] = true
+		delete(s.unwritten, key)
+		record.Until, record.Ends = max(0, record.Until-n.now), nil
+		n.emit(WritePartRecord{Record: record})
+	}
+}
+
+// partRecordWritten has a record written again if the write failed.
+func (n *Node) partRecordWritten(e PartRecordWritten) {
+	s := &n.partStore
+	delete(s.writing, e.Key)
+	if _, newer := s.unwritten[e.Key]; !e.OK && !newer {
+		s.unwritten[e.Key] = n.now + partWriteRetry
+	}
+}
+
+// partRecordsRead merges the stored records, and has those written that the store lacks in
+// two reads in a row: the instance that decided them may have ended before it wrote them.
+func (n *Node) partRecordsRead(e PartRecordsRead) {
+	if !e.OK {
+		return
+	}
+	s := &n.partStore
+	s.known, s.nextRead = true, n.now+partReadInterval
+	stored := map[poison.Key]poison.Record{}
+	for _, record := range e.Records {
+		stored[record.Key] = record
+		if _, held := n.poison.Record(record.Key); !held && record.State == poison.Lifted {
+			n.emit(DeletePartRecord{Key: record.Key})
+			continue
+		}
+		record.Until += n.now
+		n.mergePart(record)
+	}
+	for _, key := range e.Lifts {
+		n.poison.Lift(n.now, key)
+	}
+	absent := map[poison.Key]bool{}
+	for _, record := range n.poison.Records() {
+		if !record.Kept() || !poison.Newer(record, stored[record.Key]) {
+			continue
+		}
+		absent[record.Key] = true
+		if s.absent[record.Key] {
+			s.write(record.Key)
+		}
+	}
+	s.absent = absent
+}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -55,6 +55,8 @@
 		n.onCopyQuery(from, m.CopyQuery)
 	case *pb.PeerMessage_CopyState:
 		n.onCopyState(m.CopyState)
+	case *pb.PeerMessage_PromptParts:
+		n.onPromptParts(m.PromptParts)
 	case *pb.PeerMessage_BindingReply:
 		n.onBindingReply(from, m.BindingReply)
 	default:
@@ -104,7 +106,7 @@
 		ID: scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, Attempt: m.Attempt, Tier: n.effectiveTier(uint8(m.Tier)),
 		Kind: n.kinds.intern(m.Kind), Org: n.orgs.intern(m.Organisation), Class: class,
 		PromptLength: m.PromptTokens, MeanOutput: m.OutputMean, HighOutput: m.OutputHigh,
-		Deadline: n.now + time.Duration(m.RemainingMs)*time.Millisecond, Prefix: m.Prefix, Shared: sharedParts(m.Shared),
+		Deadline: n.now + time.Duration(m.RemainingMs)*time.Millisecond, Prefix: m.Prefix, Shared: sharedParts(m.Shared), Parts: m.Parts,
 		StartBy: startBy(n.now, time.Duration(m.StartWithinMs)*time.Millisecond),
 	}, true
 }
@@ -121,6 +123,11 @@
 		n.sendNotOwner(from, m.Pool, m.Sequence, m.Attempt)
 		return
 	}
+	if _, left, blocked := n.tryParts(h, d); blocked {
+		// The entry does not know of the block yet, or the part is on trial.
+		n.shed(h, scheduler.Decision{ID: d.ID, Attempt: d.Attempt, Reason: scheduler.PartBlocked, RetryAfter: left})
+		return
+	}
 	if repeated := h.submit(n.now, d); repeated {
 		n.count("retries", dispatch.PermitLost)
 		n.grant(h, d.ID, h.ledger.get(d.ID))
@@ -156,6 +163,7 @@
 
 func (n *Node) onFirstToken(from uint64, m *pb.FirstToken) {
 	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
+		n.noteFirstToken(h, scheduler.GlobalID{Entry: from, Sequence: m.Sequence})
 		h.sched.FirstToken(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond, m.SlowdownPercent)
 		h.dirty = true
 	}
@@ -166,7 +174,7 @@
 	if h == nil {
 		return
 	}
-	h.releaseAttempt(n.now, scheduler.Completion{
+	n.releaseAttempt(h, scheduler.Completion{
 		ID: scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, Outcome: scheduler.Outcome(m.Outcome),
 		OutputTokens: m.OutputTokens, TTFT: time.Duration(m.TtftMs) * time.Millisecond,
 		InterToken: time.Duration(m.InterTokenUs) * time.Microsecond, CachedPrompt: m.CachedPromptTokens,
--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/pkg/node"
+	"github.com/citrongate/citrongate/pkg/poison"
 )
 
 const (
@@ -62,11 +63,16 @@
 	// the part should be blocked.
 	sound, answered int
 	counted         map[string]bool
+	// refused holds the refusals by instance, incarnations the incarnations started.
+	refused      map[string][]string
+	incarnations uint64
+	// harmless is true if the part ends no upstream any more.
+	harmless bool
 }
 
 func newPoisonWorld(t *testing.T, seed uint64, upstreams int, addresses ...string) *poisonWorld {
 	w := &poisonWorld{cluster: newCluster(t, addresses...), random: rand.New(rand.NewPCG(seed, 1)), poison: 0xbad,
-		starts: make([]int, upstreams), backAt: make([]time.Duration, upstreams), poisoned: map[string]bool{}, counted: map[string]bool{}}
+		starts: make([]int, upstreams), backAt: make([]time.Duration, upstreams), poisoned: map[string]bool{}, counted: map[string]bool{}, refused: map[string][]string{}}
 	for i := range w.starts {
 		w.starts[i] = 1
 	}
@@ -120,6 +126,7 @@
 // collect takes the dispatches of an instance.
 func (w *poisonWorld) collect(at string) {
 	actions := w.actions[at]
+	w.refused[at] = append(w.refused[at], w.refusals(at)...)
 	w.actions[at] = nil
 	for _, action := range actions {
 		d, ok := action.(node.Dispatch)
@@ -165,9 +172,9 @@
 	for _, s := range slices.Clone(w.sends) {
 		switch age := w.now - s.sent; {
 		case !slices.Contains(w.sends, s):
-		case s.poisoned && age >= poisonEndAfter:
+		case s.poisoned && !w.harmless && age >= poisonEndAfter:
 			w.endUpstream(s.upstream)
-		case s.poisoned:
+		case s.poisoned && !w.harmless:
 		case age >= soundDone:
 			w.done(s, node.ResultComplete)
 			if w.counted[fmt.Sprint(s.at, s.id)] {
@@ -232,3 +239,182 @@
 		})
 	}
 }
+
+// restart starts a new incarnation of an instance; its requests in flight are lost.
+func (w *poisonWorld) restart(at string) {
+	for _, s := range slices.Clone(w.sends) {
+		if s.at == at {
+			w.sends = slices.DeleteFunc(w.sends, func(other *poisonSend) bool { return other == s })
+			delete(w.counted, fmt.Sprint(s.at, s.id))
+			if !s.poisoned && w.blockedBy() {
+				w.sound--
+			}
+		}
+	}
+	w.incarnations++
+	w.start(at, 100+w.incarnations)
+	w.publish()
+}
+
+// owner returns the instance that owns the pool.
+func (w *poisonWorld) owner() string {
+	for _, at := range w.order {
+		for _, pool := range w.nodes[at].PoolSummaries() {
+			if pool.Hosted && !pool.Local {
+				return at
+			}
+		}
+	}
+	return w.order[0]
+}
+
+// TestBlockOutlivesTakeoverAndRestarts guards against a block, or the ends counted so far, that
+// are lost when the pool's owner ends, when instances are restarted in turn, and when all of
+// them are restarted at once.
+func TestBlockOutlivesTakeoverAndRestarts(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+			w.play(3*time.Second, 60, 0)
+			for seed%2 == 0 && len(w.ends) < 2 {
+				w.play(poisonTickTime, 60, 4)
+			}
+			w.restart(w.owner())
+			w.play(9*time.Second, 60, 4)
+			require.NotEmpty(t, w.parts, "the block is in the store")
+			ends := len(w.ends)
+			for _, at := range w.order {
+				w.restart(at)
+				w.play(3*time.Second, 60, 4)
+			}
+			for _, at := range w.order {
+				w.restart(at)
+			}
+			w.play(6*time.Second, 60, 4)
+			require.Equal(t, ends, len(w.ends), "upstreams ended after the block")
+			require.LessOrEqual(t, w.late, poisonLate)
+		})
+	}
+}
+
+// TestBlockWithoutStore guards against a block that needs the store: it comes into force while
+// the store cannot be reached, and is written once it can.
+func TestBlockWithoutStore(t *testing.T) {
+	w := newPoisonWorld(t, 7, 12, "a", "b", "c", "d")
+	for _, at := range w.order {
+		w.storeUnreachable[at] = true
+	}
+	w.play(15*time.Second, 60, 4)
+	w.check()
+	require.Empty(t, w.parts)
+	clear(w.storeUnreachable)
+	w.play(15*time.Second, 60, 4)
+	require.Len(t, w.parts, 1)
+	w.check()
+}
+
+// TestMissedBlock guards against an instance that was cut off from the others when a part was
+// blocked and goes on sending it once it is back.
+func TestMissedBlock(t *testing.T) {
+	w := newPoisonWorld(t, 3, 12, "a", "b", "c", "d")
+	w.play(3*time.Second, 60, 0)
+	cut := w.order[0]
+	if w.owner() == cut {
+		cut = w.order[1]
+	}
+	w.cut[cut] = true
+	w.storeUnreachable[cut] = true
+	w.play(10*time.Second, 60, 4)
+	w.cut[cut] = false
+	delete(w.storeUnreachable, cut)
+	w.play(poisonContact, 60, 0)
+	w.late = 0
+	w.play(10*time.Second, 60, 4)
+	require.LessOrEqual(t, w.late, poisonLate)
+}
+
+// TestOrdinaryEndsBlockNothing guards against requests that are refused because upstreams end
+// for other reasons: one after the other, many at once, and all at once.
+func TestOrdinaryEndsBlockNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+			for range 12 {
+				w.play(time.Duration(100+w.random.IntN(1500))*time.Millisecond, 60, 0)
+				share := []float64{0.1, 0.3, 0.6, 1}[w.random.IntN(4)]
+				for i := range w.starts {
+					if w.backAt[i] == 0 && w.random.Float64() < share {
+						w.endUpstream(w.name(i))
+					}
+				}
+			}
+			w.play(3*time.Second, 60, 0)
+			require.Empty(t, w.parts)
+			for _, at := range w.order {
+				require.NotContains(t, w.refused[at], "part_blocked no")
+			}
+		})
+	}
+}
+
+// TestTwoPoisonedParts guards against a second part that is not found since the first one
+// explains the ends under it.
+func TestTwoPoisonedParts(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+		w.play(3*time.Second, 60, 0)
+		w.play(12*time.Second, 60, 4)
+		w.check()
+		w.poison, w.ends, w.late, w.sound, w.answered = 0xbad2, nil, 0, 0, 0
+		clear(w.counted)
+		w.play(12*time.Second, 60, 4)
+		w.check()
+		require.Len(t, w.parts, 2)
+	}
+}
+
+// TestBlockEnds guards against a block without end: an operator lifts it, and after its time
+// a part that is answered again is served by all instances.
+func TestBlockEnds(t *testing.T) {
+	for _, byOperator := range []bool{true, false} {
+		w := newPoisonWorld(t, 5, 12, "a", "b", "c", "d")
+		w.play(3*time.Second, 60, 0)
+		w.play(10*time.Second, 60, 4)
+		require.Len(t, w.parts, 1)
+		w.harmless = true
+		if byOperator {
+			for key := range w.parts {
+				w.partLifts = []poison.Key{key}
+			}
+			w.play(11*time.Second, 60, 4)
+		} else {
+			w.play(70*time.Second, 60, 4)
+		}
+		clear(w.refused)
+		w.play(2*time.Second, 60, 4)
+		for _, at := range w.order {
+			require.NotContains(t, w.refused[at], "part_blocked no", "lifted by an operator: %v", byOperator)
+		}
+		for _, record := range w.parts {
+			require.Equal(t, poison.Lifted, record.State)
+		}
+	}
+}
+
+// TestTrialThatEndsAnUpstream guards against a part that ends as many upstreams after its
+// block as before it: one end blocks it again, for longer.
+func TestTrialThatEndsAnUpstream(t *testing.T) {
+	w := newPoisonWorld(t, 5, 12, "a", "b", "c", "d")
+	w.play(3*time.Second, 60, 0)
+	w.play(10*time.Second, 60, 4)
+	require.Len(t, w.parts, 1)
+	ends := len(w.ends)
+	w.play(75*time.Second, 60, 4)
+	require.Greater(t, len(w.ends), ends)
+	require.LessOrEqual(t, len(w.ends), ends+poisonLate)
+	require.Len(t, w.parts, 1)
+	for _, record := range w.parts {
+		require.Equal(t, poison.Blocked, record.State)
+		require.EqualValues(t, 2, record.Round)
+	}
+}
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -38,6 +38,10 @@
 		n.refuseUnregistered(id, n.refusalForKey(r, refusal))
 		return
 	}
+	if refusal := n.refusalOfParts(r); refusal.Code != "" {
+		n.refuseUnregistered(id, refusal)
+		return
+	}
 	n.requests[id] = r
 	if n.nonIdempotent(e.Kind) {
 		n.submitCall(id, r, 0)
@@ -74,7 +78,7 @@
 		ID: id, Kind: r.Kind, Organisation: r.Organisation,
 		Pool: uint64(target.Pool), Class: uint64(target.Class), Tier: target.Tier,
 		PromptLength: r.PromptTokens, MeanOutput: mean, HighOutput: high,
-		Prefix: r.Prefix, Shared: r.Shared, Deadline: r.deadline,
+		Prefix: r.Prefix, Shared: r.Shared, Parts: r.Parts, Deadline: r.deadline,
 		KeepRunning: n.nonIdempotent(r.Kind),
 		MaxSends:    r.MaxSends, Repeatable: r.Repeatable, StartBy: startBy(n.now, r.StartWithin),
 	}, n.kinds.limits(r.Kind), n.orgs.limits(r.Organisation))
--- /dev/null
+++ b/pkg/poison/merge.go
@@ -0,0 +1,73 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Merge applies a record of another instance, or one from the store, whose times are on
+// this instance's clock. It returns true if the part is blocked since.
+func (r *Registry) Merge(now time.Duration, other Record) (blocked bool) {
+	if !r.Enabled() || other.State == 0 || other.State > Lifted {
+		return false
+	}
+	own := r.records[other.Key]
+	if own == nil {
+		own = r.create(now, other.Key, Suspect)
+	} else if order := compareRecords(*own, other); order >= 0 {
+		if order == 0 {
+			r.mergeSame(own, other)
+		}
+		return false
+	}
+	before := own.State
+	own.Generation, own.Round, own.Ends = other.Generation, other.Round, mergeEnds(nil, other.Ends)
+	own.Until = min(other.Until, now+r.cfg.Trial*maxTrialFactor)
+	own.Touched = now
+	r.setState(own, other.State)
+	if own.State != Blocked {
+		return false
+	}
+	r.discount(own)
+	return before != Blocked
+}
+
+// compareRecords orders two records of one part by which is newer.
+func compareRecords(a, b Record) int {
+	return cmp.Or(cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Round, b.Round), cmp.Compare(rank(a.State), rank(b.State)))
+}
+
+// Newer reports whether record a is newer than b, of the same part or empty.
+func Newer(a, b Record) bool { return compareRecords(a, b) > 0 || b.State == 0 }
+
+// rank orders the states within one generation and round.
+func rank(s State) int {
+	switch s {
+	case Blocked:
+		return 1
+	case Trial:
+		return 2
+	}
+	return 0
+}
+
+// mergeSame merges a record of the same state. The shorter block holds, since clocks start
+// when a record arrives.
+func (r *Registry) mergeSame(own *Record, other Record) {
+	own.Ends = mergeEnds(own.Ends, other.Ends)
+	if own.State == Blocked {
+		own.Until = min(own.Until, other.Until)
+	}
+}
+
+// mergeEnds returns the ends of both lists in order of time, the newest maxEnds of them.
+func mergeEnds(own, other []End) []End {
+	for _, e := range other {
+		if !slices.ContainsFunc(own, func(known End) bool { return known.Upstream == e.Upstream }) {
+			own = append(own, e)
+		}
+	}
+	slices.SortStableFunc(own, func(a, b End) int { return cmp.Compare(a.At, b.At) })
+	return own[max(0, len(own)-maxEnds):]
+}
--- /dev/null
+++ b/pkg/poison/poison.go
@@ -0,0 +1,454 @@
+// Package poison finds parts of prompts that end the upstreams which start to answer
+// them, and says which parts may not be sent any more. It does no I/O and reads no clock.
+//
+// The instance that owns a pool of upstreams sees every request there, from all
+// instances. Its Watch turns broken answers into ends of upstreams, each with the requests
+// that had hardly begun to be answered. Its Registry counts, for each part of these prompts,
+// the ends since the part was last answered. A part with enough of them is blocked. The
+// registries of all instances exchange Records, so that each refuses the part and each can
+// take over the pool.
+//
+// Invariants:
+//   - a part that is answered is never blocked, and a blocked part that is answered is lifted;
+//   - ends that a blocked part explains count against no other part;
+//   - the number of parts that are kept is bounded, and every record ends.
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// joinEnds is the time within which the ends of several upstreams count once, since
+	// they may have one cause, such as a rack that loses power.
+	joinEnds = 250 * time.Millisecond
+	// knownGoodFactor multiplies the number of ends required against a part that was
+	// answered before.
+	knownGoodFactor = 2
+	// tieMargin is the number of further ends required against a part while another part
+	// of the same prompts has as many.
+	tieMargin = 2
+	// triesEvery is the time between two requests that try a part on trial, longer than
+	// it takes to find that an upstream ended.
+	triesEvery = time.Second
+	// retention is how long a record is kept after its last change or end, and
+	// liftedRetention that of a lifted one that was never blocked.
+	retention       = 30 * time.Minute
+	liftedRetention = time.Minute
+	// maxTrialFactor bounds the duration of a block, as a multiple of Config.Trial.
+	maxTrialFactor = 16
+	// maxRecords bounds the records, and maxEnds the ends of each.
+	maxRecords, maxEnds = 512, 16
+	// maxAnswered bounds the parts that are remembered as answered.
+	maxAnswered = 4096
+)
+
+// Config holds the settings of a Registry.
+type Config struct {
+	// Ends is the number of ends of upstreams after which a part is blocked; 0 blocks none.
+	Ends int
+	// Trial is how long a part is blocked before requests may try it again. It doubles
+	// with each trial that ends an upstream.
+	Trial time.Duration
+}
+
+// Key identifies a part of prompts in one pool of upstreams.
+type Key struct{ Pool, Part uint64 }
+
+// State is what is held of a part.
+type State uint8
+
+// States of a part.
+const (
+	// Suspect means that upstreams ended under the part, too few to block it.
+	Suspect State = iota + 1
+	// Blocked means that requests with the part are refused.
+	Blocked
+	// Trial means that the time of a block is over: the next end blocks the part again.
+	Trial
+	// Lifted means that the part was answered after it was suspected or blocked.
+	Lifted
+)
+
+var stateNames = [...]string{"none", "suspect", "blocked", "trial", "lifted"}
+
+// String returns the state in lower case.
+func (s State) String() string { return stateNames[s] }
+
+// End is the end of one upstream.
+type End struct {
+	// Upstream is the digest of the upstream's name.
+	Upstream uint64
+	At       time.Duration
+}
+
+// Record is what is held of one part, as instances exchange it. Generation grows with each
+// lift and Round with each block in it; of two records the one with more of these is newer.
+type Record struct {
+	Key
+	State             State
+	Generation, Round uint32
+	// Until is the end of a block.
+	Until time.Duration
+	// Ends are the ends that count against the part, oldest first.
+	Ends []End
+	// Touched is when the record changed last.
+	Touched time.Duration
+	// triedAt is when a request last tried the part on trial.
+	triedAt time.Duration
+}
+
+// Registry holds the records of all parts. It is not safe for concurrent use.
+type Registry struct {
+	cfg      Config
+	records  map[Key]*Record
+	answered recent
+	blocked  int
+	changed  []Key
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	return &Registry{cfg: cfg, records: map[Key]*Record{}}
+}
+
+// Enabled reports whether parts are blocked at all.
+func (r *Registry) Enabled() bool { return r.cfg.Ends > 0 }
+
+// AnyBlocked reports whether a part is blocked.
+func (r *Registry) AnyBlocked() bool { return r.blocked > 0 }
+
+// Find returns the first of the parts that is blocked in a pool, and for how long it still is.
+func (r *Registry) Find(now time.Duration, pool uint64, parts []uint64) (part uint64, left time.Duration, blocked bool) {
+	if r.blocked == 0 {
+		return 0, 0, false
+	}
+	for _, part := range parts {
+		if record := r.records[Key{pool, part}]; record != nil && record.State == Blocked && now < record.Until {
+			return part, record.Until - now, true
+		}
+	}
+	return 0, 0, false
+}
+
+// Try is Find for the owner of a pool, which lets requests with a part on trial pass one at a
+// time. blocked is true if the request must not pass now.
+func (r *Registry) Try(now time.Duration, pool uint64, parts []uint64) (part uint64, left time.Duration, blocked bool) {
+	if part, left, blocked = r.Find(now, pool, parts); blocked {
+		return part, left, true
+	}
+	for _, part := range parts {
+		record := r.records[Key{pool, part}]
+		if record == nil || record.State != Trial {
+			continue
+		}
+		if record.triedAt > 0 && now-record.triedAt < triesEvery {
+			return part, triesEvery - (now - record.triedAt), true
+		}
+		record.triedAt = now
+	}
+	return 0, 0, false
+}
+
+// Answered records that an upstream of a pool answered a request with the parts.
+func (r *Registry) Answered(now time.Duration, pool uint64, parts []uint64) {
+	if !r.Enabled() {
+		return
+	}
+	for _, part := range parts {
+		key := Key{pool, part}
+		r.Lift(now, key)
+		r.answered.add(key)
+	}
+}
+
+// Lift ends all suspicion against a part.
+func (r *Registry) Lift(now time.Duration, key Key) {
+	record := r.records[key]
+	if record == nil || record.State == Lifted {
+		return
+	}
+	if !r.told(record) {
+		r.remove(key)
+		return
+	}
+	r.setState(record, Lifted)
+	record.Generation++
+	record.Ends, record.Touched = nil, now
+	r.changed = append(r.changed, key)
+}
+
+// UpstreamEnded records the end of an upstream of a pool. young holds the parts of each
+// request there that had hardly begun to be answered.
+func (r *Registry) UpstreamEnded(now time.Duration, pool, upstream uint64, young [][]uint64) {
+	if !r.Enabled() || r.explained(now, pool, upstream, young) {
+		return
+	}
+	counted := map[Key]bool{}
+	for _, parts := range young {
+		for _, part := range parts {
+			if key := (Key{pool, part}); !counted[key] {
+				counted[key] = true
+				r.addEnd(now, key, upstream)
+			}
+		}
+	}
+	for _, parts := range young {
+		for _, part := range parts {
+			if key := (Key{pool, part}); r.convicted(key, parts) {
+				r.block(now, key)
+			}
+		}
+	}
+}
+
+// explained reports whether a part that is blocked or on trial explains the end of an
+// upstream. The end of a trial blocks the part again.
+func (r *Registry) explained(now time.Duration, pool, upstream uint64, young [][]uint64) (explained bool) {
+	for _, parts := range young {
+		for _, part := range parts {
+			record := r.records[Key{pool, part}]
+			switch {
+			case record == nil:
+			case record.State == Blocked:
+				explained = true
+			case record.State == Trial:
+				explained = true
+				r.addEnd(now, record.Key, upstream)
+				r.block(now, record.Key)
+			}
+		}
+	}
+	return explained
+}
+
+func (r *Registry) addEnd(now time.Duration, key Key, upstream uint64) {
+	record := r.records[key]
+	if record == nil {
+		record = r.create(now, key, Suspect)
+	}
+	if record.State == Lifted {
+		r.setState(record, Suspect)
+		record.Generation++
+		record.Round = 0
+	}
+	if slices.ContainsFunc(record.Ends, func(e End) bool { return e.Upstream == upstream }) {
+		return
+	}
+	record.Ends = append(record.Ends, End{upstream, now})
+	if len(record.Ends) > maxEnds {
+		record.Ends = slices.Delete(record.Ends, 0, 1)
+	}
+	record.Touched = now
+	if r.told(record) {
+		r.changed = append(r.changed, key)
+	}
+}
+
+// count returns the number of ends of a record, of which those close together count once.
+func (r *Record) count() int {
+	count, last := 0, time.Duration(0)
+	for _, e := range r.Ends {
+		if count == 0 || e.At-last >= joinEnds {
+			count, last = count+1, e.At
+		}
+	}
+	return count
+}
+
+// Kept reports whether a record is of a part that is or was blocked, so that it is to be
+// kept beyond all instances.
+func (r *Record) Kept() bool { return r.State != Suspect && r.Round > 0 }
+
+// told reports whether other instances are told of a record. Most suspects have one end, or
+// were answered before, and are answered soon.
+func (r *Registry) told(record *Record) bool {
+	return record.State != Suspect || record.count() > 1 && !r.answered.has(record.Key)
+}
+
+// convicted reports whether a part is to be blocked, given the parts of a prompt that it
+// is in.
+func (r *Registry) convicted(key Key, parts []uint64) bool {
+	record := r.records[key]
+	if record == nil || record.State != Suspect {
+		return false
+	}
+	count, need := record.count(), r.cfg.Ends
+	knownGood := r.answered.has(key)
+	if knownGood {
+		need *= knownGoodFactor
+	}
+	for _, part := range parts {
+		rival := r.records[Key{key.Pool, part}]
+		if part == key.Part || rival == nil || rival.State != Suspect || rival.count() < count {
+			continue
+		}
+		if knownGood || !r.answered.has(rival.Key) {
+			return count >= need+tieMargin
+		}
+	}
+	return count >= need
+}
+
+// block blocks a part. Its ends no longer count against other parts.
+func (r *Registry) block(now time.Duration, key Key) {
+	record := r.records[key]
+	r.setState(record, Blocked)
+	record.Round++
+	record.Touched = now
+	record.Until = now + r.cfg.Trial*time.Duration(min(1<<min(record.Round-1, 10), maxTrialFactor))
+	r.changed = append(r.changed, key)
+	r.discount(record)
+}
+
+// discount removes the ends that a blocked part explains from the suspects of its pool.
+func (r *Registry) discount(blocked *Record) {
+	for _, other := range r.records {
+		if other.Pool != blocked.Pool || other.State != Suspect {
+			continue
+		}
+		other.Ends = slices.DeleteFunc(other.Ends, func(e End) bool {
+			return slices.ContainsFunc(blocked.Ends, func(own End) bool { return own.Upstream == e.Upstream })
+		})
+	}
+}
+
+// UpstreamAlive takes back an end that was recorded of an upstream that has answered since.
+func (r *Registry) UpstreamAlive(now time.Duration, pool, upstream uint64) {
+	for _, key := range r.keys() {
+		record := r.records[key]
+		if key.Pool != pool || record.State == Lifted {
+			continue
+		}
+		before := len(record.Ends)
+		record.Ends = slices.DeleteFunc(record.Ends, func(e End) bool { return e.Upstream == upstream })
+		if len(record.Ends) < before && record.count() < r.cfg.Ends && record.State != Suspect {
+			r.Lift(now, key)
+		}
+	}
+}
+
+// Tick ends blocks whose time is over, lifts trials under which no upstream ended, forgets
+// old records, and returns the records that it changed. Every instance does the same, so
+// that none has to tell the others.
+func (r *Registry) Tick(now time.Duration) (changes []Record) {
+	for _, key := range r.keys() {
+		record := r.records[key]
+		keep := retention
+		if record.State == Lifted && !record.Kept() {
+			keep = liftedRetention
+		}
+		idle := now-record.Touched >= keep
+		switch {
+		case record.State == Blocked && now >= record.Until:
+			r.setState(record, Trial)
+		case record.State == Trial && idle:
+			r.setState(record, Lifted)
+			record.Generation++
+			record.Ends = nil
+		case record.State != Blocked && idle:
+			r.remove(key)
+			continue
+		default:
+			continue
+		}
+		record.Touched = now
+		changes = append(changes, record.clone())
+	}
+	return changes
+}
+
+// TakeChanges returns the records that changed since the last call and of which other
+// instances must know.
+func (r *Registry) TakeChanges() []Record {
+	if len(r.changed) == 0 {
+		return nil
+	}
+	slices.SortFunc(r.changed, CompareKeys)
+	keys := slices.Compact(r.changed)
+	var changes []Record
+	for _, key := range keys {
+		if record := r.records[key]; record != nil {
+			changes = append(changes, record.clone())
+		}
+	}
+	r.changed = r.changed[:0]
+	return changes
+}
+
+// Records returns the records of which other instances must know, by key.
+func (r *Registry) Records() []Record {
+	var out []Record
+	for _, key := range r.keys() {
+		if record := r.records[key]; r.told(record) {
+			out = append(out, record.clone())
+		}
+	}
+	return out
+}
+
+// Record returns the record of a part.
+func (r *Registry) Record(key Key) (Record, bool) {
+	record := r.records[key]
+	if record == nil {
+		return Record{}, false
+	}
+	return record.clone(), true
+}
+
+func (r *Record) clone() Record {
+	c := *r
+	c.Ends = slices.Clone(r.Ends)
+	return c
+}
+
+func (r *Registry) create(now time.Duration, key Key, state State) *Record {
+	if len(r.records) >= maxRecords {
+		r.removeOldest()
+	}
+	record := &Record{Key: key, Touched: now}
+	r.records[key] = record
+	r.setState(record, state)
+	return record
+}
+
+// removeOldest removes the record that changed least recently, a blocked one last.
+func (r *Registry) removeOldest() {
+	keys := r.keys()
+	oldest := slices.MinFunc(keys, func(a, b Key) int {
+		x, y := r.records[a], r.records[b]
+		if blocked := cmp.Compare(btoi(x.State == Blocked), btoi(y.State == Blocked)); blocked != 0 {
+			return blocked
+		}
+		return cmp.Compare(x.Touched, y.Touched)
+	})
+	r.remove(oldest)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (r *Registry) remove(key Key) {
+	r.setState(r.records[key], 0)
+	delete(r.records, key)
+}
+
+func (r *Registry) setState(record *Record, state State) {
+	r.blocked += btoi(state == Blocked) - btoi(record.State == Blocked)
+	record.State = state
+}
+
+// keys returns the keys of all records in order, so that iteration is repeatable.
+func (r *Registry) keys() []Key { return slices.SortedFunc(maps.Keys(r.records), CompareKeys) }
+
+// CompareKeys orders keys by pool and part.
+func CompareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Part, b.Part))
+}
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -53,6 +53,9 @@
 	Prefix uint64
 	// Shared holds shorter prefixes, contained in Prefix, that other prompts share.
 	Shared SharedPrefixes
+	// Parts identifies the parts of the prompt that other prompts may have too. The pool
+	// does not use them.
+	Parts []uint64
 }
 
 // MaxSharedPrefixes is the maximum number of shared prefixes recorded for a prompt.
@@ -217,6 +220,9 @@
 	LimitQueue
 	// NoUpstream means that the class has no upstream that accepts requests.
 	NoUpstream
+	// PartBlocked means that a part of the prompt is blocked. The pool itself never sheds
+	// for this reason.
+	PartBlocked
 )
 
 // Decision is an output of Pool.Step: a grant if Reason is 0, else a shed.
