node, poison: blocks reach an instance that only the store reaches; evidence outlives the owner

Cause: a cut-off instance read the stored blocks every 5 s and sent up to five requests with the part meanwhile; a new owner knew nothing of single ends; of two parts that no evidence tells apart the earlier one, which more prompts have, was blocked. Change: while answers break and most others are not alive, an instance reads the blocks each second; each instance remembers which parts it saw answered, and tells every suspicion against others; the later part is blocked. An upstream that is silent for 1 s after two broken answers counts as ended, also while some instances do not report.

Measured: TestCutInstanceLearnsOfBlock failed with 5 late sends before, passes; TestRegistriesAgree failed on a suspicion that was not told, passes 30,000 cases.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -314,7 +314,7 @@
 	case node.DeletePartRecord:
 		g.goRun(func() { g.deletePartRecord(a.Key) })
 	case node.ReadPartRecords:
-		g.goRun(g.readPartRecords)
+		g.goRun(func() { g.readPartRecords(a.Current) })
 	case node.Count:
 		g.metrics.Count(a.Name, a.Reason)
 	case node.ConfigInForce:
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -38,8 +38,8 @@
 }
 
 // readPartRecords reads the records of parts from the store.
-func (g *Gateway) readPartRecords() {
-	stored, faults, err := g.store.PartRecords(g.ctx)
+func (g *Gateway) readPartRecords(current bool) {
+	stored, faults, err := g.store.PartRecords(g.ctx, !current)
 	g.countStoreCall("parts", err)
 	g.logFaults(&g.partFaultsLoggedAt, "parts", faults)
 	g.loop.Post(node.PartRecordsRead{OK: err == nil, Records: stored.Records, Lifts: stored.Lifts})
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -37,9 +37,9 @@
 	Instances(ctx context.Context, mayBeOld bool) (instances []InstanceEntry, faults []error, err error)
 	// WriteInstance writes this instance's entry.
 	WriteInstance(ctx context.Context, i InstanceEntry) error
-	// PartRecords lists the records of parts of prompts, which may be a few seconds old.
-	// faults are the errors of records that could not be read.
-	PartRecords(ctx context.Context) (stored PartRecords, faults []error, err error)
+	// PartRecords lists the records of parts of prompts. With mayBeOld the list may be a few
+	// seconds old. faults are the errors of records that could not be read.
+	PartRecords(ctx context.Context, mayBeOld bool) (stored PartRecords, faults []error, err error)
 	// WritePartRecord creates or replaces a record, and DeletePartRecord deletes one, if
 	// it exists. Until is the time that is left of a block.
 	WritePartRecord(ctx context.Context, record poison.Record) error
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -101,8 +101,9 @@
 // DeletePartRecord deletes the stored record of a part that is no longer held.
 type DeletePartRecord struct{ Key poison.Key }
 
-// ReadPartRecords reads all records of parts from the store; a PartRecordsRead follows.
-type ReadPartRecords struct{}
+// ReadPartRecords reads all records of parts from the store; a PartRecordsRead follows. An
+// answer that is a few seconds old, which costs the store less, will do unless Current.
+type ReadPartRecords struct{ Current bool }
 
 // SendOrder sends an order to an upstream.
 type SendOrder struct {
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// noteOwnResult records how a request of this instance ended at its upstream. Each instance
+// knows which parts it saw answered, so that it can take over a pool.
+func (n *Node) noteOwnResult(id dispatch.ID, result UpstreamResult) {
+	record := n.table.Record(id)
+	if record == nil || len(record.Parts) == 0 {
+		return
+	}
+	switch result {
+	case ResultComplete:
+		n.poison.Answered(n.now, record.Pool, record.Parts)
+	case ResultBroken:
+		n.partStore.brokeAt = n.now
+	}
+}
+
 // inFlightAt returns the number of permits at an upstream.
 func (l *ledger) inFlightAt(upstream uint32) (count int) {
 	for _, it := range l.items {
--- a/pkg/node/partstore.go
+++ b/pkg/node/partstore.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/citrongate/citrongate/pkg/membership"
 	"github.com/citrongate/citrongate/pkg/poison"
 )
 
@@ -16,15 +17,21 @@
 	partReadRetry    = time.Second
 	// partWriteRetry is the time between attempts to write a record.
 	partWriteRetry = 2 * time.Second
+	// partAlertTime is how long after a broken answer an instance that does not reach the
+	// owner of a pool reads the records itself, every partReadRetry.
+	partAlertTime = 30 * time.Second
 )
 
 // partStore is what an instance knows of the records of parts in the store.
 type partStore struct {
 	// known is true once they were read.
-	known           bool
-	nextRead        time.Duration
-	nextExchange    time.Duration
-	exchanges       uint64
+	known        bool
+	nextRead     time.Duration
+	lastRead     time.Duration
+	nextExchange time.Duration
+	exchanges    uint64
+	// brokeAt is when an answer to a request of this instance broke last; 0 if never.
+	brokeAt         time.Duration
 	unwritten       map[poison.Key]time.Duration
 	writing, absent map[poison.Key]bool
 }
@@ -44,9 +51,11 @@
 	if n.cfg.RefreshWithin == 0 {
 		return
 	}
-	if n.now >= s.nextRead && (!s.known || n.view.ReaderOf(instancesPerReader, true) == 0) {
-		s.nextRead = n.now + partReadRetry
-		n.emit(ReadPartRecords{})
+	alert := n.cutOffDuringEnds()
+	due := n.now >= s.nextRead && (!s.known || n.view.ReaderOf(instancesPerReader, true) == 0)
+	if due || alert && n.now-s.lastRead >= partReadRetry {
+		s.nextRead, s.lastRead = n.now+partReadRetry, n.now
+		n.emit(ReadPartRecords{Current: alert || !s.known})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.unwritten), poison.CompareKeys) {
 		if s.writing[key] || n.now < s.unwritten[key] {
@@ -64,6 +73,26 @@
 	}
 }
 
+// cutOffDuringEnds reports whether answers broke here lately while this instance seems to be
+// cut off from the others, so that blocks arrive through the store only.
+func (n *Node) cutOffDuringEnds() bool {
+	broke := n.partStore.brokeAt
+	if broke == 0 || n.now-broke >= partAlertTime {
+		return false
+	}
+	alive, others := 0, 0
+	for _, m := range n.view.Members() {
+		if m.Incarnation == n.self || m.Leaving {
+			continue
+		}
+		others++
+		if m.State == membership.Alive {
+			alive++
+		}
+	}
+	return alive*2 < others
+}
+
 // partRecordWritten has a record written again if the write failed.
 func (n *Node) partRecordWritten(e PartRecordWritten) {
 	s := &n.partStore
--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -333,6 +333,18 @@
 	require.LessOrEqual(t, w.late, poisonLate)
 }
 
+// TestCutInstanceLearnsOfBlock guards against an instance that reaches the store but none of the
+// others, and that sends a blocked part until they are back.
+func TestCutInstanceLearnsOfBlock(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+		w.play(3*time.Second, 60, 0)
+		w.cut[w.order[seed%4]] = true
+		w.play(15*time.Second, 60, 4)
+		w.check()
+	}
+}
+
 // TestOrdinaryEndsBlockNothing guards against requests that are refused because upstreams end
 // for other reasons: one after the other, many at once, and all at once.
 func TestOrdinaryEndsBlockNothing(t *testing.T) {
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -190,9 +190,11 @@
 // upstreamDone ends a dispatch with the result that the adapter reports.
 func (n *Node) upstreamDone(e UpstreamDone) {
 	id := dispatch.ID(e.ID)
-	if r := n.requests[id]; r != nil && e.Result == ResultComplete {
+	r := n.requests[id]
+	if r != nil && e.Result == ResultComplete {
 		n.outputPredictor.observe(n, r, e.OutputTokens)
 	}
+	n.noteOwnResult(id, e.Result)
 	if call := n.calls.byID[id]; call != nil {
 		call.outcome = e.Outcome
 	}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -197,7 +197,9 @@
 		}
 	}
 	for _, parts := range young {
-		for _, part := range parts {
+		// Of parts that cannot be told apart the later one is blocked, since fewer other
+		// prompts have it; that explains the ends.
+		for _, part := range slices.Backward(parts) {
 			if key := (Key{pool, part}); r.convicted(key, parts) {
 				r.block(now, key)
 			}
@@ -263,10 +265,10 @@
 // kept beyond all instances.
 func (r *Record) Kept() bool { return r.State != Suspect && r.Round > 0 }
 
-// told reports whether other instances are told of a record. Most suspects have one end, or
-// were answered before, and are answered soon.
+// told reports whether other instances are told of a record. Suspects that were answered
+// before will most likely be answered soon.
 func (r *Registry) told(record *Record) bool {
-	return record.State != Suspect || record.count() > 1 && !r.answered.has(record.Key)
+	return record.State != Suspect || record.Generation > 0 || !r.answered.has(record.Key)
 }
 
 // convicted reports whether a part is to be blocked, given the parts of a prompt that it
--- /dev/null
+++ b/pkg/poison/poison_test.go
@@ -0,0 +1,218 @@
+package poison_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
+	"github.com/citrongate/citrongate/pkg/poison"
+)
+
+const (
+	pool   = 1
+	bad    = 0xbad
+	shared = 7
+)
+
+var config = poison.Config{Ends: 3, Trial: time.Minute}
+
+// endsOf records ends of upstreams at the given times, each with one young request.
+func endsOf(r *poison.Registry, parts []uint64, times ...time.Duration) {
+	for i, at := range times {
+		r.UpstreamEnded(at, pool, uint64(at)+uint64(i), [][]uint64{parts})
+	}
+}
+
+func blocked(r *poison.Registry, now time.Duration, parts ...uint64) bool {
+	_, _, found := r.Find(now, pool, parts)
+	return found
+}
+
+// TestEvidence guards against a part that is blocked without enough evidence, or too late: who
+// is refused after which ends.
+func TestEvidence(t *testing.T) {
+	const s = time.Second
+	for name, c := range map[string]struct {
+		play        func(r *poison.Registry)
+		bad, shared bool
+	}{
+		"two ends":          {func(r *poison.Registry) { endsOf(r, []uint64{bad}, s, 2*s) }, false, false},
+		"three ends":        {func(r *poison.Registry) { endsOf(r, []uint64{bad}, s, 2*s, 3*s) }, true, false},
+		"many ends at once": {func(r *poison.Registry) { endsOf(r, []uint64{bad}, s, s, s+1, s+2, s+3) }, false, false},
+		"answered in between": {func(r *poison.Registry) {
+			endsOf(r, []uint64{bad}, s, 2*s)
+			r.Answered(2*s, pool, []uint64{bad})
+			endsOf(r, []uint64{bad}, 3*s, 4*s)
+		}, false, false},
+		"answered in another pool": {func(r *poison.Registry) {
+			endsOf(r, []uint64{bad}, s, 2*s)
+			r.Answered(2*s, 2, []uint64{bad})
+			endsOf(r, []uint64{bad}, 3*s)
+		}, true, false},
+		"beside a part known good": {func(r *poison.Registry) {
+			r.Answered(0, pool, []uint64{shared})
+			endsOf(r, []uint64{shared, bad}, s, 2*s, 3*s)
+		}, true, false},
+		"always beside an unknown part": {func(r *poison.Registry) { endsOf(r, []uint64{shared, bad}, s, 2*s, 3*s, 4*s) }, false, false},
+		"five ends beside an unknown":   {func(r *poison.Registry) { endsOf(r, []uint64{shared, bad}, s, 2*s, 3*s, 4*s, 5*s) }, true, false},
+		"beside various unknown parts":  {func(r *poison.Registry) { endsOf(r, []uint64{shared, bad}, s, 2*s); endsOf(r, []uint64{8, bad}, 3*s) }, true, false},
+		"beside a blocked part": {func(r *poison.Registry) {
+			endsOf(r, []uint64{bad}, s, 2*s, 3*s)
+			endsOf(r, []uint64{shared, bad}, 4*s, 5*s, 6*s)
+		}, true, false},
+		"upstreams that were alive": {func(r *poison.Registry) {
+			endsOf(r, []uint64{bad}, s, 2*s)
+			r.UpstreamAlive(2*s, pool, uint64(s))
+			endsOf(r, []uint64{bad}, 3*s)
+		}, false, false},
+		"the same upstream": {func(r *poison.Registry) {
+			for at := s; at < 5*s; at += s {
+				r.UpstreamEnded(at, pool, 1, [][]uint64{{bad}})
+			}
+		}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := poison.New(config)
+			c.play(r)
+			require.Equal(t, c.bad, blocked(r, 6*s, 1, bad))
+			require.Equal(t, c.shared, blocked(r, 6*s, shared, 2))
+		})
+	}
+}
+
+// TestDisabled guards against parts that are blocked although no number of ends is set.
+func TestDisabled(t *testing.T) {
+	r := poison.New(poison.Config{})
+	endsOf(r, []uint64{bad}, time.Second, 2*time.Second, 3*time.Second, 4*time.Second)
+	require.Empty(t, r.Records())
+}
+
+// TestTrial guards against a block without end, against a trial by many requests at a time, and
+// against a second block that is as short as the first.
+func TestTrial(t *testing.T) {
+	const s = time.Second
+	r := poison.New(config)
+	endsOf(r, []uint64{bad}, s, 2*s, 3*s)
+	require.Empty(t, r.Tick(62*s))
+	require.Len(t, r.Tick(63*s), 1)
+	require.False(t, blocked(r, 63*s, bad))
+	_, _, refused := r.Try(63*s, pool, []uint64{bad})
+	require.False(t, refused)
+	_, _, refused = r.Try(63*s+1, pool, []uint64{bad})
+	require.True(t, refused)
+	endsOf(r, []uint64{bad}, 64*s)
+	_, left, refused := r.Find(64*s, pool, []uint64{bad})
+	require.True(t, refused)
+	require.Equal(t, 2*time.Minute, left)
+}
+
+// TestRecordsEnd guards against records that are kept for ever, or for a part that is blocked
+// again by a stored record after its trial.
+func TestRecordsEnd(t *testing.T) {
+	r := poison.New(config)
+	endsOf(r, []uint64{bad}, time.Second, 2*time.Second, 3*time.Second)
+	stored := r.Records()[0]
+	now := time.Duration(0)
+	for ; now < 2*time.Hour; now += time.Second {
+		r.Tick(now)
+		if !blocked(r, now, bad) && now > 10*time.Second && len(r.Records()) > 0 {
+			stored.Until = now + time.Minute
+			require.False(t, r.Merge(now, stored))
+		}
+	}
+	require.Empty(t, r.Records())
+}
+
+// TestWatch guards against an end that is not found, and against one that is found although the
+// upstream is alive.
+func TestWatch(t *testing.T) {
+	const ms = time.Millisecond
+	at := func(n int) func() int { return func() int { return n } }
+	for name, c := range map[string]struct {
+		play func(w *poison.Watch)
+		// ends is the number of ends found by 200 ms, by 1.1 s and by the end.
+		ends [3]int
+	}{
+		"all broke":          {func(w *poison.Watch) { w.Broke(0, 1, at(2), nil); w.Broke(ms, 1, at(1), nil) }, [3]int{1, 1, 1}},
+		"one of ten":         {func(w *poison.Watch) { w.Broke(0, 1, at(10), nil) }, [3]int{}},
+		"two of ten, silent": {func(w *poison.Watch) { w.Broke(0, 1, at(10), nil); w.Broke(0, 1, at(9), nil) }, [3]int{0, 1, 1}},
+		"connection refused": {func(w *poison.Watch) { w.Broke(0, 1, at(10), nil); w.Refused(1) }, [3]int{1, 1, 1}},
+		"alive afterwards":   {func(w *poison.Watch) { w.Broke(0, 1, at(1), nil); w.Alive(120*ms, 1) }, [3]int{}},
+		"sign from before":   {func(w *poison.Watch) { w.Broke(0, 1, at(1), nil); w.Alive(20*ms, 1) }, [3]int{1, 1, 1}},
+		"only refused":       {func(w *poison.Watch) { w.Refused(1) }, [3]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &poison.Watch{}
+			c.play(w)
+			found, step := 0, 0
+			for now := time.Duration(0); now <= 4*time.Second; now += 20 * ms {
+				found += len(w.Step(now))
+				if now == 200*ms || now == 1100*ms || now == 4*time.Second {
+					require.Equal(t, c.ends[step], found, "by %v", now)
+					step++
+				}
+			}
+		})
+	}
+}
+
+// TestRegistriesAgree guards against registries that disagree about what is blocked after they
+// have exchanged their records, against a part that is blocked although it was answered, and
+// against records without bound, for any order of ends, answers and messages.
+func TestRegistriesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		registries := []*poison.Registry{poison.New(config), poison.New(config), poison.New(config)}
+		parts := rapid.SliceOfN(rapid.Uint64Range(1, 5), 1, 3)
+		now := time.Second
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 40_000).Draw(t, "ms")) * time.Millisecond
+			r := registries[rapid.IntRange(0, 2).Draw(t, "registry")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				young := [][]uint64{parts.Draw(t, "parts"), parts.Draw(t, "parts")}
+				r.UpstreamEnded(now, pool, rapid.Uint64Range(1, 50).Draw(t, "upstream"), young)
+			case 2:
+				answered := parts.Draw(t, "answered")
+				r.Answered(now, pool, answered)
+				require.False(t, blocked(r, now, answered...))
+			case 3:
+				exchange(now, r, registries[rapid.IntRange(0, 2).Draw(t, "to")])
+			case 4:
+				r.Tick(now)
+			}
+			require.LessOrEqual(t, len(r.Records()), 5)
+		}
+		for range 3 {
+			for i, r := range registries {
+				r.Tick(now)
+				exchange(now, r, registries[(i+1)%len(registries)])
+			}
+		}
+		for part := range uint64(6) {
+			states := []bool{blocked(registries[0], now, part), blocked(registries[1], now, part), blocked(registries[2], now, part)}
+			require.Len(t, slices.Compact(states), 1, "part %d", part)
+		}
+	})
+}
+
+func exchange(now time.Duration, from, to *poison.Registry) {
+	for _, record := range from.Records() {
+		to.Merge(now, record)
+	}
+}
+
+// TestManyParts guards against memory without bound, and against a blocked part that is
+// forgotten because many others are suspected.
+func TestManyParts(t *testing.T) {
+	r := poison.New(config)
+	endsOf(r, []uint64{bad}, time.Second, 2*time.Second, 3*time.Second)
+	for part := range uint64(5000) {
+		endsOf(r, []uint64{1000 + part}, 4*time.Second+time.Duration(part)*time.Millisecond)
+	}
+	require.LessOrEqual(t, len(r.Records()), 512)
+	require.True(t, blocked(r, 10*time.Second, bad))
+}
--- a/pkg/poison/watch.go
+++ b/pkg/poison/watch.go
@@ -19,6 +19,9 @@
 	// youngTime is how long after its first token an answer that broke may have ended
 	// its upstream. An answer that lasted longer did not.
 	youngTime = 500 * time.Millisecond
+	// silentTime is how long an upstream must be silent to count as ended after two broken
+	// answers, if fewer than endedShare broke.
+	silentTime = time.Second
 	// endedShare is the share of the requests at an upstream that break when it ends.
 	// The rest may be those of instances that do not report.
 	endedShare = 0.75
@@ -100,10 +103,17 @@
 		if now-u.since >= watchTime {
 			delete(w.upstreams, upstream)
 		}
-		if !u.ended && now-u.since >= settleTime && (u.refused || float64(u.broken) >= endedShare*float64(u.inFlight)) {
+		if !u.ended && u.hasEnded(now) {
 			u.ended = true
 			endings = append(endings, Ending{Upstream: upstream, Young: u.young})
 		}
 	}
 	return endings
 }
+
+// hasEnded reports whether an upstream has ended, as far as is known.
+func (u *watched) hasEnded(now time.Duration) bool {
+	age := now - u.since
+	mostBroke := float64(u.broken) >= endedShare*float64(u.inFlight)
+	return age >= settleTime && (u.refused || mostBroke) || age >= silentTime && u.broken > 1
+}
