poison, node: a part has to stand out among the ends of its pool

Change: ends count once within 100 ms and from the first broken answer; a part under less than 0.6 of the pool's ends needs twice as many, and none is blocked while another suspect has more; watches belong to the node; only a token in the same send clears.

--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/routing"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 )
@@ -40,9 +39,7 @@
 	// upstreams maps names to indices of def.Upstreams.
 	upstreams map[string]uint32
 	ledger    ledger
-	// watch finds the ends of upstreams.
-	watch poison.Watch
-	dirty bool
+	dirty     bool
 	// limitDivisor divides the limits of a local pool; 0 if not set.
 	limitDivisor int
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -73,6 +73,9 @@
 	refresher  *refresh.Refresher
 	poison     *poison.Registry
 	partStore  partStore
+	// watches finds the ends of upstreams, by pool. A pool has one also after it was
+	// given up or lost all its upstreams, until its ends are judged.
+	watches map[uint64]*poison.Watch
 	// learnedAddresses holds the addresses of upstreams that are known only from
 	// grants so far; removedUpstreams holds when upstreams left the configuration.
 	learnedAddresses map[string]string
@@ -108,6 +111,7 @@
 		refresher:        refresh.New(cfg.RefreshWithin),
 		poison:           poison.New(cfg.PartBlocks),
 		partStore:        newPartStore(),
+		watches:          map[uint64]*poison.Watch{},
 		learnedAddresses: map[string]string{},
 		removedUpstreams: map[string]time.Duration{},
 		view: membership.New(membership.Config{
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,7 +71,7 @@
 }
 
 func (n *Node) noteAlive(h *hostedPool, upstream uint64) {
-	if h.watch.Alive(n.now, upstream) {
+	if watch := n.watches[uint64(h.id)]; watch != nil && watch.Alive(n.now, upstream) {
 		n.poison.UpstreamAlive(n.now, uint64(h.id), upstream)
 	}
 }
@@ -88,31 +90,60 @@
 	switch outcome {
 	case scheduler.Complete:
 		n.noteAlive(h, upstream)
-		n.poison.Answered(n.now, uint64(h.id), parts)
+		if it.firstTokenAt > 0 {
+			n.poison.Answered(n.now, uint64(h.id), parts)
+		}
 	case scheduler.Failed, scheduler.Refused:
 		n.noteAlive(h, upstream)
 	case scheduler.ConnectRefused:
-		h.watch.Refused(upstream)
+		if watch := n.watches[uint64(h.id)]; watch != nil {
+			watch.Refused(upstream)
+		}
 	case scheduler.Broken:
 		if !poison.Young(n.now, it.firstTokenAt) {
 			n.poison.Answered(n.now, uint64(h.id), parts)
 			parts = nil
 		}
-		h.watch.Broke(n.now, upstream, func() int { return h.ledger.inFlightAt(it.upstream) }, parts)
+		n.watch(h).Broke(n.now, upstream, func() int { return h.ledger.inFlightAt(it.upstream) }, parts)
+	}
+}
+
+// watch returns the watch of a pool, which it creates on first use.
+func (n *Node) watch(h *hostedPool) *poison.Watch {
+	watch := n.watches[uint64(h.id)]
+	if watch == nil {
+		watch = &poison.Watch{}
+		n.watches[uint64(h.id)] = watch
+	}
+	return watch
+}
+
+// judgeEnds counts the ends of upstreams that were found, and removes idle watches.
+func (n *Node) judgeEnds() {
+	for _, pool := range slices.Sorted(maps.Keys(n.watches)) {
+		watch := n.watches[pool]
+		for _, ending := range watch.Step(n.now) {
+			n.count("upstream_ends", "seen")
+			n.poison.UpstreamEnded(n.now, pool, ending)
+		}
+		if watch.Idle() {
+			delete(n.watches, pool)
+		}
 	}
 }
 
 // noteOwnResult records how a request of this instance ended at its upstream. Each instance
 // knows which parts it saw answered, so that it can take over a pool.
-func (n *Node) noteOwnResult(id dispatch.ID, result UpstreamResult) {
-	record := n.table.Record(id)
+// An answer without a token, such as an error, shows nothing.
+func (n *Node) noteOwnResult(e UpstreamDone) {
+	record := n.table.Record(dispatch.ID(e.ID))
 	if record == nil || len(record.Parts) == 0 {
 		return
 	}
-	switch result {
-	case ResultComplete:
+	switch {
+	case e.Result == ResultComplete && record.FirstTokenAt > 0:
 		n.poison.Answered(n.now, record.Pool, record.Parts)
-	case ResultBroken:
+	case e.Result == ResultBroken:
 		n.partStore.brokeAt = n.now
 	}
 }
@@ -132,12 +163,7 @@
 	if !n.poison.Enabled() {
 		return
 	}
-	for _, h := range n.pools.list {
-		for _, ending := range h.watch.Step(n.now) {
-			n.count("upstream_ends", "seen")
-			n.poison.UpstreamEnded(n.now, uint64(h.id), ending.Upstream, ending.Young)
-		}
-	}
+	n.judgeEnds()
 	for _, record := range n.poison.Tick(n.now) {
 		n.partChanged(record, false)
 	}
--- a/pkg/node/partstore.go
+++ b/pkg/node/partstore.go
@@ -17,8 +17,8 @@
 	partReadRetry    = time.Second
 	// partWriteRetry is the time between attempts to write a record.
 	partWriteRetry = 2 * time.Second
-	// partAlertTime is how long after a broken answer an instance that does not reach the
-	// owner of a pool reads the records itself, every partReadRetry.
+	// partAlertTime is how long after a broken answer an instance that seems to be cut off
+	// reads the current records and not older ones.
 	partAlertTime = 30 * time.Second
 )
 
@@ -51,11 +51,12 @@
 	if n.cfg.RefreshWithin == 0 {
 		return
 	}
-	alert := n.cutOffDuringEnds()
+	cutOff := n.cutOff()
 	due := n.now >= s.nextRead && (!s.known || n.view.ReaderOf(instancesPerReader, true) == 0)
-	if due || alert && n.now-s.lastRead >= partReadRetry {
+	if due || cutOff && n.now-s.lastRead >= partReadRetry {
 		s.nextRead, s.lastRead = n.now+partReadRetry, n.now
-		n.emit(ReadPartRecords{Current: alert || !s.known})
+		broke := s.brokeAt > 0 && n.now-s.brokeAt < partAlertTime
+		n.emit(ReadPartRecords{Current: cutOff && broke || !s.known})
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.unwritten), poison.CompareKeys) {
 		if s.writing[key] || n.now < s.unwritten[key] {
@@ -73,13 +74,9 @@
 	}
 }
 
-// cutOffDuringEnds reports whether answers broke here lately while this instance seems to be
-// cut off from the others, so that blocks arrive through the store only.
-func (n *Node) cutOffDuringEnds() bool {
-	broke := n.partStore.brokeAt
-	if broke == 0 || n.now-broke >= partAlertTime {
-		return false
-	}
+// cutOff reports whether this instance seems to be cut off from the others, so that blocks
+// arrive through the store only.
+func (n *Node) cutOff() bool {
 	alive, others := 0, 0
 	for _, m := range n.view.Members() {
 		if m.Incarnation == n.self || m.Leaving {
--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -66,6 +66,8 @@
 	// refused holds the refusals by instance, incarnations the incarnations started.
 	refused      map[string][]string
 	incarnations uint64
+	// rejected is the share of the requests with the part that are answered with an error.
+	rejected float64
 	// harmless is true if the part ends no upstream any more.
 	harmless bool
 }
@@ -143,6 +145,10 @@
 			w.late++
 		}
 		w.sends = append(w.sends, s)
+		if s.poisoned && w.random.Float64() < w.rejected {
+			w.sends = w.sends[:len(w.sends)-1]
+			w.step(at, node.UpstreamDone{ID: d.ID, Result: node.ResultComplete})
+		}
 	}
 }
 
@@ -202,7 +208,11 @@
 
 func (w *poisonWorld) done(s *poisonSend, result node.UpstreamResult) {
 	w.sends = slices.DeleteFunc(w.sends, func(other *poisonSend) bool { return other == s })
-	w.step(s.at, node.UpstreamDone{ID: s.id, Result: result, OutputTokens: 5})
+	tokens := uint32(0)
+	if s.first {
+		tokens = 5
+	}
+	w.step(s.at, node.UpstreamDone{ID: s.id, Result: result, OutputTokens: tokens})
 }
 
 // play sends requests at the given rates per second for some time.
@@ -230,11 +240,11 @@
 // upstream after upstream: after five ends no more than a few are sent, from any instance,
 // and requests that share their caller and their other parts are served.
 func TestPoisonedPartIsStopped(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
 			w.play(3*time.Second, 60, 0)
-			w.play(20*time.Second, 60, 1+4*w.random.Float64())
+			w.play(20*time.Second, 60, 1+8*w.random.Float64())
 			w.check()
 		})
 	}
@@ -345,22 +355,28 @@
 	}
 }
 
+// playOrdinaryEnds lets upstreams end for other reasons: one after the other, many at once,
+// and all at once.
+func (w *poisonWorld) playOrdinaryEnds() {
+	for range 12 {
+		w.play(time.Duration(100+w.random.IntN(1500))*time.Millisecond, 60, 0)
+		share := []float64{0.1, 0.3, 0.6, 1}[w.random.IntN(4)]
+		for i := range w.starts {
+			if w.backAt[i] == 0 && w.random.Float64() < share {
+				w.endUpstream(w.name(i))
+			}
+		}
+	}
+	w.play(3*time.Second, 60, 0)
+}
+
 // TestOrdinaryEndsBlockNothing guards against requests that are refused because upstreams end
-// for other reasons: one after the other, many at once, and all at once.
+// for other reasons.
 func TestOrdinaryEndsBlockNothing(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
-			for range 12 {
-				w.play(time.Duration(100+w.random.IntN(1500))*time.Millisecond, 60, 0)
-				share := []float64{0.1, 0.3, 0.6, 1}[w.random.IntN(4)]
-				for i := range w.starts {
-					if w.backAt[i] == 0 && w.random.Float64() < share {
-						w.endUpstream(w.name(i))
-					}
-				}
-			}
-			w.play(3*time.Second, 60, 0)
+			w.playOrdinaryEnds()
 			require.Empty(t, w.parts)
 			for _, at := range w.order {
 				require.NotContains(t, w.refused[at], "part_blocked no")
@@ -369,6 +385,35 @@
 	}
 }
 
+// TestBlocksDuringOutages guards against the same while all upstreams are away again and again
+// before most parts were answered once, and against late sends while all upstreams end within
+// a second just as the owner of their pool is cut off.
+func TestBlocksDuringOutages(t *testing.T) {
+	for _, seed := range []uint64{265} {
+		w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+		w.playOrdinaryEnds()
+		require.Empty(t, w.parts, "seed %d", seed)
+	}
+	for _, seed := range []uint64{54, 102, 128, 138} {
+		w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+		w.play(3*time.Second, 60, 0)
+		w.cut[w.order[seed%4]] = true
+		w.play(20*time.Second, 60, 1+8*w.random.Float64())
+		require.LessOrEqual(t, w.late, poisonLate, "seed %d", seed)
+		require.LessOrEqual(t, len(w.parts), 1, "seed %d", seed)
+	}
+}
+
+// TestErrorAnswerLiftsNothing guards against a block that is lifted, or not reached, because an
+// upstream answered a request with the part with an error before it began to generate.
+func TestErrorAnswerLiftsNothing(t *testing.T) {
+	w := newPoisonWorld(t, 9, 12, "a", "b", "c", "d")
+	w.play(3*time.Second, 60, 0)
+	w.rejected = 0.5
+	w.play(15*time.Second, 60, 8)
+	w.check()
+}
+
 // TestTwoPoisonedParts guards against a second part that is not found since the first one
 // explains the ends under it.
 func TestTwoPoisonedParts(t *testing.T) {
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -194,7 +194,7 @@
 	if r != nil && e.Result == ResultComplete {
 		n.outputPredictor.observe(n, r, e.OutputTokens)
 	}
-	n.noteOwnResult(id, e.Result)
+	n.noteOwnResult(e)
 	if call := n.calls.byID[id]; call != nil {
 		call.outcome = e.Outcome
 	}
--- a/pkg/poison/merge.go
+++ b/pkg/poison/merge.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	before := own.State
-	own.Generation, own.Round, own.Ends = other.Generation, other.Round, mergeEnds(nil, other.Ends)
+	own.Generation, own.Round, own.Ends = other.Generation, other.Round, mergeEnds(nil, other.Ends, maxEnds)
 	own.Until = min(other.Until, now+r.cfg.Trial*maxTrialFactor)
 	own.Touched = now
 	r.setState(own, other.State)
@@ -55,19 +55,19 @@
 // mergeSame merges a record of the same state. The shorter block holds, since clocks start
 // when a record arrives.
 func (r *Registry) mergeSame(own *Record, other Record) {
-	own.Ends = mergeEnds(own.Ends, other.Ends)
+	own.Ends = mergeEnds(own.Ends, other.Ends, maxEnds)
 	if own.State == Blocked {
 		own.Until = min(own.Until, other.Until)
 	}
 }
 
-// mergeEnds returns the ends of both lists in order of time, the newest maxEnds of them.
-func mergeEnds(own, other []End) []End {
+// mergeEnds returns the ends of both lists in order of time, at most the newest limit of them.
+func mergeEnds(own, other []End, limit int) []End {
 	for _, e := range other {
 		if !slices.ContainsFunc(own, func(known End) bool { return known.Upstream == e.Upstream }) {
 			own = append(own, e)
 		}
 	}
 	slices.SortStableFunc(own, func(a, b End) int { return cmp.Compare(a.At, b.At) })
-	return own[max(0, len(own)-maxEnds):]
+	return own[max(0, len(own)-limit):]
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -24,12 +24,16 @@
 const (
 	// joinEnds is the time within which the ends of several upstreams count once, since
 	// they may have one cause, such as a rack that loses power.
-	joinEnds = 250 * time.Millisecond
+	joinEnds = 100 * time.Millisecond
 	// knownGoodFactor multiplies the number of ends required against a part that was
 	// answered before.
 	knownGoodFactor = 2
+	// noiseFactor multiplies it against a part that is under less than standsOut of the
+	// ends of upstreams, so that others end for other reasons.
+	noiseFactor = 2
+	standsOut   = 0.6
 	// tieMargin is the number of further ends required against a part while another part
-	// of the same prompts has as many.
+	// has as many.
 	tieMargin = 2
 	// triesEvery is the time between two requests that try a part on trial, longer than
 	// it takes to find that an upstream ended.
@@ -40,8 +44,9 @@
 	liftedRetention = time.Minute
 	// maxTrialFactor bounds the duration of a block, as a multiple of Config.Trial.
 	maxTrialFactor = 16
-	// maxRecords bounds the records, and maxEnds the ends of each.
-	maxRecords, maxEnds = 512, 16
+	// maxRecords bounds the records, maxEnds the ends of each, and maxPoolEnds those that
+	// are remembered of a pool.
+	maxRecords, maxEnds, maxPoolEnds = 512, 16, 64
 	// maxAnswered bounds the parts that are remembered as answered.
 	maxAnswered = 4096
 )
@@ -106,13 +111,15 @@
 	cfg      Config
 	records  map[Key]*Record
 	answered recent
-	blocked  int
-	changed  []Key
+	// ends are the newest ends of upstreams of each pool that no blocked part explains.
+	ends    map[uint64][]End
+	blocked int
+	changed []Key
 }
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
-	return &Registry{cfg: cfg, records: map[Key]*Record{}}
+	return &Registry{cfg: cfg, records: map[Key]*Record{}, ends: map[uint64][]End{}}
 }
 
 // Enabled reports whether parts are blocked at all.
@@ -181,18 +188,19 @@
 	r.changed = append(r.changed, key)
 }
 
-// UpstreamEnded records the end of an upstream of a pool. young holds the parts of each
-// request there that had hardly begun to be answered.
-func (r *Registry) UpstreamEnded(now time.Duration, pool, upstream uint64, young [][]uint64) {
-	if !r.Enabled() || r.explained(now, pool, upstream, young) {
+// UpstreamEnded records the end of an upstream of a pool.
+func (r *Registry) UpstreamEnded(now time.Duration, pool uint64, ending Ending) {
+	young := ending.Young
+	if !r.Enabled() || r.explained(now, pool, ending) {
 		return
 	}
+	r.ends[pool] = mergeEnds(r.ends[pool], []End{{ending.Upstream, ending.At}}, maxPoolEnds)
 	counted := map[Key]bool{}
 	for _, parts := range young {
 		for _, part := range parts {
 			if key := (Key{pool, part}); !counted[key] {
 				counted[key] = true
-				r.addEnd(now, key, upstream)
+				r.addEnd(now, key, ending)
 			}
 		}
 	}
@@ -200,7 +208,7 @@
 		// Of parts that cannot be told apart the later one is blocked, since fewer other
 		// prompts have it; that explains the ends.
 		for _, part := range slices.Backward(parts) {
-			if key := (Key{pool, part}); r.convicted(key, parts) {
+			if key := (Key{pool, part}); r.convicted(key) {
 				r.block(now, key)
 			}
 		}
@@ -209,8 +217,8 @@
 
 // explained reports whether a part that is blocked or on trial explains the end of an
 // upstream. The end of a trial blocks the part again.
-func (r *Registry) explained(now time.Duration, pool, upstream uint64, young [][]uint64) (explained bool) {
-	for _, parts := range young {
+func (r *Registry) explained(now time.Duration, pool uint64, ending Ending) (explained bool) {
+	for _, parts := range ending.Young {
 		for _, part := range parts {
 			record := r.records[Key{pool, part}]
 			switch {
@@ -219,7 +227,7 @@
 				explained = true
 			case record.State == Trial:
 				explained = true
-				r.addEnd(now, record.Key, upstream)
+				r.addEnd(now, record.Key, ending)
 				r.block(now, record.Key)
 			}
 		}
@@ -227,7 +235,7 @@
 	return explained
 }
 
-func (r *Registry) addEnd(now time.Duration, key Key, upstream uint64) {
+func (r *Registry) addEnd(now time.Duration, key Key, ending Ending) {
 	record := r.records[key]
 	if record == nil {
 		record = r.create(now, key, Suspect)
@@ -237,13 +245,10 @@
 		record.Generation++
 		record.Round = 0
 	}
-	if slices.ContainsFunc(record.Ends, func(e End) bool { return e.Upstream == upstream }) {
+	if slices.ContainsFunc(record.Ends, func(e End) bool { return e.Upstream == ending.Upstream }) {
 		return
 	}
-	record.Ends = append(record.Ends, End{upstream, now})
-	if len(record.Ends) > maxEnds {
-		record.Ends = slices.Delete(record.Ends, 0, 1)
-	}
+	record.Ends = mergeEnds(record.Ends, []End{{ending.Upstream, ending.At}}, maxEnds)
 	record.Touched = now
 	if r.told(record) {
 		r.changed = append(r.changed, key)
@@ -271,11 +276,12 @@
 	return record.State != Suspect || record.Generation > 0 || !r.answered.has(record.Key)
 }
 
-// convicted reports whether a part is to be blocked, given the parts of a prompt that it
-// is in.
-func (r *Registry) convicted(key Key, parts []uint64) bool {
+// convicted reports whether a part is to be blocked. Upstreams that end for other reasons take
+// various parts with them, so that no part stands out; a part that ends them is under each
+// end.
+func (r *Registry) convicted(key Key) bool {
 	record := r.records[key]
-	if record == nil || record.State != Suspect {
+	if record == nil || record.State != Suspect || len(record.Ends) == 0 {
 		return false
 	}
 	count, need := record.count(), r.cfg.Ends
@@ -283,16 +289,37 @@
 	if knownGood {
 		need *= knownGoodFactor
 	}
-	for _, part := range parts {
-		rival := r.records[Key{key.Pool, part}]
-		if part == key.Part || rival == nil || rival.State != Suspect || rival.count() < count {
+	if r.share(record) < standsOut {
+		need *= noiseFactor
+	}
+	if count < need {
+		return false
+	}
+	tied := false
+	for other, rival := range r.records {
+		if other == key || other.Pool != key.Pool || rival.State != Suspect || r.answered.has(other) && !knownGood {
 			continue
 		}
-		if knownGood || !r.answered.has(rival.Key) {
-			return count >= need+tieMargin
+		if len(rival.Ends) > len(record.Ends) {
+			return false
+		}
+		tied = tied || rival.count() >= count
+	}
+	return !tied || count >= need+tieMargin
+}
+
+// share returns the share of the ends in a part's pool, since the first that counts against
+// it, that do.
+func (r *Registry) share(record *Record) float64 {
+	own := len(record.Ends)
+	since := record.Ends[0].At
+	others := 0
+	for _, e := range r.ends[record.Pool] {
+		if e.At >= since && !slices.ContainsFunc(record.Ends, func(known End) bool { return known.Upstream == e.Upstream }) {
+			others++
 		}
 	}
-	return count >= need
+	return float64(own) / float64(own+others)
 }
 
 // block blocks a part. Its ends no longer count against other parts.
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -23,7 +23,7 @@
 // endsOf records ends of upstreams at the given times, each with one young request.
 func endsOf(r *poison.Registry, parts []uint64, times ...time.Duration) {
 	for i, at := range times {
-		r.UpstreamEnded(at, pool, uint64(at)+uint64(i), [][]uint64{parts})
+		r.UpstreamEnded(at, pool, poison.Ending{Upstream: uint64(at) + uint64(i), At: at, Young: [][]uint64{parts}})
 	}
 }
 
@@ -71,7 +71,7 @@
 		}, false, false},
 		"the same upstream": {func(r *poison.Registry) {
 			for at := s; at < 5*s; at += s {
-				r.UpstreamEnded(at, pool, 1, [][]uint64{{bad}})
+				r.UpstreamEnded(at, pool, poison.Ending{Upstream: 1, At: at, Young: [][]uint64{{bad}}})
 			}
 		}, false, false},
 	} {
@@ -174,7 +174,7 @@
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
 				young := [][]uint64{parts.Draw(t, "parts"), parts.Draw(t, "parts")}
-				r.UpstreamEnded(now, pool, rapid.Uint64Range(1, 50).Draw(t, "upstream"), young)
+				r.UpstreamEnded(now, pool, poison.Ending{Upstream: rapid.Uint64Range(1, 50).Draw(t, "upstream"), At: now, Young: young})
 			case 2:
 				answered := parts.Draw(t, "answered")
 				r.Answered(now, pool, answered)
--- a/pkg/poison/watch.go
+++ b/pkg/poison/watch.go
@@ -37,7 +37,9 @@
 // begun to be answered.
 type Ending struct {
 	Upstream uint64
-	Young    [][]uint64
+	// At is when the first answer broke.
+	At    time.Duration
+	Young [][]uint64
 }
 
 // Watch finds the ends of the upstreams of one pool from how requests end there. It is not
@@ -92,6 +94,9 @@
 	return u.ended
 }
 
+// Idle reports whether no upstream is watched.
+func (w *Watch) Idle() bool { return len(w.upstreams) == 0 }
+
 // Step returns the upstreams that are found to have ended.
 func (w *Watch) Step(now time.Duration) []Ending {
 	if len(w.upstreams) == 0 {
@@ -105,7 +110,7 @@
 		}
 		if !u.ended && u.hasEnded(now) {
 			u.ended = true
-			endings = append(endings, Ending{Upstream: upstream, Young: u.young})
+			endings = append(endings, Ending{Upstream: upstream, At: u.since, Young: u.young})
 		}
 	}
 	return endings
