poison, node: stored blocks are looked for once a second, not at every tick; evidence.go

Cause, found in review: each instance asked at every tick of 20 ms whether it is cut off and whether it reads for others, which costs a pass over all members, fifty times a second; all records were sorted as often; ends of past pools were kept; the ends of one part counted as noise against the next. Change: both once a second; ends of a pool go with the block that explains them, with a revoked end and after half an hour; a block whose time is over counts as on trial at once. At most 24 records are sent at a time, which keeps within 2 KB/s. The judgement of evidence has a file of its own.

--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -21,7 +21,7 @@
 	// other, so that an instance that missed a change or has started learns of it.
 	partExchangeInterval = time.Second
 	// maxExchanged bounds the records that are sent at a time; more are sent in turn.
-	maxExchanged = 32
+	maxExchanged = 24
 )
 
 const (
@@ -164,11 +164,14 @@
 		return
 	}
 	n.judgeEnds()
-	for _, record := range n.poison.Tick(n.now) {
-		n.partChanged(record, false)
-	}
 	n.announceParts()
-	n.exchangeParts()
+	if n.now >= n.partStore.nextExchange {
+		n.partStore.nextExchange = n.now + partExchangeInterval
+		for _, record := range n.poison.Tick(n.now) {
+			n.partChanged(record, false)
+		}
+		n.exchangeParts()
+	}
 	n.tickPartStore()
 }
 
@@ -228,13 +231,8 @@
 	}
 }
 
-// exchangeParts sends records to one live instance every partExchangeInterval, to each in
-// turn.
+// exchangeParts sends records to one live instance, to each in turn.
 func (n *Node) exchangeParts() {
-	if n.now < n.partStore.nextExchange {
-		return
-	}
-	n.partStore.nextExchange = n.now + partExchangeInterval
 	records := n.poison.Records()
 	if len(records) == 0 {
 		return
--- a/pkg/node/partstore.go
+++ b/pkg/node/partstore.go
@@ -25,15 +25,22 @@
 // partStore is what an instance knows of the records of parts in the store.
 type partStore struct {
 	// known is true once they were read.
-	known        bool
-	nextRead     time.Duration
-	lastRead     time.Duration
+	known bool
+	// nextCheck is when this instance looks next whether to read them, nextRead when a
+	// reader of the store does so again.
+	nextCheck, nextRead time.Duration
+	// nextExchange is when records are sent to another instance next; exchanges counts
+	// how often they were.
 	nextExchange time.Duration
 	exchanges    uint64
 	// brokeAt is when an answer to a request of this instance broke last; 0 if never.
-	brokeAt         time.Duration
-	unwritten       map[poison.Key]time.Duration
-	writing, absent map[poison.Key]bool
+	brokeAt time.Duration
+	// unwritten holds the records to be written, with the time of the next attempt,
+	// writing those with a write in progress.
+	unwritten map[poison.Key]time.Duration
+	writing   map[poison.Key]bool
+	// absent holds the records that the store lacked in the newest read.
+	absent map[poison.Key]bool
 }
 
 func newPartStore() partStore {
@@ -51,12 +58,9 @@
 	if n.cfg.RefreshWithin == 0 {
 		return
 	}
-	cutOff := n.cutOff()
-	due := n.now >= s.nextRead && (!s.known || n.view.ReaderOf(instancesPerReader, true) == 0)
-	if due || cutOff && n.now-s.lastRead >= partReadRetry {
-		s.nextRead, s.lastRead = n.now+partReadRetry, n.now
-		broke := s.brokeAt > 0 && n.now-s.brokeAt < partAlertTime
-		n.emit(ReadPartRecords{Current: cutOff && broke || !s.known})
+	if n.now >= s.nextCheck {
+		s.nextCheck = n.now + partReadRetry
+		n.readPartsIfDue()
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.unwritten), poison.CompareKeys) {
 		if s.writing[key] || n.now < s.unwritten[key] {
@@ -74,6 +78,19 @@
 	}
 }
 
+// readPartsIfDue reads the stored records if this instance has not read them yet, seems to be
+// cut off from the others, or is due to read them for others.
+func (n *Node) readPartsIfDue() {
+	s := &n.partStore
+	cutOff := n.cutOff()
+	due := n.now >= s.nextRead && n.view.ReaderOf(instancesPerReader, true) == 0
+	if s.known && !cutOff && !due {
+		return
+	}
+	broke := s.brokeAt > 0 && n.now-s.brokeAt < partAlertTime
+	n.emit(ReadPartRecords{Current: cutOff && broke || !s.known})
+}
+
 // cutOff reports whether this instance seems to be cut off from the others, so that blocks
 // arrive through the store only.
 func (n *Node) cutOff() bool {
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -141,6 +141,12 @@
 	return 0, 0, false
 }
 
+// onTrial reports whether the block of a part is over and nothing has shown yet whether it
+// still ends upstreams.
+func (r *Record) onTrial(now time.Duration) bool {
+	return r.State == Trial || r.State == Blocked && now >= r.Until
+}
+
 // Try is Find for the owner of a pool, which lets requests with a part on trial pass one at a
 // time. blocked is true if the request must not pass now.
 func (r *Registry) Try(now time.Duration, pool uint64, parts []uint64) (part uint64, left time.Duration, blocked bool) {
@@ -149,7 +155,7 @@
 	}
 	for _, part := range parts {
 		record := r.records[Key{pool, part}]
-		if record == nil || record.State != Trial {
+		if record == nil || !record.onTrial(now) {
 			continue
 		}
 		if record.triedAt > 0 && now-record.triedAt < triesEvery {
@@ -188,182 +194,13 @@
 	r.changed = append(r.changed, key)
 }
 
-// UpstreamEnded records the end of an upstream of a pool.
-func (r *Registry) UpstreamEnded(now time.Duration, pool uint64, ending Ending) {
-	young := ending.Young
-	if !r.Enabled() || r.explained(now, pool, ending) {
-		return
-	}
-	r.ends[pool] = mergeEnds(r.ends[pool], []End{{ending.Upstream, ending.At}}, maxPoolEnds)
-	counted := map[Key]bool{}
-	for _, parts := range young {
-		for _, part := range parts {
-			if key := (Key{pool, part}); !counted[key] {
-				counted[key] = true
-				r.addEnd(now, key, ending)
-			}
-		}
-	}
-	for _, parts := range young {
-		// Of parts that cannot be told apart the later one is blocked, since fewer other
-		// prompts have it; that explains the ends.
-		for _, part := range slices.Backward(parts) {
-			if key := (Key{pool, part}); r.convicted(key) {
-				r.block(now, key)
-			}
-		}
-	}
-}
-
-// explained reports whether a part that is blocked or on trial explains the end of an
-// upstream. The end of a trial blocks the part again.
-func (r *Registry) explained(now time.Duration, pool uint64, ending Ending) (explained bool) {
-	for _, parts := range ending.Young {
-		for _, part := range parts {
-			record := r.records[Key{pool, part}]
-			switch {
-			case record == nil:
-			case record.State == Blocked:
-				explained = true
-			case record.State == Trial:
-				explained = true
-				r.addEnd(now, record.Key, ending)
-				r.block(now, record.Key)
-			}
-		}
-	}
-	return explained
-}
-
-func (r *Registry) addEnd(now time.Duration, key Key, ending Ending) {
-	record := r.records[key]
-	if record == nil {
-		record = r.create(now, key, Suspect)
-	}
-	if record.State == Lifted {
-		r.setState(record, Suspect)
-		record.Generation++
-		record.Round = 0
-	}
-	if slices.ContainsFunc(record.Ends, func(e End) bool { return e.Upstream == ending.Upstream }) {
-		return
-	}
-	record.Ends = mergeEnds(record.Ends, []End{{ending.Upstream, ending.At}}, maxEnds)
-	record.Touched = now
-	if r.told(record) {
-		r.changed = append(r.changed, key)
-	}
-}
-
-// count returns the number of ends of a record, of which those close together count once.
-func (r *Record) count() int {
-	count, last := 0, time.Duration(0)
-	for _, e := range r.Ends {
-		if count == 0 || e.At-last >= joinEnds {
-			count, last = count+1, e.At
-		}
-	}
-	return count
-}
-
-// Kept reports whether a record is of a part that is or was blocked, so that it is to be
-// kept beyond all instances.
-func (r *Record) Kept() bool { return r.State != Suspect && r.Round > 0 }
-
-// told reports whether other instances are told of a record. Suspects that were answered
-// before will most likely be answered soon.
-func (r *Registry) told(record *Record) bool {
-	return record.State != Suspect || record.Generation > 0 || !r.answered.has(record.Key)
-}
-
-// convicted reports whether a part is to be blocked. Upstreams that end for other reasons take
-// various parts with them, so that no part stands out; a part that ends them is under each
-// end.
-func (r *Registry) convicted(key Key) bool {
-	record := r.records[key]
-	if record == nil || record.State != Suspect || len(record.Ends) == 0 {
-		return false
-	}
-	count, need := record.count(), r.cfg.Ends
-	knownGood := r.answered.has(key)
-	if knownGood {
-		need *= knownGoodFactor
-	}
-	if r.share(record) < standsOut {
-		need *= noiseFactor
-	}
-	if count < need {
-		return false
-	}
-	tied := false
-	for other, rival := range r.records {
-		if other == key || other.Pool != key.Pool || rival.State != Suspect || r.answered.has(other) && !knownGood {
-			continue
-		}
-		if len(rival.Ends) > len(record.Ends) {
-			return false
-		}
-		tied = tied || rival.count() >= count
-	}
-	return !tied || count >= need+tieMargin
-}
-
-// share returns the share of the ends in a part's pool, since the first that counts against
-// it, that do.
-func (r *Registry) share(record *Record) float64 {
-	own := len(record.Ends)
-	since := record.Ends[0].At
-	others := 0
-	for _, e := range r.ends[record.Pool] {
-		if e.At >= since && !slices.ContainsFunc(record.Ends, func(known End) bool { return known.Upstream == e.Upstream }) {
-			others++
-		}
-	}
-	return float64(own) / float64(own+others)
-}
-
-// block blocks a part. Its ends no longer count against other parts.
-func (r *Registry) block(now time.Duration, key Key) {
-	record := r.records[key]
-	r.setState(record, Blocked)
-	record.Round++
-	record.Touched = now
-	record.Until = now + r.cfg.Trial*time.Duration(min(1<<min(record.Round-1, 10), maxTrialFactor))
-	r.changed = append(r.changed, key)
-	r.discount(record)
-}
-
-// discount removes the ends that a blocked part explains from the suspects of its pool.
-func (r *Registry) discount(blocked *Record) {
-	for _, other := range r.records {
-		if other.Pool != blocked.Pool || other.State != Suspect {
-			continue
-		}
-		other.Ends = slices.DeleteFunc(other.Ends, func(e End) bool {
-			return slices.ContainsFunc(blocked.Ends, func(own End) bool { return own.Upstream == e.Upstream })
-		})
-	}
-}
-
-// UpstreamAlive takes back an end that was recorded of an upstream that has answered since.
-func (r *Registry) UpstreamAlive(now time.Duration, pool, upstream uint64) {
-	for _, key := range r.keys() {
-		record := r.records[key]
-		if key.Pool != pool || record.State == Lifted {
-			continue
-		}
-		before := len(record.Ends)
-		record.Ends = slices.DeleteFunc(record.Ends, func(e End) bool { return e.Upstream == upstream })
-		if len(record.Ends) < before && record.count() < r.cfg.Ends && record.State != Suspect {
-			r.Lift(now, key)
-		}
-	}
-}
-
 // Tick ends blocks whose time is over, lifts trials under which no upstream ended, forgets
 // old records, and returns the records that it changed. Every instance does the same, so
 // that none has to tell the others.
 func (r *Registry) Tick(now time.Duration) (changes []Record) {
+	maps.DeleteFunc(r.ends, func(_ uint64, ends []End) bool {
+		return len(ends) == 0 || now-ends[len(ends)-1].At >= retention
+	})
 	for _, key := range r.keys() {
 		record := r.records[key]
 		keep := retention
