--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -61,12 +61,28 @@
 // listen starts a server that gives each request the answer of r, and returns its
 // address.
 func (r sendResult) listen(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	if r.closed {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
 		require.NoError(t, listener.Close())
 		return listener.Addr().String()
 	}
+	return scriptedServer(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil || r.text == "" {
+				return
+			}
+			_, _ = c.Write([]byte(r.text))
+		}
+	})
+}
+
+// scriptedServer starts a server that handles each connection with serve and then closes
+// it, and returns its address.
+func scriptedServer(t *testing.T, serve func(c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -76,13 +92,7 @@
 			}
 			go func() {
 				defer c.Close()
-				reader := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil || r.text == "" {
-						return
-					}
-					_, _ = c.Write([]byte(r.text))
-				}
+				serve(c)
 			}()
 		}
 	}()
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -26,28 +26,15 @@
 
 // endlessUpstream starts a server whose answer has no length and never ends.
 func endlessUpstream(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				_, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil {
-					_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\n\r\n")
-				}
-				for err == nil {
-					_, err = io.WriteString(c, strings.Repeat("x", 32<<10))
-				}
-			}()
+	return scriptedServer(t, func(c net.Conn) {
+		_, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\n\r\n")
 		}
-	}()
-	return listener.Addr().String()
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat("x", 32<<10))
+		}
+	})
 }
 
 // granting is a node that grants each request one send to an address and refuses it
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -17,30 +17,17 @@
 // other with a pause between them, and then closes the connection.
 func piecewiseUpstream(t *testing.T, pieces ...string) string {
 	const pause = 20 * time.Millisecond
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
+	return scriptedServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for _, piece := range pieces {
+			if _, err := io.WriteString(c, piece); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				for _, piece := range pieces {
-					if _, err := io.WriteString(c, piece); err != nil {
-						return
-					}
-					time.Sleep(pause)
-				}
-			}()
+			time.Sleep(pause)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // readAnswer sends a request with the given protocol version and returns the body of its
