--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -70,12 +70,14 @@
 	n.noteAlive(h, h.upstreamDigest(it))
 }
 
+// noteAlive records a sign of life of an upstream, which takes back an end of it.
 func (n *Node) noteAlive(h *hostedPool, upstream uint64) {
 	if watch := n.watches[uint64(h.id)]; watch != nil && watch.Alive(n.now, upstream) {
 		n.poison.UpstreamAlive(n.now, uint64(h.id), upstream)
 	}
 }
 
+// upstreamDigest identifies the upstream of a permit.
 func (h *hostedPool) upstreamDigest(it *item) uint64 {
 	return xxhash.Sum64String(h.def.Upstreams[it.upstream].Name)
 }
@@ -133,8 +135,8 @@
 }
 
 // noteOwnResult records how a request of this instance ended at its upstream. Each instance
-// knows which parts it saw answered, so that it can take over a pool.
-// An answer without a token, such as an error, shows nothing.
+// knows which parts it saw answered, so that it can take over a pool. An answer without a
+// token, such as an error, shows nothing.
 func (n *Node) noteOwnResult(e UpstreamDone) {
 	record := n.table.Record(dispatch.ID(e.ID))
 	if record == nil || len(record.Parts) == 0 {
@@ -256,6 +258,7 @@
 	}
 }
 
+// mergePart merges a record of another instance or of the store.
 func (n *Node) mergePart(record poison.Record) {
 	if n.poison.Merge(n.now, record) {
 		n.partChanged(record, false)
@@ -269,6 +272,7 @@
 	poison.Lifted:  pb.PromptPartState_PROMPT_PART_STATE_LIFTED,
 }
 
+// partsMessage encodes records; their times become ages.
 func (n *Node) partsMessage(records []poison.Record) *pb.PeerMessage {
 	parts := &pb.PromptParts{}
 	for _, r := range records {
@@ -282,6 +286,7 @@
 	return &pb.PeerMessage{Body: &pb.PeerMessage_PromptParts{PromptParts: parts}}
 }
 
+// partFromProto decodes a record, with its times on this instance's clock.
 func (n *Node) partFromProto(m *pb.PromptPart) poison.Record {
 	r := poison.Record{Key: poison.Key{Pool: m.GetPool(), Part: m.GetPart()}, Generation: m.GetGeneration(), Round: m.GetRound(),
 		Until: n.now + time.Duration(m.GetLeftMs())*time.Millisecond, Touched: n.now}
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// UpstreamEnded records the end of an upstream of a pool.
+// UpstreamEnded counts the end of an upstream of a pool against the parts of the requests
+// there that had hardly begun, and blocks a part that has enough ends.
 func (r *Registry) UpstreamEnded(now time.Duration, pool uint64, ending Ending) {
 	if !r.Enabled() || r.explained(now, pool, ending) {
 		return
@@ -47,6 +48,7 @@
 	return explained
 }
 
+// addEnd counts an end against a part.
 func (r *Registry) addEnd(now time.Duration, key Key, ending Ending) {
 	record := r.records[key]
 	if record == nil {
