poison: a large part_block_ends blocks late, not never

Cause, found in review: a record keeps 16 ends, but a part known good, amid other ends, needed four times part_block_ends, and the setting went to 100; from 5 on such a part was never blocked. With the default of 3 nothing changes.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -106,6 +106,8 @@
 	if r.share(record) < standsOut {
 		need *= noiseFactor
 	}
+	// More ends than a record keeps can not be required.
+	need = min(need, maxEnds-tieMargin)
 	if count < need {
 		return false
 	}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -91,6 +91,18 @@
 	require.Empty(t, r.Records())
 }
 
+// TestLargestNumberOfEnds guards against a number of ends that is never reached, since a record
+// keeps fewer than a part known good, amid other ends, would need.
+func TestLargestNumberOfEnds(t *testing.T) {
+	const largest = 14
+	r := poison.New(poison.Config{Ends: largest, Trial: time.Minute})
+	r.Answered(0, pool, []uint64{bad})
+	for i := range 40 {
+		endsOf(r, []uint64{bad}, time.Duration(i+1)*time.Second)
+	}
+	require.True(t, blocked(r, time.Minute, bad))
+}
+
 // TestTrial guards against a block without end, against a trial by many requests at a time, and
 // against a second block that is as short as the first.
 func TestTrial(t *testing.T) {
