--- /dev/null
+++ b/review/_standin/lab.go
@@ -0,0 +1,290 @@
+// Package main holds the stand-ins and the drivers of the review's scripts: the platform's
+// store, servers and clients, in one process, and the product's instances as separate
+// processes. Everything listens on loopback addresses.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// lab is one run of a script.
+type lab struct {
+	dir     string
+	trouble bool
+	store   *store
+	address string
+	nodes   []*node
+	servers []*server
+	version int
+	started time.Time
+	mu      sync.Mutex
+	record  *os.File
+	broken  []string
+	// down is true while the store answers all calls with 503.
+	down atomic.Bool
+}
+
+// node is one instance of the product, as its own process.
+type node struct {
+	name                                   string
+	caller, ready, discovery, admin, peer string
+	file                                   string
+	command                                *exec.Cmd
+	done                                   chan struct{}
+}
+
+// newLab opens the record and starts the store.
+func newLab(record string) *lab {
+	dir, err := os.MkdirTemp("", "review")
+	check(err)
+	f, err := os.Create(record)
+	check(err)
+	l := &lab{dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), started: time.Now(), record: f}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	l.address = listener.Addr().String()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if l.down.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			l.store.ServeHTTP(w, r)
+		}))
+	}()
+	l.note("trouble: %v", l.trouble)
+	return l
+}
+
+// check ends the script as one that could not run.
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		panic(couldNotRun{err})
+	}
+}
+
+type couldNotRun struct{ err error }
+
+// note writes a line to the record.
+func (l *lab) note(format string, values ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = fmt.Fprintf(l.record, "%8.3f  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, values...))
+}
+
+// breaks records that the rule was broken.
+func (l *lab) breaks(format string, values ...any) {
+	text := fmt.Sprintf(format, values...)
+	l.note("BROKEN: %s", text)
+	l.mu.Lock()
+	l.broken = append(l.broken, text)
+	l.mu.Unlock()
+}
+
+// close ends all processes and returns the exit status of the script.
+func (l *lab) close() int {
+	for _, n := range l.nodes {
+		n.kill()
+	}
+	l.note("broken: %d", len(l.broken))
+	_ = l.record.Close()
+	_ = os.RemoveAll(l.dir)
+	if len(l.broken) > 0 {
+		fmt.Println("the rule was broken:", l.broken[0])
+		return 1
+	}
+	fmt.Println("the rule held")
+	return 0
+}
+
+// settings follow deploy/entry.ini.template, with the bounds of the site hbc-citron.
+const settings = `[instance]
+name = %s
+failure_domain = zone-a
+region = region-1
+
+[listen]
+caller = %s
+ready = %s
+discovery = %s
+admin = %s
+peer = %s
+
+[platform]
+address = %s
+call_timeout = 800ms
+list_interval = 2s
+
+[peer]
+trust = network
+
+[gateway]
+mode = on
+grace = 8s
+upstream_drain = 2000ms
+config_apply = 2000ms
+strict_revocation = true
+revocation = 5000ms
+retry_ratio = 0.2
+retry_window = 10s
+retry_extra = 52
+discovery_ttl = 5s
+memory_mb = 284
+max_files = 4200
+quota_window = 8s
+quota_over = 0.1
+quota_slack = 140000
+
+[limits]
+max_connections = 3000
+`
+
+// freeAddress returns a loopback address whose port nothing uses. The port is below the
+// range from which the kernel takes ports for connections, so that none takes it meanwhile.
+func freeAddress() string {
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.Intn(20000))
+		c, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = c.Close()
+		p, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = p.Close()
+		return address
+	}
+	check(errors.New("there is no free port"))
+	return ""
+}
+
+// addNodes starts count instances and waits until all are ready.
+func (l *lab) addNodes(count int) {
+	for range count {
+		n := &node{name: fmt.Sprintf("front-zone-a-%d", len(l.nodes)+1), caller: freeAddress(), ready: freeAddress(),
+			discovery: freeAddress(), admin: freeAddress(), peer: freeAddress()}
+		n.file = filepath.Join(l.dir, n.name+".conf")
+		text := fmt.Sprintf(settings, n.name, n.caller, n.ready, n.discovery, n.admin, n.peer, l.address)
+		check(os.WriteFile(n.file, []byte(text), 0o600))
+		l.nodes = append(l.nodes, n)
+		l.start(n)
+	}
+	for _, n := range l.nodes {
+		l.waitReady(n)
+	}
+}
+
+// start starts an instance with the command of the deploy file.
+func (l *lab) start(n *node) {
+	n.command = exec.Command("target/citrongate", "serve", "--config", n.file)
+	n.command.Env = []string{"GOMAXPROCS=1", "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	out, err := os.OpenFile(filepath.Join(l.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	check(err)
+	n.command.Stdout, n.command.Stderr = out, out
+	// The instance ends with this process, however that ends.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	check(n.command.Start())
+	n.done = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		_ = c.Wait()
+		_ = out.Close()
+		close(done)
+	}(n.command, n.done)
+}
+
+func (n *node) kill() {
+	if n.command != nil {
+		_ = n.command.Process.Kill()
+		<-n.done
+	}
+}
+
+func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
+
+// isReady asks the instance's ready address, as the platform does.
+func (n *node) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Get("http://" + n.ready + "/citrongate/readiness")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (l *lab) waitReady(n *node) {
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if n.isReady() {
+			l.note("%s is ready", n.name)
+			return
+		}
+	}
+	check(fmt.Errorf("%s is not ready after 30 s", n.name))
+}
+
+// log returns what an instance has written.
+func (l *lab) log(n *node) string {
+	text, _ := os.ReadFile(filepath.Join(l.dir, n.name+".log"))
+	return string(text)
+}
+
+// configuration writes a new version of the operator's configuration.
+func (l *lab) configuration(change func(c map[string]any)) {
+	l.version += 3
+	route := func(name, prefix, kind, service string, timeout, goal, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "shop.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "goalMs": goal,
+			"gapGoalMs": 200, "priority": 1, "service": service, "attempts": attempts, "sticky": kind == "stream", "resumable": prefix == "/answers/"}
+	}
+	c := map[string]any{
+		"version": l.version,
+		"routes": []any{
+			route("r-reports", "/reports/", "stream", "models", 15000, 800, 1),
+			route("r-answers", "/answers/", "stream", "models", 15000, 300, 2),
+			route("r-book", "/book/", "non_idempotent", "depot", 3000, 300, 1),
+			route("r-status", "/status/", "idempotent", "depot", 3000, 300, 2),
+		},
+		"services": []any{
+			map[string]any{"name": "models", "maxConns": 290, "engine": map[string]any{"slots": 10, "kvCapacity": 700000, "stride": 5}},
+			map[string]any{"name": "depot", "maxConns": 96},
+		},
+		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
+		"tenants": []any{map[string]any{"name": "crew", "apiKeys": []string{"key-crew"}, "unit": "tokens", "plainTokens": 200, "ratePerS": 1e6, "burst": 1e6}},
+	}
+	if change != nil {
+		change(c)
+	}
+	l.store.put("config", "main", c)
+	text, _ := json.Marshal(c["tenants"])
+	l.note("configuration %d acknowledged; tenants %s", l.version, text)
+}
+
+// lines returns the lines of a text that contain one of the words.
+func lines(text string, words ...string) (out []string) {
+	for _, line := range strings.Split(text, "\n") {
+		for _, word := range words {
+			if strings.Contains(line, word) {
+				out = append(out, line)
+				break
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/review/_standin/quota.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() {
+	scenarios["quota-alone"] = quotaAlone
+	scenarios["quota-lowered"] = quotaLowered
+}
+
+// cost is what each request of these cases counts against its tenant's quota, in tokens.
+const cost = 2000
+
+// flood sends requests of the tenant to all instances until stop is closed, each worker on a
+// connection of its own, and a refused one again after the time that it was told.
+func (l *lab) flood(workers int, key string, pause time.Duration, stop chan struct{}, wait *sync.WaitGroup, statuses *sync.Map) {
+	for w := range workers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			n := l.nodes[w%len(l.nodes)]
+			var c *client
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c == nil {
+					var err error
+					if c, err = dial(n.caller); err != nil {
+						c = nil
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+				}
+				a := c.call("POST", fmt.Sprintf("/book/%s-%d-%d", key, w, k), key, time.Second, []byte("x"), fmt.Sprintf("Token-Counts: %d,%d", cost/2, cost/2))
+				statuses.Store(a.id, a.status)
+				if a.err != nil {
+					c.close()
+					c = nil
+				}
+				time.Sleep(pause)
+			}
+		}()
+	}
+}
+
+// judgeQuota checks QUOTA for the tenant: the tokens of requests that arrive at servers that
+// run them, in each window that begins at or after from.
+func (l *lab) judgeQuota(tenant string, rate, burst float64, from time.Time) {
+	const window, over, slack = 8 * time.Second, 0.1, 140000.0
+	allowed := (rate*window.Seconds()+burst)*(1+over) + slack
+	var at []time.Time
+	for _, s := range l.servers {
+		for _, r := range s.taken() {
+			if r.Header.Get("Tenant") == tenant && !r.at.Before(from) {
+				at = append(at, r.at)
+			}
+		}
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
+	most, first, start := 0, 0, time.Time{}
+	for i := range at {
+		for at[i].Sub(at[first]) > window {
+			first++
+		}
+		if i-first+1 > most {
+			most, start = i-first+1, at[first]
+		}
+	}
+	ran := float64(most) * cost
+	line := fmt.Sprintf("in the %v from %.3f s, %d requests of %q ran, %.0f tokens; allowed are (%.0f x 8 + %.0f) x 1.1 + 140000 = %.0f", window,
+		start.Sub(l.started).Seconds(), most, tenant, ran, rate, burst, allowed)
+	l.note("%s", line)
+	if ran > allowed {
+		l.breaks("QUOTA: %s", line)
+	}
+}
+
+func (l *lab) addLedgers(count int) {
+	for i := range count {
+		l.addServer(fmt.Sprintf("i-depot-%d", i+1), "depot", 40, func(s *server, c net.Conn, r *request) bool {
+			time.Sleep(5 * time.Millisecond)
+			return s.reply(c, r, "200 OK", "done")
+		})
+	}
+}
+
+func tenants(rate, burst float64) func(c map[string]any) {
+	return func(c map[string]any) {
+		c["tenants"] = []any{map[string]any{"name": "crew", "apiKeys": []string{"key-crew"}, "unit": "tokens", "plainTokens": 200, "ratePerS": rate, "burst": burst}}
+	}
+}
+
+// quotaAlone kills all instances while the store is down. The tenant sends more than its quota
+// all the while.
+func quotaAlone(l *lab) {
+	const rate, burst = 50000.0, 200000.0
+	l.configuration(tenants(rate, burst))
+	l.addLedgers(4)
+	l.addNodes(6)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	statuses := &sync.Map{}
+	l.flood(36, "key-crew", 10*time.Millisecond, stop, &wait, statuses)
+	time.Sleep(10 * time.Second)
+	if l.trouble {
+		l.note("the store is down: it answers 503")
+		l.down.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		l.note("all instances are killed")
+		for _, n := range l.nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range l.nodes {
+			l.start(n)
+		}
+		l.note("all instances are started again")
+		time.Sleep(3200 * time.Millisecond)
+		l.down.Store(false)
+		l.note("the store is back")
+	}
+	time.Sleep(12 * time.Second)
+	close(stop)
+	wait.Wait()
+	l.judgeQuota("crew", rate, burst, l.started)
+}
+
+// quotaLowered lowers the quota of a tenant that has sent little. Twelve seconds later, which
+// is after configApplyMs and a window, the tenant sends more than the new quota.
+func quotaLowered(l *lab) {
+	const before, after = 600000.0, 20000.0
+	l.configuration(tenants(100000, before))
+	l.addLedgers(4)
+	l.addNodes(6)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	statuses := &sync.Map{}
+	l.flood(6, "key-crew", 500*time.Millisecond, stop, &wait, statuses)
+	time.Sleep(8 * time.Second)
+	rate, burst := 100000.0, before
+	if l.trouble {
+		rate, burst = 5000, after
+		l.configuration(tenants(rate, burst))
+	}
+	time.Sleep(12 * time.Second)
+	from := time.Now()
+	l.note("the tenant sends more than its quota")
+	l.flood(36, "key-crew", 10*time.Millisecond, stop, &wait, statuses)
+	time.Sleep(10 * time.Second)
+	close(stop)
+	wait.Wait()
+	l.judgeQuota("crew", rate, burst, from)
+}
+
+var _ = syscall.SIGKILL
--- /dev/null
+++ b/review/_standin/server.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// request is a request as a server has received it.
+type request struct {
+	*http.Request
+	id   string
+	body []byte
+	at   time.Time
+}
+
+// server is a server of a service. It checks the id that is expected of it, counts each
+// request that it runs and lets handle write the answer to the connection.
+type server struct {
+	id, service string
+	lab         *lab
+	address     string
+	slots       int
+	listener    net.Listener
+	handle      func(s *server, c net.Conn, r *request) (keep bool)
+	mu          sync.Mutex
+	runs        []*request
+	arrived     []time.Time
+	born        int64
+	sequence    int
+}
+
+func (l *lab) addServer(id, service string, slots int, handle func(s *server, c net.Conn, r *request) bool) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	s := &server{id: id, service: service, lab: l, address: listener.Addr().String(), slots: slots, listener: listener, handle: handle,
+		born: time.Now().UnixMilli()}
+	l.servers = append(l.servers, s)
+	go s.accept()
+	s.register("ready")
+	return s
+}
+
+// register writes the server's entry into the store.
+func (s *server) register(state string) {
+	s.sequence++
+	s.lab.store.put("servers", s.id, map[string]any{"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1",
+		"slots": s.slots, "state": state, "coldLeftMs": 0, "sequence": s.sequence, "born": s.born})
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		got := &request{Request: r, id: r.Header.Get("Attempt-Id"), body: body, at: time.Now()}
+		if r.Header.Get("Expect-Instance") != s.id {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, got.id)
+			continue
+		}
+		s.mu.Lock()
+		s.runs = append(s.runs, got)
+		s.mu.Unlock()
+		if !s.handle(s, c, got) {
+			return
+		}
+	}
+}
+
+// taken returns the requests that the server has run.
+func (s *server) taken() []*request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*request(nil), s.runs...)
+}
+
+// head is the start of an answer of the server, with its signature.
+func (s *server) head(r *request, status string) *bytes.Buffer {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: %s.%s\r\nServer-Load: 1,0,%d\r\n", status, r.id, s.id, r.id, s.slots)
+	return &b
+}
+
+// reply sends a whole answer with its length.
+func (s *server) reply(c net.Conn, r *request, status, body string) bool {
+	b := s.head(r, status)
+	fmt.Fprintf(b, "Content-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_, err := c.Write(b.Bytes())
+	return err == nil
+}
