--- a/review/_standin/answers.go
+++ b/review/_standin/answers.go
@@ -75,6 +75,7 @@
 				path := fmt.Sprintf("/book/client-%d-order-%d", w, order)
 				a := c.call("POST", path, "key-crew", 600*time.Millisecond, []byte("2 pallets"))
 				all.add(a, path)
+				l.sent(a, "POST", path)
 				if a.err != nil {
 					l.note("%s %s: no answer: %v", a.id, path, a.err)
 					return
@@ -190,6 +191,7 @@
 				method := []string{"HEAD", "GET"}[k%2]
 				path := fmt.Sprintf("/status/client-%d-%d", w, k)
 				a := c.call(method, path, "key-crew", 600*time.Millisecond, nil)
+				l.sent(a, method, path)
 				want := ""
 				if method == "GET" {
 					want = "status of " + path
