--- a/review/_standin/quota.go
+++ b/review/_standin/quota.go
@@ -157,8 +157,8 @@
 	l.addNodes(6)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	l.flood(6, "key-crew", 500*time.Millisecond, stop, &wait)
-	time.Sleep(8 * time.Second)
+	l.flood(6, "key-crew", 8*time.Second, stop, &wait)
+	time.Sleep(9 * time.Second)
 	rate, burst := 100000.0, before
 	if l.trouble {
 		rate, burst = 5000, after
