--- a/review/_standin/answers.go
+++ b/review/_standin/answers.go
@@ -40,7 +40,7 @@
 // they run one booking in greyEvery and answer with their own failure, signed and whole. Such
 // an answer has no Not-Executed: it does not state that the booking has not run.
 func greyBookings(l *lab, failure string) {
-	l.configuration(nil)
+	l.configuration(1e6, 1e6)
 	var grey atomic.Bool
 	var count atomic.Int64
 	failed := &sync.Map{}
@@ -110,7 +110,7 @@
 	for id, a := range all.attempts {
 		gave, isFailure := failed.Load(id)
 		line := fmt.Sprintf("%s POST %s: the server gave %v, the client got %d (Response-Seal %q, Not-Executed %q, body %q), runs %d",
-			id, all.paths[id], gave, a.status, a.header.Get("Response-Seal"), a.header.Get("Not-Executed"), a.body, runs[id])
+			id, all.paths[id], gave, a.status, a.header.Get(names.Seal), a.header.Get(names.NotRun), a.body, runs[id])
 		statuses[fmt.Sprintf("server's failure: %v, client's status: %d, runs: %d", gave, a.status, runs[id])]++
 		if isFailure {
 			l.note("%s", line)
@@ -141,7 +141,7 @@
 // unframedHead sends HEAD and GET requests by turns on kept connections. While the trouble
 // lasts, one answer in unframedEvery has no length and ends with its connection.
 func unframedHead(l *lab) {
-	l.configuration(nil)
+	l.configuration(1e6, 1e6)
 	var unframed atomic.Bool
 	var count atomic.Int64
 	without := &sync.Map{}
@@ -197,7 +197,7 @@
 					want = "status of " + path
 				}
 				line := fmt.Sprintf("%s %s %s: %d %q %v; before it on the connection: %s", a.id, method, path, a.status, a.body, a.err, before)
-				if a.err != nil || a.status == 200 && string(a.body) != want || a.status == 200 && a.header.Get("Attempt-Id") != a.id {
+				if a.err != nil || a.status == 200 && string(a.body) != want || a.status == 200 && a.header.Get(names.ID) != a.id {
 					l.breaks("MIXED: bytes that are no answer in the protocol, or another request's answer: %s", line)
 				}
 				before = fmt.Sprintf("%s %s", a.id, method)
--- a/review/_standin/lab.go
+++ b/review/_standin/lab.go
@@ -4,7 +4,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -97,11 +97,11 @@
 	switch {
 	case a.err != nil:
 		l.note("sent %s %s %s, answered: %d, then %v", a.id, method, path, a.status, a.err)
-	case a.header.Get("Response-Seal") != "":
+	case a.header.Get(names.Seal) != "":
 		l.note("sent %s %s %s, answered: %d, Attempt-Id %s, Response-Seal %s, %q", a.id, method, path, a.status,
-			a.header.Get("Attempt-Id"), a.header.Get("Response-Seal"), a.body)
+			a.header.Get(names.ID), a.header.Get(names.Seal), a.body)
 	default:
-		l.note("sent %s %s %s, answered: %d without Response-Seal, Retry-After %q", a.id, method, path, a.status, a.header.Get("Retry-After"))
+		l.note("sent %s %s %s, answered: %d without Response-Seal, Retry-After %q", a.id, method, path, a.status, a.header.Get(names.RetryAfter))
 	}
 }
 
@@ -121,7 +121,7 @@
 	}
 	for _, s := range l.servers {
 		for _, r := range s.taken() {
-			l.note("ran %s %s %s at %s, tenant %s, at %.3f s", r.id, r.Method, r.RequestURI, s.id, r.Header.Get("Tenant"), r.at.Sub(l.started).Seconds())
+			l.note("ran %s %s %s at %s, tenant %s, at %.3f s", r.id, r.Method, r.RequestURI, s.id, r.Header.Get(names.Tenant), r.at.Sub(l.started).Seconds())
 		}
 	}
 	l.note("broken: %d", len(l.broken))
@@ -249,7 +249,7 @@
 // isReady asks the instance's ready address, as the platform does.
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + n.ready + "/citrongate/readiness")
+	r, err := c.Get("http://" + n.ready + names.Ready)
 	if err != nil {
 		return false
 	}
@@ -268,34 +268,12 @@
 	check(fmt.Errorf("%s is not ready after %v", n.name, readyWithin))
 }
 
-// configuration writes a new version of the operator's configuration.
-func (l *lab) configuration(change func(c map[string]any)) {
+// configuration writes a new version of the operator's configuration, with the tenant's quota.
+func (l *lab) configuration(rate, burst float64) {
 	l.version += 3
-	route := func(name, prefix, kind, service string, timeout, goal, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": "shop.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout, "goalMs": goal,
-			"gapGoalMs": 200, "priority": 1, "service": service, "attempts": attempts, "sticky": kind == "stream", "resumable": prefix == "/answers/"}
-	}
-	c := map[string]any{
-		"version": l.version,
-		"routes": []any{
-			route("r-reports", "/reports/", "stream", "models", 15000, 800, 1),
-			route("r-answers", "/answers/", "stream", "models", 15000, 300, 2),
-			route("r-book", "/book/", "non_idempotent", "depot", 3000, 300, 1),
-			route("r-status", "/status/", "idempotent", "depot", 3000, 300, 2),
-		},
-		"services": []any{
-			map[string]any{"name": "models", "maxConns": 290, "engine": map[string]any{"slots": 10, "kvCapacity": 700000, "stride": 5}},
-			map[string]any{"name": "depot", "maxConns": 96},
-		},
-		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
-		"tenants": []any{map[string]any{"name": "crew", "apiKeys": []string{"key-crew"}, "unit": "tokens", "plainTokens": 200, "ratePerS": 1e6, "burst": 1e6}},
-	}
-	if change != nil {
-		change(c)
-	}
-	l.store.put("config", "main", c)
-	text, _ := json.Marshal(c["tenants"])
-	l.note("configuration %d acknowledged; tenants %s", l.version, text)
+	l.store.put("config", "main", filled(configurationText, "VERSION", strconv.Itoa(l.version),
+		"RATE", strconv.FormatFloat(rate, 'f', -1, 64), "BURST", strconv.FormatFloat(burst, 'f', -1, 64)))
+	l.note("configuration %d acknowledged; the tenant has %.0f tokens a second and a burst of %.0f", l.version, rate, burst)
 }
 
 // readyWithin is how long an instance may take to be ready.
--- a/review/_standin/pipeline.go
+++ b/review/_standin/pipeline.go
@@ -18,7 +18,7 @@
 // the answers before, as HTTP/1.1 allows. Answers come in the order of the requests. For a
 // while one of the six servers is dark: it takes requests and says nothing.
 func pipeline(l *lab) {
-	l.configuration(nil)
+	l.configuration(1e6, 1e6)
 	var dark atomic.Bool
 	for i := range 6 {
 		l.addServer(fmt.Sprintf("i-depot-%d", i+1), "depot", 6, func(s *server, c net.Conn, r *request) bool {
@@ -75,7 +75,7 @@
 					return
 				}
 				answered.Add(1)
-				if id := a.header.Get("Attempt-Id"); a.status == http.StatusOK && id != o.id {
+				if id := a.header.Get(names.ID); a.status == http.StatusOK && id != o.id {
 					foreign.Add(1)
 					l.breaks("MIXED: the answer that is due to %s GET %s is that to %s, %q", o.id, o.path, id, a.body)
 				}
--- a/review/_standin/quota.go
+++ b/review/_standin/quota.go
@@ -63,7 +63,7 @@
 	for _, s := range l.servers {
 		for _, r := range s.taken() {
 			sent, ok := l.sentAt.Load(r.id)
-			if ok && r.Header.Get("Tenant") == tenant && !sent.(time.Time).Before(from) {
+			if ok && r.Header.Get(names.Tenant) == tenant && !sent.(time.Time).Before(from) {
 				all = append(all, span{sent.(time.Time), r.at})
 			}
 		}
@@ -98,17 +98,11 @@
 	}
 }
 
-func tenants(rate, burst float64) func(c map[string]any) {
-	return func(c map[string]any) {
-		c["tenants"] = []any{map[string]any{"name": "crew", "apiKeys": []string{"key-crew"}, "unit": "tokens", "plainTokens": 200, "ratePerS": rate, "burst": burst}}
-	}
-}
-
 // quotaAlone kills all instances while the store is down. Around its return, for ten seconds,
 // the tenant sends six times its usual.
 func quotaAlone(l *lab) {
 	const rate, burst = 100000.0, 300000.0
-	l.configuration(tenants(rate, burst))
+	l.configuration(rate, burst)
 	l.addLedgers(4)
 	l.addNodes(6)
 	stop, cool := make(chan struct{}), make(chan struct{})
@@ -152,7 +146,7 @@
 // is after configApplyMs and a window, the tenant sends more than the new quota.
 func quotaLowered(l *lab) {
 	const before, after = 600000.0, 20000.0
-	l.configuration(tenants(100000, before))
+	l.configuration(100000, before)
 	l.addLedgers(4)
 	l.addNodes(6)
 	stop := make(chan struct{})
@@ -162,7 +156,7 @@
 	rate, burst := 100000.0, before
 	if l.trouble {
 		rate, burst = 5000, after
-		l.configuration(tenants(rate, burst))
+		l.configuration(rate, burst)
 	}
 	time.Sleep(12 * time.Second)
 	from := time.Now()
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -30,7 +31,6 @@
 	handle      func(s *server, c net.Conn, r *request) (keep bool)
 	mu          sync.Mutex
 	runs        []*request
-	arrived     []time.Time
 	born        int64
 	sequence    int
 }
@@ -49,8 +49,8 @@
 // register writes the server's entry into the store.
 func (s *server) register(state string) {
 	s.sequence++
-	s.lab.store.put("servers", s.id, map[string]any{"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1",
-		"slots": s.slots, "state": state, "coldLeftMs": 0, "sequence": s.sequence, "born": s.born})
+	s.lab.store.put("servers", s.id, filled(serverText, "SERVICE", s.service, "ADDRESS", s.address, "SLOTS", strconv.Itoa(s.slots),
+		"STATE", state, "SEQUENCE", strconv.Itoa(s.sequence), "BORN", strconv.FormatInt(s.born, 10)))
 }
 
 func (s *server) accept() {
@@ -75,8 +75,8 @@
 		if err != nil {
 			return
 		}
-		got := &request{Request: r, id: r.Header.Get("Attempt-Id"), body: body, at: time.Now()}
-		if r.Header.Get("Expect-Instance") != s.id {
+		got := &request{Request: r, id: r.Header.Get(names.ID), body: body, at: time.Now()}
+		if r.Header.Get(names.Expect) != s.id {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id, got.id)
 			continue
 		}
--- a/review/_standin/smuggle.go
+++ b/review/_standin/smuggle.go
@@ -11,7 +11,7 @@
 // smuggle sends bookings whose body is the text of another booking. With the trouble, the
 // Content-Length of the outer one has no value, which no front may take for a length of 0.
 func smuggle(l *lab) {
-	l.configuration(nil)
+	l.configuration(1e6, 1e6)
 	l.addServer("i-depot-1", "depot", 6, func(s *server, c net.Conn, r *request) bool { return s.reply(c, r, "200 OK", "booked") })
 	l.addNodes(1)
 	inner := map[string]bool{}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -30,14 +30,10 @@
 func newStore() *store { return &store{rev: 1, kinds: map[string]map[string]*object{}} }
 
 // put creates an object or replaces its spec, as the operator and the servers do.
-func (s *store) put(kind, name string, spec any) {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+func (s *store) put(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(kind, name, text)
+	s.set(kind, name, spec)
 }
 
 func (s *store) set(kind, name string, spec json.RawMessage) *object {
@@ -56,15 +52,8 @@
 	return o
 }
 
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
-	delete(s.kinds[kind], name)
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/citrongate/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names.Objects), "/")
 	name = strings.TrimSuffix(name, "/status")
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
