--- a/review/_standin/pipeline.go
+++ b/review/_standin/pipeline.go
@@ -43,7 +43,7 @@
 		go func() {
 			defer wait.Done()
 			defer close(queue)
-			ticker := time.NewTicker(40 * time.Millisecond)
+			ticker := time.NewTicker(60 * time.Millisecond)
 			defer ticker.Stop()
 			for k := 0; ; k++ {
 				select {
