review: the stand-in servers send heartbeats and keep to their slots

Cause: PROTOCOL.md has a server write its entry each heartbeatMs, and the entry removed after three in silence; the stand-ins wrote it once.

--- a/review/_standin/pipeline.go
+++ b/review/_standin/pipeline.go
@@ -86,9 +86,11 @@
 	if l.trouble {
 		l.note("i-depot-1 is dark")
 		dark.Store(true)
+		l.servers[0].silent.Store(true)
 	}
 	time.Sleep(darkTime)
 	dark.Store(false)
+	l.servers[0].silent.Store(false)
 	l.note("i-depot-1 is not dark")
 	time.Sleep(3 * time.Second)
 	close(stop)
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -52,6 +52,13 @@
 	return o
 }
 
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	delete(s.kinds[kind], name)
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names.Objects), "/")
 	name = strings.TrimSuffix(name, "/status")
