gateway: log line 'limit sharers changed'

The hypotheses could not be told apart from the logs: (1) an instance divides quotas by 1 before it has read the list of instances; (2) a published list of upstreams counts as a read list of instances, so that the real read is not missed; (3) tokens of a bucket that filled by the share of a lone instance stay once the others are known; (4) transfers between instances multiply these. Change: the number of instances that share quotas, and whether the list was read, are logged when they change.

--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -195,6 +195,18 @@
 	return Spec{"readiness changed", zerolog.InfoLevel, perDecision, "readiness, or the reason for not being ready, changed"}
 }
 
+// LimitSharersChanged is written when the number of instances among which this one
+// divides limits changes.
+type LimitSharersChanged struct {
+	Sharers  int  `json:"sharers" about:"number of instances that share each quota"`
+	ListRead bool `json:"list_read" about:"whether this process has read the list of instances"`
+}
+
+// Spec describes the line.
+func (LimitSharersChanged) Spec() Spec {
+	return Spec{"limit sharers changed", zerolog.InfoLevel, perDecision, "the number of instances that share each quota changed"}
+}
+
 // ConfigInForce is written when a new configuration or list of upstreams comes
 // into force.
 type ConfigInForce struct {
@@ -343,6 +355,6 @@
 // All holds one empty line of each type.
 var All = []Line{
 	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, CallerDisconnected{}, OrderSent{},
-	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsReloaded{}, InvalidSettings{}, ReadinessChanged{}, ConfigInForce{}, TableInForce{},
+	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsReloaded{}, InvalidSettings{}, ReadinessChanged{}, LimitSharersChanged{}, ConfigInForce{}, TableInForce{},
 	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, PromptPartChanged{}, PromptPartNotWritten{}, InternalFault{}, LinesDropped{},
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -32,6 +32,10 @@
 	addresses []string
 	// notReady is why the node is not ready; empty if it is.
 	notReady string
+	// limitSharers is the number of instances that share each quota; listRead is true
+	// once this process has read the list of instances.
+	limitSharers int
+	listRead     bool
 }
 
 // refreshMembers keeps readiness and the addresses for callers up to date.
@@ -57,16 +61,22 @@
 	}
 }
 
-// publishMembers publishes a view and logs a change of readiness.
+// publishMembers publishes a view and logs a change of readiness, and of the number of
+// instances that share limits.
 func (g *Gateway) publishMembers(next *membersView) {
-	if before := g.members.Swap(next); before.notReady != next.notReady {
+	before := g.members.Swap(next)
+	if before.limitSharers != next.limitSharers || before.listRead != next.listRead {
+		g.log.Write(eventlog.LimitSharersChanged{Sharers: next.limitSharers, ListRead: next.listRead})
+	}
+	if before.notReady != next.notReady {
 		g.log.Write(eventlog.ReadinessChanged{Ready: next.notReady == "", Reason: next.notReady, Instances: len(next.addresses)})
 	}
 }
 
 func (g *Gateway) currentMembers() *membersView {
-	view := &membersView{notReady: g.loop.Machine.NotReadyReason()}
-	for _, m := range g.loop.Machine.Members() {
+	machine := g.loop.Machine
+	view := &membersView{notReady: machine.NotReadyReason(), limitSharers: machine.LimitSharers(), listRead: machine.InstanceListRead()}
+	for _, m := range machine.Members() {
 		if m.State == membership.Dead {
 			continue
 		}
--- a/internal/nodeloop/machine.go
+++ b/internal/nodeloop/machine.go
@@ -21,6 +21,8 @@
 	Members() []membership.Member
 	PoolSummaries() []node.PoolSummary
 	NotReadyReason() string
+	LimitSharers() int
+	InstanceListRead() bool
 	Leaving() bool
 	Explain(r routing.Request) routing.Explanation
 	UpstreamLeaving(name string) bool
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -116,7 +116,7 @@
 // serves requests.
 func affectsRequests(line eventlog.Line) bool {
 	switch line.(type) {
-	case eventlog.InstanceStarted, eventlog.StopStarted, eventlog.ReadinessChanged, eventlog.ConfigInForce,
+	case eventlog.InstanceStarted, eventlog.StopStarted, eventlog.ReadinessChanged, eventlog.LimitSharersChanged, eventlog.ConfigInForce,
 		eventlog.StoreLost, eventlog.StoreRegained, eventlog.InternalFault, eventlog.LinesDropped:
 		return true
 	}
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -41,6 +41,8 @@
 	freshAt  time.Duration
 	nextRead time.Duration
 	failures int
+	// read is true once this instance has read the list itself.
+	read bool
 	// bound maps the name and platform incarnation of an entry to the
 	// incarnation of a member.
 	bound map[string]uint64
@@ -73,6 +75,7 @@
 		return
 	}
 	v.list.failures = 0
+	v.list.read = true
 	v.list.freshAt = now
 	v.join.addresses = v.join.addresses[:0]
 	versionBefore := v.leaving.version
@@ -98,6 +101,9 @@
 	}
 }
 
+// ListRead reports whether this instance has read the platform's list itself.
+func (v *View) ListRead() bool { return v.list.read }
+
 // announce tells every member of the cell that the list was read, together
 // with all leaving incarnations that the list still shows. They are repeated in
 // every announcement, since one may be lost.
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -18,6 +18,14 @@
 // contacts in other cells.
 func (n *Node) Members() []membership.Member { return n.view.Members() }
 
+// LimitSharers returns the number of instances that a limit is divided among, as far
+// as this one knows.
+func (n *Node) LimitSharers() int { return n.view.LimitSharers(n.now) }
+
+// InstanceListRead reports whether this process has read the platform's list of
+// instances.
+func (n *Node) InstanceListRead() bool { return n.view.ListRead() }
+
 // PoolSummary describes one pool as seen from this instance.
 type PoolSummary struct {
 	Pool routing.PoolID
