membership, node, gateway: no instance serves before it has read the list of instances

Callers of an organisation above its quota were served 2 to 2.2 times what is allowed after all instances were restarted while the store was down. Each was ready as the only holder of every quota, since publishing the list of upstreams was passed on as a list without instances, and since the 2 s after which an instance takes itself for the first of its cell began with the process, not when it could first ask. Change: an instance without seeds settles only after it has read the list and joined, or waited 2 s from that read. A list of upstreams is an event of its own. The first read of the list follows at once when the store answers another call. Why it works: from its first request an instance counts all listed ones, heard of or not, as holders of a share.

--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -113,19 +113,18 @@
 	}
 }
 
-// instanceLists holds the newest lists of instances and of upstreams. They are
-// read separately, but the node expects them as one list.
+// instanceLists holds the newest list of upstreams. It is read separately, but the
+// node expects it together with each list of instances, and alone when it changes.
 type instanceLists struct {
 	mu        sync.Mutex
-	instances []node.ListedInstance
 	upstreams []node.ListedInstance
 	// faultsLoggedAt is the boot time at which invalid instance entries were last
 	// logged.
 	faultsLoggedAt atomic.Int64
 }
 
-// setUpstreams replaces the upstreams and returns the combined list for the node.
-func (l *instanceLists) setUpstreams(upstreams []ingress.Upstream) node.InstanceList {
+// setUpstreams replaces the upstreams and returns their list for the node.
+func (l *instanceLists) setUpstreams(upstreams []ingress.Upstream) node.UpstreamList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.upstreams = l.upstreams[:0]
@@ -134,23 +133,20 @@
 		l.upstreams = append(l.upstreams, node.ListedInstance{
 			Name: u.Name(), Incarnation: u.Incarnation, Upstream: true, Leaving: u.Leaving})
 	}
-	return l.combined()
+	return node.UpstreamList{Upstreams: slices.Clone(l.upstreams)}
 }
 
-// setInstances replaces the instances and returns the combined list for the node.
-func (l *instanceLists) setInstances(instances []InstanceEntry) node.InstanceList {
+// withInstances returns the list of instances combined with the upstreams.
+func (l *instanceLists) withInstances(instances []InstanceEntry) node.InstanceList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.instances = l.instances[:0]
+	list := node.InstanceList{OK: true, Instances: make([]node.ListedInstance, 0, len(instances)+len(l.upstreams))}
 	for _, i := range instances {
-		l.instances = append(l.instances, node.ListedInstance{
+		list.Instances = append(list.Instances, node.ListedInstance{
 			Name: i.Name, Incarnation: i.Incarnation, PeerAddress: i.PeerAddress, Leaving: i.Leaving})
 	}
-	return l.combined()
-}
-
-func (l *instanceLists) combined() node.InstanceList {
-	return node.InstanceList{OK: true, Instances: append(slices.Clone(l.instances), l.upstreams...)}
+	list.Instances = append(list.Instances, l.upstreams...)
+	return list
 }
 
 // listInstances reads the list of instances for the node.
@@ -162,5 +158,5 @@
 		return
 	}
 	g.logFaults(&g.lists.faultsLoggedAt, "instances", faults)
-	g.loop.Post(g.lists.setInstances(instances))
+	g.loop.Post(g.lists.withInstances(instances))
 }
--- a/internal/simtest/cmd/invariants/gateway_fault.go
+++ b/internal/simtest/cmd/invariants/gateway_fault.go
@@ -42,16 +42,16 @@
 	{"store-cut", func(r *gatewayRun, at time.Duration) {
 		r.scheduleFault(at, 3000, 10000, func() func() {
 			i := r.randomGateway()
-			r.store.unreachableFrom[i.Address] = true
-			return func() { r.store.unreachableFrom[i.Address] = false }
+			r.setStoreUnreachable(i, true)
+			return func() { r.setStoreUnreachable(i, false) }
 		})
 	}},
 	{"store-outage", func(r *gatewayRun, at time.Duration) {
 		r.scheduleFault(at, 3000, 8000, func() func() {
-			r.store.outage = true
+			r.setStoreOutage(true)
 			r.world.Loop.After(time.Second, func() { r.store.entriesLapsed = true })
 			return func() {
-				r.store.outage = false
+				r.setStoreOutage(false)
 				r.world.Loop.After(randomMillis(r.random, 200, 1500), func() { r.store.entriesLapsed = false })
 			}
 		})
@@ -97,17 +97,41 @@
 	{"power-loss", func(r *gatewayRun, _ time.Duration) {
 		// Just after the acknowledgement of the change.
 		r.scheduleFault(gatewayChangeAt+randomMillis(r.random, 1, 30), 300, 2500, func() func() {
-			live := r.world.Live()
-			for _, i := range live {
-				r.world.Kill(i)
-			}
-			return func() {
-				for _, i := range live {
-					r.restart(i)
-				}
-			}
+			return r.restartAll()
 		})
 	}},
+	{"restart-in-outage", func(r *gatewayRun, at time.Duration) {
+		r.scheduleFault(at, 2000, 9000, func() func() {
+			r.setStoreOutage(true)
+			r.world.Loop.After(randomMillis(r.random, 200, 1000), r.restartAll())
+			return func() { r.setStoreOutage(false) }
+		})
+	}},
+}
+
+// setStoreOutage starts or ends an outage of the store, for all that instances read there.
+func (r *gatewayRun) setStoreOutage(on bool) {
+	r.store.outage = on
+	r.world.Platform.SetOutage(on)
+}
+
+// setStoreUnreachable cuts an instance off from the store, or reconnects it.
+func (r *gatewayRun) setStoreUnreachable(i *simtest.Instance, on bool) {
+	r.store.unreachableFrom[i.Address] = on
+	r.world.PlatformUnreachable[i.Address] = on
+}
+
+// restartAll kills all instances and returns a function that starts them again.
+func (r *gatewayRun) restartAll() (restart func()) {
+	live := r.world.Live()
+	for _, i := range live {
+		r.world.Kill(i)
+	}
+	return func() {
+		for _, i := range live {
+			r.restart(i)
+		}
+	}
 }
 
 // scheduleFault begins a fault at a time and ends it low to high milliseconds later.
--- a/internal/simtest/cmd/invariants/gateway_run.go
+++ b/internal/simtest/cmd/invariants/gateway_run.go
@@ -78,6 +78,7 @@
 		world: simtest.NewWorld(seed), random: simtest.NewRand(seed, 1), seed: seed, faults: faultNames, mutant: mutant,
 		processes: map[*simtest.Instance]*gatewayProcess{},
 	}
+	r.world.PlatformUnreachable = map[string]bool{}
 	r.store = newConfigStore(r.world.Loop)
 	r.world.BeforeSend = r.confirmBeforeSend
 	r.world.ReadStore = func(i *simtest.Instance, a node.ReadStore) { r.processes[i].readStore(a.Part) }
@@ -103,7 +104,7 @@
 func (r *gatewayRun) startGateway() *simtest.Instance {
 	r.startCount++
 	config := simtest.Fixture{}.Config(r.startCount)
-	config.ExternalConfig = true
+	config.ExternalConfig, config.Seeds = true, nil
 	config.RefreshWithin = gatewayBounds.Apply
 	config.Mutations = node.Mutations{QuotaFullAtStart: r.mutant == "quota-full-at-start"}
 	return r.addProcess(r.world.Start(config))
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -70,9 +70,16 @@
 }
 
 // Settled reports whether the instance joined its cell, or waited settleTime
-// without an answer and assumes that it is the first.
+// without an answer and assumes that it is the first. With AwaitList the wait begins
+// with the first read of the list: before it, the instance has asked nobody.
 func (v *View) Settled(now time.Duration) bool {
-	return v.join.joined || v.started && now-v.join.startedAt >= settleTime
+	switch {
+	case v.join.joined:
+		return true
+	case v.cfg.AwaitList:
+		return v.list.read && now-v.list.firstReadAt >= settleTime
+	}
+	return v.started && now-v.join.startedAt >= settleTime
 }
 
 func (v *View) tickJoin(now time.Duration) {
--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -30,6 +30,14 @@
 // listTimeout is the time after which an unanswered read is repeated.
 const listTimeout = time.Second
 
+// firstReadSpread spreads the first reads of instances to which the platform
+// answers again at the same time.
+const firstReadSpread = 100 * time.Millisecond
+
+// unsettledListInterval is the time between reads of an instance that has found no
+// other one and is not settled yet.
+const unsettledListInterval = 500 * time.Millisecond
+
 // incarnationDigits is the number of hexadecimal digits with which instances
 // announce their incarnations.
 const incarnationDigits = 16
@@ -41,8 +49,9 @@
 	freshAt  time.Duration
 	nextRead time.Duration
 	failures int
-	// read is true once this instance has read the list itself.
-	read bool
+	// read is true once this instance has read the list itself, first at firstReadAt.
+	read        bool
+	firstReadAt time.Duration
 	// bound maps the name and platform incarnation of an entry to the
 	// incarnation of a member.
 	bound map[string]uint64
@@ -59,9 +68,13 @@
 	if !v.Reader() && v.join.joined && now-v.list.freshAt < announcementTimeout {
 		return false
 	}
-	v.list.nextRead = now + max(v.cfg.ListInterval, listTimeout)
-	if v.Reader() {
+	switch {
+	case v.list.read && !v.Settled(now):
+		v.list.nextRead = now + min(v.cfg.ListInterval, unsettledListInterval)
+	case v.Reader():
 		v.list.nextRead = now + v.cfg.ListInterval
+	default:
+		v.list.nextRead = now + max(v.cfg.ListInterval, listTimeout)
 	}
 	return true
 }
@@ -75,14 +88,15 @@
 		return
 	}
 	v.list.failures = 0
-	v.list.read = true
 	v.list.freshAt = now
+	if !v.list.read {
+		v.list.read, v.list.firstReadAt = true, now
+	}
 	v.join.addresses = v.join.addresses[:0]
 	versionBefore := v.leaving.version
-	var announced []*pb.MemberUpdate
+	announced := v.applyUpstreamEntries(now, listed)
 	for _, entry := range listed {
 		if entry.Upstream {
-			announced = append(announced, v.applyUpstreamEntry(now, entry)...)
 			continue
 		}
 		if entry.PeerAddress != "" && entry.PeerAddress != v.self.PeerAddress && !entry.Leaving {
@@ -97,18 +111,49 @@
 	// After an outage a member that is not a reader may be the first to see a
 	// leave. Gossip alone could arrive later than the owner's next grant.
 	if v.Reader() || v.leaving.version != versionBefore {
-		v.announce(announced)
+		v.announce(announced, true)
+	}
+}
+
+// OnUpstreamList merges a list of upstreams that was read without the list of
+// instances. It says nothing about which instances there are.
+func (v *View) OnUpstreamList(now time.Duration, listed []Listed) {
+	versionBefore := v.leaving.version
+	announced := v.applyUpstreamEntries(now, listed)
+	if v.leaving.version != versionBefore {
+		v.announce(announced, false)
+	}
+}
+
+// applyUpstreamEntries applies the listed upstreams and returns the updates to
+// announce.
+func (v *View) applyUpstreamEntries(now time.Duration, listed []Listed) (announced []*pb.MemberUpdate) {
+	for _, entry := range listed {
+		if entry.Upstream {
+			announced = append(announced, v.applyUpstreamEntry(now, entry)...)
+		}
+	}
+	return announced
+}
+
+// PlatformAnswered records that the platform answered another call. If no read of
+// the list has succeeded yet, it is read soon instead of after the backoff: until
+// then this instance does not know which others there are.
+func (v *View) PlatformAnswered(now time.Duration) {
+	if !v.list.read && v.list.failures > 0 {
+		v.list.failures = 0
+		v.list.nextRead = min(v.list.nextRead, now+v.jitter(firstReadSpread))
 	}
 }
 
 // ListRead reports whether this instance has read the platform's list itself.
 func (v *View) ListRead() bool { return v.list.read }
 
-// announce tells every member of the cell that the list was read, together
-// with all leaving incarnations that the list still shows. They are repeated in
+// announce tells every member of the cell all leaving incarnations that the list
+// still shows, and whether the list of instances was read. They are repeated in
 // every announcement, since one may be lost.
-func (v *View) announce(updates []*pb.MemberUpdate) {
-	message := &pb.MemberUpdates{Updates: updates, ListRead: true}
+func (v *View) announce(updates []*pb.MemberUpdate, listRead bool) {
+	message := &pb.MemberUpdates{Updates: updates, ListRead: listRead}
 	v.EachLive(func(m Member) {
 		v.send(m.Incarnation, m.PeerAddress, &pb.PeerMessage{Body: &pb.PeerMessage_MemberUpdates{MemberUpdates: message}})
 	})
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -70,6 +70,9 @@
 	PingInterval, DeadAfter, ListInterval time.Duration
 	// Seeds are peer addresses to join through.
 	Seeds []string
+	// AwaitList is true if this instance can find the others only on the platform's
+	// list, so that it does not settle before it has read it.
+	AwaitList bool
 	// Seed makes random choices repeatable.
 	Seed uint64
 	// IgnoreLeaving injects a fault for tests: leaving upstreams stay usable.
@@ -84,7 +87,7 @@
 	Body    *pb.PeerMessage
 }
 
-// settleTime is how long a starting instance waits for an answer to its joins
+// settleTime is how long an instance that knows whom to join waits for an answer
 // before it assumes that it is the first of its cell, and how long an instance
 // waits for an answer after a pause before it trusts its view again.
 const settleTime = 2 * time.Second
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -152,6 +152,9 @@
 	Instances []ListedInstance
 }
 
+// UpstreamList is a list of upstreams that was read without the list of instances.
+type UpstreamList struct{ Upstreams []ListedInstance }
+
 // OrderUpstream requests that an order be sent to an upstream, for example to
 // load a model. It is sent under the upstream's lease; OrderResult answers it.
 type OrderUpstream struct {
@@ -258,6 +261,7 @@
 func (FrameReceived) isEvent()      {}
 func (StoreDone) isEvent()          {}
 func (InstanceList) isEvent()       {}
+func (UpstreamList) isEvent()       {}
 func (OrderUpstream) isEvent()      {}
 func (SendOrderDone) isEvent()      {}
 func (CacheEvents) isEvent()        {}
--- a/pkg/node/fuzz_test.go
+++ b/pkg/node/fuzz_test.go
@@ -54,6 +54,9 @@
 	case 7:
 		return node.StoreDone{Call: store.CallID(s.IntN(20)), Result: store.Result{Status: store.Status(s.IntN(8)), Version: s.Uint64()}}
 	case 8:
+		if s.IntN(3) == 0 {
+			return node.UpstreamList{Upstreams: []node.ListedInstance{{Name: "u", Incarnation: "1", Upstream: true, Leaving: s.IntN(2) == 0}}}
+		}
 		return node.InstanceList{OK: s.IntN(2) == 0, Instances: []node.ListedInstance{
 			{Name: "e1", Incarnation: fmt.Sprint(s.IntN(3)), Upstream: true, Leaving: s.IntN(2) == 0},
 			{Name: "n2", Incarnation: "x", PeerAddress: "10.0.0.2:1", Leaving: s.IntN(2) == 0}}}
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -30,12 +30,18 @@
 	// parts is the store's content of records of parts; partLifts are an operator's lifts.
 	parts     map[poison.Key]poison.Record
 	partLifts []poison.Key
+	// list answers reads of the list of instances. If it is set, nodes have no seeds.
+	list func(at string) node.InstanceList
+	// completed counts the dispatches of each node, which upstreams answer at once, if
+	// answersAtOnce is true.
+	answersAtOnce bool
+	completed     map[string]int
 	// actions holds all other actions of each node, by its address.
 	actions map[string][]node.Action
 }
 
 func newCluster(t *testing.T, addresses ...string) *cluster {
-	c := &cluster{t: t, nodes: map[string]*node.Node{}, cut: map[string]bool{}, storeUnreachable: map[string]bool{}, reads: map[string]int{}, parts: map[poison.Key]poison.Record{}, actions: map[string][]node.Action{}, order: addresses}
+	c := &cluster{t: t, nodes: map[string]*node.Node{}, cut: map[string]bool{}, storeUnreachable: map[string]bool{}, reads: map[string]int{}, parts: map[poison.Key]poison.Record{}, completed: map[string]int{}, actions: map[string][]node.Action{}, order: addresses}
 	for i, a := range addresses {
 		c.start(a, uint64(i+1))
 	}
@@ -44,8 +50,12 @@
 
 // start starts a node, or a new incarnation of one.
 func (c *cluster) start(at string, incarnation uint64) {
+	seeds := c.order
+	if c.list != nil {
+		seeds = nil
+	}
 	c.nodes[at] = node.New(node.Config{Incarnation: node.Incarnation(incarnation), PeerAddress: at, CallerAddress: "c" + at, Region: "r", Started: c.now,
-		ExternalConfig: true, RefreshWithin: 2 * time.Second, Seeds: c.order, RepeatedSends: dispatch.SendBudget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
+		ExternalConfig: true, RefreshWithin: 2 * time.Second, Seeds: seeds, RepeatedSends: dispatch.SendBudget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
 		PartBlocks: poison.Config{Ends: 3, Trial: time.Minute}}, incarnation)
 }
 
@@ -86,6 +96,15 @@
 			}
 			continue
 		}
+		if _, ok := action.(node.ListInstances); ok && c.list != nil {
+			c.step(at, c.list(at))
+			continue
+		}
+		if d, ok := action.(node.Dispatch); ok && c.answersAtOnce {
+			c.completed[at]++
+			c.step(at, node.UpstreamDone{ID: d.ID, Result: node.ResultComplete})
+			continue
+		}
 		if !c.partStoreStep(at, action) {
 			c.actions[at] = append(c.actions[at], action)
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -120,7 +120,8 @@
 				AdminAddress: cfg.AdminAddress, FailureDomain: cfg.FailureDomain, Cell: cfg.Cell,
 			},
 			PingInterval: cfg.PingInterval, DeadAfter: cfg.DeadAfter, ListInterval: cfg.ListInterval,
-			Seeds: cfg.Seeds, Seed: seed, IgnoreLeaving: cfg.Mutations.IgnoreLeaving,
+			Seeds: cfg.Seeds, AwaitList: len(cfg.Seeds) == 0 && cfg.Bootstrap == nil,
+			Seed: seed, IgnoreLeaving: cfg.Mutations.IgnoreLeaving,
 		}),
 		table: dispatch.NewTable(dispatch.Config{
 			Self: self, RetryBudgetPercent: cfg.RetryBudgetPercent, RepeatedSends: cfg.RepeatedSends,
@@ -175,6 +176,8 @@
 		n.storeDone(e.Call, e.Result)
 	case InstanceList:
 		n.instanceList(e)
+	case UpstreamList:
+		n.upstreamList(e)
 	case OrderUpstream:
 		n.orderUpstream(e)
 	case SendOrderDone:
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -241,12 +241,22 @@
 
 // instanceList passes the platform's list to the membership view.
 func (n *Node) instanceList(e InstanceList) {
-	listed := make([]membership.Listed, 0, len(e.Instances))
-	for _, line := range e.Instances {
+	n.view.OnList(n.now, e.OK, listedEntries(e.Instances))
+	n.updateOwnership()
+}
+
+// upstreamList passes a list of upstreams to the membership view.
+func (n *Node) upstreamList(e UpstreamList) {
+	n.view.OnUpstreamList(n.now, listedEntries(e.Upstreams))
+	n.updateOwnership()
+}
+
+func listedEntries(instances []ListedInstance) []membership.Listed {
+	listed := make([]membership.Listed, 0, len(instances))
+	for _, line := range instances {
 		listed = append(listed, membership.Listed(line))
 	}
-	n.view.OnList(n.now, e.OK, listed)
-	n.updateOwnership()
+	return listed
 }
 
 // cacheEvents passes hints about prefix caches to the pools hosted here. Events
--- a/pkg/node/refresh.go
+++ b/pkg/node/refresh.go
@@ -63,6 +63,9 @@
 func (n *Node) storeRead(e StoreReadDone) {
 	changed, due := n.refresher.OnRead(n.now, e.Part, e.Started, e.OK, e.Version)
 	n.emitReads(due)
+	if e.OK {
+		n.view.PlatformAnswered(n.now)
+	}
 	n.updateBehind()
 	n.updateOwnership()
 	if !changed || n.view.ReaderOf(instancesPerReader, true) != 0 {
