quota: a smaller share takes effect on tokens that are held

Tokens were limited only when they grew. Change: tokens above a share that became smaller are given up at the next refill. Why it works: from when an instance applies the smaller share it holds no more than that, so all hold no more than the burst.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -8,6 +8,7 @@
 //     span, plus its share of the burst, plus the tokens received from other
 //     instances, plus one request;
 //   - tokens that one instance gives are received by at most one other, at most once;
+//   - from when a smaller share takes effect, an instance holds no tokens above it;
 //   - a bucket is empty when the process starts.
 package quota
 
@@ -86,6 +87,8 @@
 	// reserve for more urgent ones is not met.
 	floor    float64
 	refilled time.Duration
+	// burst is the share of the burst at the last refill.
+	burst float64
 	// lastRequest is the time of the last request of each tier; 0 if there was none.
 	lastRequest [maxTiers]time.Duration
 }
@@ -114,7 +117,8 @@
 }
 
 // refill adds the tokens earned since the last call to an organisation's bucket, up
-// to its share of the burst. Tokens received above the burst stay.
+// to its share of the burst. Tokens received above the burst stay until the share
+// becomes smaller, since there are more instances or the limit was lowered.
 func (l *Ledger) refill(now time.Duration, organisation string, share Limit) *bucket {
 	b := l.buckets[organisation]
 	if b == nil {
@@ -123,6 +127,10 @@
 		b = &bucket{refilled: l.started}
 		l.buckets[organisation] = b
 	}
+	if share.Burst < b.burst {
+		b.tokens = min(b.tokens, share.Burst)
+	}
+	b.burst = share.Burst
 	if grown := min(share.Burst, b.tokens+share.PerSecond*max(0, now-b.refilled).Seconds()); grown > b.tokens {
 		b.tokens = grown
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -131,3 +131,61 @@
 	require.GreaterOrEqual(t, used.PerSecond-stated.PerSecond, (tolerated-stated.Burst-stated.PerSecond*window)/window/2)
 	require.Equal(t, stated, stated.Widened(quota.Tolerance{}))
 }
+
+// TestSmallerShareCutsTokens guards against tokens that stay although the share is smaller than
+// when the bucket filled: more instances share the quota, or the quota was lowered.
+func TestSmallerShareCutsTokens(t *testing.T) {
+	for name, smaller := range map[string]struct {
+		limit     quota.Limit
+		instances int
+	}{
+		"more instances": {limit, 4},
+		"lower quota":    {quota.Limit{PerSecond: 25, Burst: 50}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := quota.NewLedger(0)
+			l.Receive(bucketsFull, "o", limit, 30, 1)
+			granted := 0
+			for ok := true; ok; granted++ {
+				ok, _, _ = l.Charge(bucketsFull, "o", smaller.limit, quota.Request{Cost: 1}, smaller.instances)
+			}
+			require.Equal(t, 50, granted-1)
+		})
+	}
+}
+
+// TestLoweredLimit guards against a lower quota that does not take effect, after any sequence of
+// requests, transfers and changes of the number of instances: from then on, all
+// instances together grant no more than a plain bucket of the lower quota.
+func TestLoweredLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most, largest = 4, 20.0
+		ledgers := make([]*quota.Ledger, most)
+		for i := range ledgers {
+			ledgers[i] = quota.NewLedger(0)
+		}
+		now, granted := bucketsFull, 0.0
+		step := func(current quota.Limit, instances int) {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			from, to := rapid.IntRange(0, instances-1).Draw(t, "from"), rapid.IntRange(0, instances-1).Draw(t, "to")
+			if rapid.IntRange(0, 2).Draw(t, "transfer") == 0 {
+				ledgers[to].Receive(now, "o", current, ledgers[from].Transfer(now, "o", current, 0, 50, instances), instances)
+				return
+			}
+			cost := float64(rapid.IntRange(1, int(largest)).Draw(t, "cost"))
+			if ok, _, _ := ledgers[from].Charge(now, "o", current, quota.Request{Cost: cost}, instances); ok {
+				granted += cost
+			}
+		}
+		for range rapid.IntRange(0, 50).Draw(t, "before") {
+			step(limit, rapid.IntRange(1, most).Draw(t, "instances"))
+		}
+		lower := quota.Limit{PerSecond: limit.PerSecond / 4, Burst: limit.Burst / 4}
+		lowered := now
+		granted = 0
+		for range rapid.IntRange(1, 200).Draw(t, "after") {
+			step(lower, most)
+			require.LessOrEqual(t, granted, lower.PerSecond*(now-lowered).Seconds()+lower.Burst+most*largest)
+		}
+	})
+}
