membership: rank of readers and number of live members are computed once per epoch

Cause: each tick of an instance sorted all members for its rank among the readers: 18 of 87 s of processor time of the tests with 300 instances. Change: what follows from the members alone is kept until they change.

--- a/pkg/membership/owner.go
+++ b/pkg/membership/owner.go
@@ -62,7 +62,23 @@
 
 // Reader reports whether this instance is one of the two of its cell that poll
 // the platform: those with the lowest rendezvous scores.
-func (v *View) Reader() bool {
+func (v *View) Reader() bool { return v.reader.get(v.epoch, v.ranksAsReader) }
+
+// perEpoch is a value that follows from the members alone, and so is computed once for
+// each epoch.
+type perEpoch[T any] struct {
+	epoch uint64
+	value T
+}
+
+func (p *perEpoch[T]) get(epoch uint64, compute func() T) T {
+	if p.epoch != epoch {
+		p.epoch, p.value = epoch, compute()
+	}
+	return p.value
+}
+
+func (v *View) ranksAsReader() bool {
 	if v.self.Leaving {
 		return false
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -126,7 +126,9 @@
 	join     joiner
 	list     listReader
 	// sharers is the last count of LimitSharers.
-	sharers sharerCount
+	sharers   sharerCount
+	reader    perEpoch[bool]
+	liveCount perEpoch[int]
 	// leaving holds the upstreams that were seen leaving.
 	leaving  upstreamRecords
 	outbox   []Message
@@ -221,7 +223,9 @@
 }
 
 // LiveCount returns the number of live members that are not leaving, at least 1.
-func (v *View) LiveCount() int {
+func (v *View) LiveCount() int { return v.liveCount.get(v.epoch, v.countLive) }
+
+func (v *View) countLive() int {
 	count := 0
 	if !v.self.Leaving {
 		count++
