node, dispatch: repeated sends and limits are divided as quotas are

The allowance for repeated sends and the limits per organisation were divided by the number of live members, so an instance that is cut off used the whole of them, beside the others that go on using their shares. Change: they are divided by LimitSharers, which counts members that only seem dead; the field of the dispatch table has that name now. Why it works: an instance to which most others seem dead keeps its share.

--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -229,7 +229,7 @@
 	default:
 		return false
 	}
-	if !t.routeFor(r.Pool).sends.consumeSend(now, t.cfg.RepeatedSends, t.LiveEntries) {
+	if !t.routeFor(r.Pool).sends.consumeSend(now, t.cfg.RepeatedSends, t.LimitSharers) {
 		t.count("retries_denied", reason)
 		return false
 	}
--- a/pkg/dispatch/limits_test.go
+++ b/pkg/dispatch/limits_test.go
@@ -39,7 +39,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			table := dispatch.NewTable(dispatch.Config{Self: self, MaxRequests: 100})
-			table.LiveEntries = 4
+			table.LimitSharers = 4
 			accepted := 0
 			for id := dispatch.ID(1); id <= 10; id++ {
 				codes := refusalCodes(submitRequest(table, id, test.limits, dispatch.Limits{}))
@@ -175,7 +175,7 @@
 	var repeats []time.Duration
 	for entry := range entries {
 		table := dispatch.NewTable(dispatch.Config{Self: self, MaxRequests: 100_000, RepeatedSends: total, Seed: uint64(entry)})
-		table.LiveEntries = entries
+		table.LimitSharers = entries
 		id := dispatch.ID(0)
 		for now := time.Duration(0); now < 40*time.Second; now += time.Second / perSecond {
 			id++
--- a/pkg/dispatch/table.go
+++ b/pkg/dispatch/table.go
@@ -71,21 +71,21 @@
 	waiting waitingSet
 	budget  retryBudget
 	effects []Effect
-	// LiveEntries is the number of live entry instances among which the limits are
+	// LimitSharers is the number of instances among which the limits are
 	// divided.
-	LiveEntries int
+	LimitSharers int
 }
 
 // NewTable returns an empty Table.
 func NewTable(cfg Config) *Table {
 	return &Table{
-		cfg:         cfg,
-		random:      rand.New(rand.NewPCG(cfg.Seed, cfg.Self)),
-		records:     map[ID]*Record{},
-		pools:       map[uint64]*poolRoute{},
-		limits:      newLimiter(),
-		budget:      newRetryBudget(cfg.RetryBudgetPercent),
-		LiveEntries: 1,
+		cfg:          cfg,
+		random:       rand.New(rand.NewPCG(cfg.Seed, cfg.Self)),
+		records:      map[ID]*Record{},
+		pools:        map[uint64]*poolRoute{},
+		limits:       newLimiter(),
+		budget:       newRetryBudget(cfg.RetryBudgetPercent),
+		LimitSharers: 1,
 	}
 }
 
@@ -110,7 +110,7 @@
 func (t *Table) routeFor(pool uint64) *poolRoute {
 	p, ok := t.pools[pool]
 	if !ok {
-		p = &poolRoute{owner: t.cfg.Self, sends: sendBudget{tokens: t.cfg.RepeatedSends.Extra / float64(max(1, t.LiveEntries))}}
+		p = &poolRoute{owner: t.cfg.Self, sends: sendBudget{tokens: t.cfg.RepeatedSends.Extra / float64(max(1, t.LimitSharers))}}
 		t.pools[pool] = p
 		t.poolIDs = append(t.poolIDs, pool)
 	}
@@ -137,7 +137,7 @@
 			Remedy: "send a deadline in the future"})
 		return
 	}
-	if code, flow, after := t.limits.admit(now, &r.Request, kind, org, t.LiveEntries); code != "" {
+	if code, flow, after := t.limits.admit(now, &r.Request, kind, org, t.LimitSharers); code != "" {
 		t.refuseNew(r, Refusal{Code: code, Reason: "limit of " + flow + " reached",
 			Remedy: "send fewer requests or ask an operator to raise the limit", RetryAfter: after})
 		return
@@ -147,7 +147,7 @@
 		return
 	}
 	t.budget.firstAttempt()
-	t.routeFor(r.Pool).sends.firstAttempt(now, t.cfg.RepeatedSends, t.LiveEntries)
+	t.routeFor(r.Pool).sends.firstAttempt(now, t.cfg.RepeatedSends, t.LimitSharers)
 	t.records[r.ID] = r
 	t.waiting.add(r, t.cfg.MaxRequests)
 	p := t.routeFor(r.Pool)
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -208,6 +208,38 @@
 	require.LessOrEqual(t, served, 10, "the share of one of three")
 }
 
+// TestRepeatedSendsOfACutInstance guards against more repeated sends in total than allowed:
+// an instance that is cut off keeps to its share of them, since the others go on using
+// theirs.
+func TestRepeatedSendsOfACutInstance(t *testing.T) {
+	const extra, ratio = 10.0, 0.2 // as in cluster.start
+	c := newCluster(t, "a", "b", "c")
+	for _, at := range c.order {
+		c.configure(at, node.UseConfiguration{Set: serviceSet(1, "1", "2", "3")})
+	}
+	c.run(5 * time.Second)
+	c.cut["a"] = true
+	c.run(8 * time.Second) // long enough for a to declare the others dead
+	c.answersAtOnce = true
+	for id := range uint64(300) {
+		s := submission(id + 1)
+		s.MaxSends, s.Repeatable = 2, true
+		c.step("a", s)
+	}
+	c.run(40 * time.Second) // what these requests have earned is saved up to the bound
+	c.answersAtOnce = false
+	const failing = 20
+	for id := range uint64(failing) {
+		s := submission(1000 + id)
+		s.MaxSends, s.Repeatable = 2, true
+		c.step("a", s)
+		c.step("a", node.UpstreamDone{ID: s.ID, Result: node.ResultBroken})
+	}
+	repeated := len(c.dispatches("a")) - failing
+	require.Positive(t, repeated)
+	require.LessOrEqual(t, float64(repeated), extra/3+ratio*failing)
+}
+
 // TestSendsOfOneRequest guards the rules for repeated sends: a request that an
 // upstream refused before it ran is sent again within MaxSends, one whose answer
 // was lost only if it is repeatable, and one that may have run is never reported
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -237,7 +237,7 @@
 	}
 	n.updateOwnership()
 	n.checkOwners()
-	n.table.LiveEntries = n.view.LiveCount()
+	n.table.LimitSharers = n.view.LimitSharers(n.now)
 	n.table.Tick(n.now)
 	n.tickPools()
 	n.tickReports()
