forward, gateway, platform: only its events reach the caller of a numbered stream

Clients got a piece without an id after one with an id, from servers that sent garbage. Events of a stream were relayed whatever they were; only the first id of each read was compared with the last one. Each event then has one id, a number above the last; its lines are fields, its bytes text. The first bytes that are not break the answer, which is continued elsewhere or cut; the log quotes them. Why it works: whatever a server puts into a stream, the caller gets a beginning of its events.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -287,7 +287,8 @@
 		var out strings.Builder
 		events := 0
 		for from := 0; from < len(text); from += size {
-			complete, n := s.add([]byte(text[from:min(len(text), from+size)]))
+			complete, n, err := s.add([]byte(text[from:min(len(text), from+size)]))
+			require.NoError(t, err)
 			out.Write(complete)
 			events += n
 		}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -14,6 +14,8 @@
 	// first is the id of the first event with an id that the last call of add
 	// returned, last that of the last event with an id since the start.
 	first, last string
+	// numbered checks the events if the stream's events are numbered; nil otherwise.
+	numbered *numberedEvents
 }
 
 // reset discards the start of an event that was incomplete when the stream broke.
@@ -37,9 +39,10 @@
 	return false
 }
 
-// add takes bytes of the stream and returns the events that they complete. The
-// result is valid until the next call.
-func (s *eventSplitter) add(p []byte) (complete []byte, events int) {
+// add takes bytes of the stream and returns the events that they complete, up to the
+// first that is not an event of a numbered stream, which is an error. The result is valid
+// until the next call.
+func (s *eventSplitter) add(p []byte) (complete []byte, events int, err error) {
 	s.pending = append(s.pending, p...)
 	s.first = ""
 	start := 0
@@ -48,18 +51,23 @@
 		if end < 0 {
 			break
 		}
+		if s.numbered != nil {
+			if err = s.numbered.next(s.pending[start:end]); err != nil {
+				break
+			}
+		}
 		s.noteID(s.pending[start:end])
 		start, s.scanned = end, end
 		events++
 	}
 	if events == 0 {
 		s.scanned = max(0, len(s.pending)-len(longestEventEnd))
-		return nil, 0
+		return nil, 0, err
 	}
 	s.complete = append(s.complete[:0], s.pending[:start]...)
 	s.pending = append(s.pending[:0], s.pending[start:]...)
 	s.scanned = 0
-	return s.complete, events
+	return s.complete, events, err
 }
 
 // noteID records the id of a complete event, if it has one.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -288,6 +288,9 @@
 		}
 	}
 	x.relay.eventSplitter.reset()
+	if x.request.NumberedEvents && x.relay.eventSplitter.numbered == nil {
+		x.relay.eventSplitter.numbered = &numberedEvents{}
+	}
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -332,12 +335,15 @@
 	if !stream {
 		return x.writeToCaller(p)
 	}
-	complete, events := x.relay.eventSplitter.add(p)
+	complete, events, invalid := x.relay.eventSplitter.add(p)
 	if events > 0 {
 		if err := x.relayEvents(response, complete, events); err != nil {
 			return err
 		}
 	}
+	if invalid != nil {
+		return invalid
+	}
 	if limit := x.client.options.MaxEventBytes; limit > 0 && len(x.relay.eventSplitter.remainder()) > limit {
 		return errEventTooLarge
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,6 +126,9 @@
 	WithholdFailure bool
 	// Stream is true if the answer is a stream of events.
 	Stream bool
+	// NumberedEvents is true if each event of the stream must have an id, and the ids
+	// are increasing numbers. Anything else breaks the answer.
+	NumberedEvents bool
 }
 
 // Sink receives the answer for a caller. Its methods are called by one goroutine.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -258,6 +258,7 @@
 		Address: d.Address, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: c.g.codec.UpstreamHeader(c.http.Header, send), Body: c.body, ID: c.head.ID,
 		Repeatable: c.route.Repeatable(), WithholdFailure: c.route.Repeatable() && c.route.MaxSends > 1, Stream: c.route.Kind == ingress.Stream,
+		NumberedEvents: c.route.NumberedEvents,
 	}
 }
 
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -63,6 +63,11 @@
 
 // gatewayOf is gatewayTo with a route for all requests.
 func gatewayOf(t *testing.T, address string, route *ingress.Route, limit time.Duration) (front string, ended chan time.Duration) {
+	return gatewayWith(t, granting{address: address}, route, limit)
+}
+
+// gatewayWith is gatewayOf with a node that decides where requests are sent.
+func gatewayWith(t *testing.T, machine nodeloop.Machine, route *ingress.Route, limit time.Duration) (front string, ended chan time.Duration) {
 	metrics, err := telemetry.NewMetrics()
 	require.NoError(t, err)
 	t.Cleanup(func() { metrics.Close(context.Background()) })
@@ -70,7 +75,7 @@
 		log: eventlog.New(zerolog.Nop(), "n", "i", func(string) {})}
 	g.upstreams = forward.NewClient(forward.Options{DialTimeout: time.Second, MaxIdle: 4, ReadHead: plainCodec{}.ReadAnswerHead})
 	t.Cleanup(g.upstreams.Close)
-	g.loop = nodeloop.New(granting{address: address}, g.execute)
+	g.loop = nodeloop.New(machine, g.execute)
 	running, stop := context.WithCancel(context.Background())
 	go g.loop.Run(running)
 	t.Cleanup(func() { stop(); <-g.loop.Stopped() })
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -60,6 +60,9 @@
 	Public bool
 	// Resumable streams can be continued after a given event.
 	Resumable bool
+	// NumberedEvents is true if each event of a stream has an id and the ids are
+	// increasing numbers, so that other bytes in the stream can be told from events.
+	NumberedEvents bool
 	// ModelCall is true if requests carry prompts for a model.
 	ModelCall bool
 }
