forward, gateway, node: only a stream is continued, and only by a stream

After a part of an error had reached the caller and its server broke off, the events of the next server's stream were added to it and the whole was framed as complete ('errorid: 3'); a next answer 204 ended a stream of which 2 of 4 events had been relayed as complete; and a request was sent again although no other answer could be used. Change: what has begun is remembered as a stream or not; only status 200 begins or continues one; UpstreamDone.NoRepeat ends the sends. Why it works: bytes are added only where both sides are parts of one stream of events.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -233,7 +233,7 @@
 		return Result{Status: Broken, Code: response.StatusCode, Detail: "the upstream failed without saying whether it ran the request"}, true
 	case response.ContentLength > x.client.options.MaxBodyBytes && x.client.options.MaxBodyBytes > 0:
 		return Result{Status: Broken, Code: response.StatusCode, Detail: errBodyTooLarge.Error()}, true
-	case x.relay.Started() && (!success || !x.request.Stream):
+	case x.relay.Started() && !(x.relay.Continuable() && x.isStream(response)):
 		return Result{Status: Broken, Code: response.StatusCode, Detail: "the stream was not continued"}, true
 	}
 	return Result{}, false
@@ -264,13 +264,16 @@
 	return false
 }
 
+// isStream reports whether an answer is the stream of events that was asked for. A
+// failure is none, whatever its body.
+func (x *exchange) isStream(response *http.Response) bool {
+	return x.request.Stream && response.StatusCode == http.StatusOK &&
+		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // relayAnswer relays status, headers and body.
 func (x *exchange) relayAnswer(response *http.Response) Result {
-	stream := x.request.Stream && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	if x.relay.Started() && !stream {
-		return Result{Status: Broken, Code: response.StatusCode, Detail: "the stream was not continued"}
-	}
-	err := x.relayBody(response, stream)
+	err := x.relayBody(response, x.isStream(response))
 	if err == nil {
 		return Result{Status: Complete, Code: response.StatusCode}
 	}
@@ -320,6 +323,7 @@
 		return nil
 	}
 	x.relay.started.Store(true)
+	x.relay.stream = x.isStream(response)
 	if err := x.relay.Sink.Start(response.StatusCode, response.Header, length); err != nil {
 		return errCallerDisconnected
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -169,7 +169,9 @@
 	Load        LoadReport
 	LoadInvalid bool
 	started     atomic.Bool
-	events      uint32
+	// stream is true if what was relayed is a stream of events.
+	stream bool
+	events uint32
 	// lastEvent is the id of the last complete event that was relayed.
 	lastEvent     string
 	eventSplitter eventSplitter
@@ -179,6 +181,10 @@
 // may be called by any goroutine.
 func (r *CallerAnswer) Started() bool { return r.started.Load() }
 
+// Continuable reports whether another exchange may add to the answer: nothing was
+// relayed yet, or events of a stream.
+func (r *CallerAnswer) Continuable() bool { return !r.Started() || r.stream }
+
 // LastEvent is the id of the last complete event that was relayed, or empty.
 func (r *CallerAnswer) LastEvent() string { return r.lastEvent }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -213,7 +213,8 @@
 	if outcome == node.ResultComplete && c.route.Kind != ingress.Stream {
 		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id, SlowdownPercent: c.relay.Load.SlowdownPercent})
 	}
-	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events, SlowdownPercent: c.relay.Load.SlowdownPercent})
+	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events,
+		SlowdownPercent: c.relay.Load.SlowdownPercent, NoRepeat: !c.relay.Continuable()})
 	if result.Status == forward.Complete {
 		if result.Events > 0 {
 			c.g.metrics.LongestPause(c.longestGap)
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -33,6 +33,12 @@
 // readAnswer sends a request with the given protocol version and returns the body of its
 // answer, and an error if the answer is not framed as complete.
 func readAnswer(t *testing.T, front, protocol string) (string, error) {
+	_, body, err := readStatus(t, front, protocol)
+	return body, err
+}
+
+// readStatus is readAnswer with the status of the answer.
+func readStatus(t *testing.T, front, protocol string) (int, string, error) {
 	const allowed = 10 * time.Second
 	conn, err := net.Dial("tcp", front)
 	require.NoError(t, err)
@@ -42,10 +48,10 @@
 	require.NoError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return "", err
+		return 0, "", err
 	}
 	body, err := io.ReadAll(response.Body)
-	return string(body), err
+	return response.StatusCode, string(body), err
 }
 
 // TestAnswerFramedAsCompleteIsWhole guards against an answer whose framing towards the caller
--- a/internal/gateway/stream_pieces_test.go
+++ b/internal/gateway/stream_pieces_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,8 +25,12 @@
 	nodeloop.Machine
 	addresses []string
 	sends     map[node.RequestID]int
+	grants    atomic.Int64
 }
 
+// granted is the number of sends that were granted.
+func (m *grantingInTurn) granted() int { return int(m.grants.Load()) }
+
 // Step implements nodeloop.Machine.
 func (m *grantingInTurn) Step(_ time.Duration, event node.Event, _ []node.Action) []node.Action {
 	var id node.RequestID
@@ -37,6 +42,9 @@
 			return nil
 		}
 		id = e.ID
+		if e.NoRepeat {
+			m.sends[id] = len(m.addresses)
+		}
 	case node.DispatchFailed:
 		id = e.ID
 	default:
@@ -45,6 +53,7 @@
 	next := m.sends[id]
 	m.sends[id]++
 	if next < len(m.addresses) {
+		m.grants.Add(1)
 		return []node.Action{node.Dispatch{ID: id, Upstream: "u", Address: m.addresses[next]}}
 	}
 	return []node.Action{node.Refuse{ID: id, Refusal: answer.Refusal{Code: "upstream_broke", Ran: answer.RanUnknown}}}
--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -216,6 +216,13 @@
 	return true
 }
 
+// ForbidRepeat makes the send in progress the last one of a request.
+func (t *Table) ForbidRepeat(id ID) {
+	if r := t.records[id]; r != nil {
+		r.MaxSends = r.sends
+	}
+}
+
 // resend queues a dispatched request for another upstream, if it may be sent again
 // and the pool's budget of repeated sends allows it.
 func (t *Table) resend(now time.Duration, r *Record, result Result) bool {
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -120,6 +120,9 @@
 	CachedPromptTokens uint32
 	// Outcome is the answer of a non-idempotent call, for its record.
 	Outcome *pb.BindingOutcome
+	// NoRepeat is true if no other answer can be used, since the caller has received a
+	// part of this one that cannot be continued.
+	NoRepeat bool
 	// SlowdownPercent is as in UpstreamFirstToken.
 	SlowdownPercent uint32
 }
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -277,6 +277,22 @@
 	}
 }
 
+// TestNoRepeat guards against sending a request again whose caller has a part of an answer that
+// cannot be continued, for every result of the send.
+func TestNoRepeat(t *testing.T) {
+	for _, result := range []node.UpstreamResult{node.ResultBroken, node.ResultFailed, node.ResultMismatched, node.ResultRefused} {
+		c := newCluster(t, "a")
+		c.configure("a", node.UseConfiguration{Set: serviceSet(1, "1", "2", "3")})
+		c.run(3 * time.Second)
+		s := submission(1)
+		s.MaxSends, s.Repeatable = 3, true
+		c.step("a", s)
+		c.step("a", node.UpstreamDone{ID: 1, Result: result, NoRepeat: true})
+		require.Len(t, c.dispatches("a"), 1)
+		require.Len(t, c.refusals("a"), 1)
+	}
+}
+
 // TestUpstreamsKnownAtDifferentTimes guards against bouncing requests between
 // instances that have not seen the same upstreams yet, and against an owner that
 // repeatedly grants an upstream which the entry knows to be removed.
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -199,6 +199,9 @@
 		call.outcome = e.Outcome
 	}
 	n.table.ReportLoad(id, e.SlowdownPercent)
+	if e.NoRepeat {
+		n.table.ForbidRepeat(id)
+	}
 	n.table.Finish(n.now, id, dispatchResults[e.Result], e.OutputTokens, e.CachedPromptTokens)
 }
 
