--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -15,35 +15,23 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // endless starts a server that answers each request with start and then repeats
 // text until the caller closes the connection.
 func endless(t testing.TB, start, text string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	block := []byte(strings.Repeat(text, 1+(32<<10)/len(text)))
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := c.Write([]byte(start))
-				for err == nil {
-					_, err = c.Write(block)
-				}
-			}()
+	return testserver.Listen(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, err := c.Write([]byte(start))
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	})
 }
 
 // discard is a Sink that counts what it receives.
@@ -231,37 +219,24 @@
 // first answer of a connection before any later answer on it; all other requests
 // get the answer then.
 func copyingServer(t *testing.T, first, then string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var served atomic.Int32
-	go func() {
+	return testserver.Listen(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		copied := ""
 		for {
-			c, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				reader := bufio.NewReader(c)
-				copied := ""
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = bufio.NewReader(request.Body).WriteTo(&strings.Builder{})
-					text := then
-					if served.Add(1) == 1 {
-						text = first
-					}
-					_, _ = fmt.Fprint(c, copied, text)
-					copied = text
-				}
-			}()
+			_, _ = bufio.NewReader(request.Body).WriteTo(&strings.Builder{})
+			text := then
+			if served.Add(1) == 1 {
+				text = first
+			}
+			_, _ = fmt.Fprint(c, copied, text)
+			copied = text
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // TestStreamEndsInsideEvent guards against a stream without a length that ends
@@ -299,23 +274,14 @@
 	}
 }
 
-// answerOnce starts a server that reads one request and answers it with a function,
-// and returns its address.
+// answerOnce starts a server that reads one request of each connection and answers it
+// with a function, and returns its address.
 func answerOnce(t *testing.T, answer func(c net.Conn)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	return testserver.Listen(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			answer(c)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // TestSlowRefusal guards against a refusal that reaches its caller only at the
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,29 +13,18 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/answer"
 )
 
 // upstream starts a server that answers each request with the next raw text of
 // the script, and returns its address. An empty text closes the connection.
 func upstream(t *testing.T, script ...string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	next := make(chan string, len(script))
 	for _, s := range script {
 		next <- s
 	}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c, next)
-		}
-	}()
-	return listener.Addr().String()
+	return testserver.Listen(t, func(c net.Conn) { serve(c, next) })
 }
 
 // lateBytes separates what an upstream sends at once from what it sends lateBy
@@ -46,7 +35,6 @@
 )
 
 func serve(c net.Conn, next <-chan string) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -19,6 +19,7 @@
 	"github.com/citrongate/citrongate/internal/forward"
 	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -67,7 +68,7 @@
 		require.NoError(t, listener.Close())
 		return listener.Addr().String()
 	}
-	return scriptedServer(t, func(c net.Conn) {
+	return testserver.Listen(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for {
 			if _, err := http.ReadRequest(reader); err != nil || r.text == "" {
@@ -78,27 +79,6 @@
 	})
 }
 
-// scriptedServer starts a server that handles each connection with serve and then closes
-// it, and returns its address.
-func scriptedServer(t *testing.T, serve func(c net.Conn)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // requestEnd is how a request ends after its last send.
 type requestEnd struct {
 	name string
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -19,6 +19,7 @@
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
 	"github.com/citrongate/citrongate/internal/telemetry"
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -26,7 +27,7 @@
 
 // endlessUpstream starts a server whose answer has no length and never ends.
 func endlessUpstream(t *testing.T) string {
-	return scriptedServer(t, func(c net.Conn) {
+	return testserver.Listen(t, func(c net.Conn) {
 		_, err := http.ReadRequest(bufio.NewReader(c))
 		if err == nil {
 			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\n\r\n")
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/ingress"
 )
 
@@ -17,7 +18,7 @@
 // other with a pause between them, and then closes the connection.
 func piecewiseUpstream(t *testing.T, pieces ...string) string {
 	const pause = 20 * time.Millisecond
-	return scriptedServer(t, func(c net.Conn) {
+	return testserver.Listen(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
--- a/internal/gateway/stream_pieces_test.go
+++ b/internal/gateway/stream_pieces_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/internal/nodeloop"
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
@@ -179,7 +180,7 @@
 func streamFrom(t *testing.T, servers ...[]string) (string, error) {
 	machine := &grantingInTurn{sends: map[node.RequestID]int{}}
 	for _, pieces := range servers {
-		machine.addresses = append(machine.addresses, scriptedServer(t, func(c net.Conn) {
+		machine.addresses = append(machine.addresses, testserver.Listen(t, func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
