forward: a status that promises 'not run' reaches the caller only where the server stated it

A server ran a booking and answered 503 itself, whole and signed, without stating that it had not run it; the caller got this 503, which promises that it has not run, and may book again. The check was made for answers without a signature only. Change: 408, 421, 429 and 503 without the statement are failures of the server: sent again where that is allowed, 502 of our own otherwise. Why it works: no promise reaches the caller but the server's own statement or ours.

--- a/internal/forward/verdict.go
+++ b/internal/forward/verdict.go
@@ -26,8 +26,12 @@
 		return Result{Status: Mismatched, Code: response.StatusCode, Detail: "the answer is not the upstream's own"}, true
 	case success && x.request.NumberedEvents && !x.isStream(response):
 		return Result{Status: Mismatched, Code: response.StatusCode, Detail: "the answer is no stream of events"}, true
-	case !head.Sealed && promisesNotRun(response.StatusCode):
-		return Result{Status: Broken, Code: response.StatusCode, Detail: "the upstream failed without saying whether it ran the request"}, true
+	case promisesNotRun(response.StatusCode):
+		status := Broken
+		if head.Sealed {
+			status = Failed
+		}
+		return Result{Status: status, Code: response.StatusCode, Detail: "the upstream failed without saying that it did not run the request"}, true
 	case response.ContentLength > x.client.options.MaxBodyBytes && x.client.options.MaxBodyBytes > 0:
 		return Result{Status: Broken, Code: response.StatusCode, Detail: errBodyTooLarge.Error()}, true
 	case x.relay.Started() && !(x.relay.Continuable() && x.isStream(response)):
