httpfront, gateway: the caller gets the status that the server gave, and nothing after an answer without a body

Our own refusals to HEAD carried a body too; 204 and 304 got 'Content-Length: 0'. Change: WriteHead corrects the head where it is written to the connection, and drops what follows the head of an answer without a body. Why it works: all bytes of an answer pass connection.Write, whatever the library makes of it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -290,6 +290,8 @@
 	request *http.Request
 	// pieces writes a body whose length is not known; nil otherwise.
 	pieces *httpfront.PieceWriter
+	// bodyless is true if the answer ends with its head.
+	bodyless bool
 }
 
 // Start writes status and headers to the caller.
@@ -301,17 +303,19 @@
 	if s.g.leaving.Load() {
 		out["Connection"] = []string{"close"}
 	}
-	httpfront.SetLength(out, length)
-	if length < 0 {
+	s.bodyless = !httpfront.WriteHead(s.w, s.request, code, length)
+	if length < 0 && !s.bodyless {
 		pieces := httpfront.NewPieceWriter(s.w, s.request)
 		s.pieces = &pieces
 	}
-	s.w.WriteHeader(code)
 	return nil
 }
 
 // Write sends bytes to the caller, at once if the length is unknown.
 func (s *sink) Write(p []byte) error {
+	if s.bodyless {
+		return nil
+	}
 	if s.pieces != nil {
 		return s.pieces.Write(p)
 	}
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -26,6 +26,8 @@
 
 	// failed is true once a write has failed or the connection was aborted.
 	failed atomic.Bool
+	// correction, if set, is applied to the bytes of the answer in progress.
+	correction atomic.Pointer[headCorrection]
 
 	mu sync.Mutex
 	// queue holds the handlers of requests that were received and wait their turn.
@@ -151,6 +153,19 @@
 	if c.failed.Load() {
 		return len(p), nil
 	}
+	if correction := c.correction.Load(); correction != nil {
+		c.send(correction.apply(p))
+	} else {
+		c.send(p)
+	}
+	return len(p), nil
+}
+
+// send writes bytes to the caller, and closes the connection if that fails.
+func (c *connection) send(p []byte) {
+	if len(p) == 0 {
+		return
+	}
 	err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout))
 	if err == nil {
 		_, err = c.Conn.Write(p)
@@ -159,7 +174,6 @@
 		c.failed.Store(true)
 		_ = c.Conn.Close()
 	}
-	return len(p), nil
 }
 
 // writeFailure returns an error once a write has failed or the connection was
@@ -214,7 +228,7 @@
 	body := c.server.config.InputErrorBody(problem)
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
 		problem.Status, http.StatusText(problem.Status), len(body))
-	_, _ = c.Write(append([]byte(head), body...))
+	c.send(append([]byte(head), body...))
 }
 
 // discarding reports whether further input is ignored because of a refusal.
--- /dev/null
+++ b/internal/httpfront/head_test.go
@@ -0,0 +1,78 @@
+package httpfront
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// TestNothingFollowsAnAnswerToHead guards against bytes after an answer to HEAD, whatever its handler writes, which the
+// caller takes for the start of the next answer; and against an answer, an interim one or an error, that is held back
+// after one to HEAD.
+func TestNothingFollowsAnAnswerToHead(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"nothing":    func(http.ResponseWriter, *http.Request) {},
+		"a refusal":  func(w http.ResponseWriter, _ *http.Request) { WriteError(w, http.StatusBadGateway, Refusal{Code: "x"}) },
+		"short body": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") },
+		"pieces": func(w http.ResponseWriter, r *http.Request) {
+			pieces := NewPieceWriter(w, r)
+			for range 3 {
+				_ = pieces.Write([]byte("piece"))
+			}
+		},
+		"long body": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 200_000)) },
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			server, err := NewServer(ServerConfig{Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 4096, MaxConnections: 10,
+				MaxBufferedBytes: 1 << 20, ReadTimeout: time.Minute, InputErrorBody: BadInputBody, Log: zerolog.Nop(),
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodHead {
+						handler(w, r)
+						return
+					}
+					_, _ = io.Copy(w, r.Body)
+				})})
+			require.NoError(t, err)
+			require.NoError(t, server.Start())
+			t.Cleanup(server.Stop)
+			conn, err := net.Dial("tcp", server.Address())
+			require.NoError(t, err)
+			defer conn.Close()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+			reader := bufio.NewReader(conn)
+			read := func(method string) (int, string) {
+				response, err := http.ReadResponse(reader, &http.Request{Method: method})
+				require.NoError(t, err)
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				return response.StatusCode, string(body)
+			}
+			for range 2 {
+				_, _ = fmt.Fprint(conn, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n")
+				_, body := read(http.MethodHead)
+				require.Empty(t, body)
+				_, _ = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+				code, _ := read(http.MethodPost)
+				require.Equal(t, http.StatusContinue, code)
+				_, _ = fmt.Fprint(conn, "next")
+				code, body = read(http.MethodPost)
+				require.Equal(t, http.StatusOK, code)
+				require.Equal(t, "next", body)
+			}
+			_, _ = fmt.Fprint(conn, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n")
+			read(http.MethodHead)
+			_, _ = fmt.Fprint(conn, "no request\r\n\r\n")
+			code, body := read(http.MethodGet)
+			require.Equal(t, http.StatusBadRequest, code)
+			require.NotEmpty(t, body)
+		})
+	}
+}
--- a/internal/httpfront/input.go
+++ b/internal/httpfront/input.go
@@ -98,7 +98,7 @@
 	case length > c.server.config.MaxBodyBytes:
 		c.input.reject(bodyTooLarge(c.server.config.MaxBodyBytes))
 	case c.input.hasExpect && c.input.problem == nil && c.idle():
-		_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	c.Processor.OnContentLength(parser, length)
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -127,7 +127,7 @@
 		SupportServerOnly: true,
 		ServerExecutor:    func(f func()) { go f() },
 		KeepaliveTime:     s.config.IdleTimeout,
-		Handler:           s.config.Handler,
+		Handler:           exactAnswers{s.config.Handler},
 		Addrs:             []string{s.config.Address},
 		Listen:            func(string, string) (net.Listener, error) { return s.listener, nil },
 	})
