httpfront: pieces of an answer are handed to the HTTP library in at most 32 KiB

An event may have 64 KiB by default. Change: PieceWriter splits larger pieces. Test: TestLargePiecesAreSplit (before: 200,000 bytes at once). That answers were mixed was not seen.

--- a/internal/httpfront/pieces.go
+++ b/internal/httpfront/pieces.go
@@ -10,6 +10,10 @@
 // caller of HTTP/1.0.
 const maxHeldBytes = 4 << 20
 
+// maxPieceBytes bounds, in bytes, what is handed to nbhttp at once. From 64 KiB on,
+// nbhttp (1.6.8) frees the buffer of a chunk twice, and two answers may share it then.
+const maxPieceBytes = 32 << 10
+
 var errTooLongToHold = errorx.IllegalState.New("the answer has no length and is too long to be held for a caller of HTTP/1.0; call with HTTP/1.1")
 
 // PieceWriter writes the body of an answer whose length is not known in advance, each
@@ -31,6 +35,17 @@
 // Write sends one piece. It returns an error if the caller disconnected or the body is too
 // long to be held.
 func (p *PieceWriter) Write(piece []byte) error {
+	for len(piece) > maxPieceBytes {
+		if err := p.write(piece[:maxPieceBytes]); err != nil {
+			return err
+		}
+		piece = piece[maxPieceBytes:]
+	}
+	return p.write(piece)
+}
+
+// write sends a piece of at most maxPieceBytes.
+func (p *PieceWriter) write(piece []byte) error {
 	if _, err := p.w.Write(piece); err != nil {
 		return err
 	}
