httpfront: pipelined requests wait instead of being dropped

With four requests queued, the next one was dropped without an answer, and later answers came at its place. Change: while the queue is full nothing more is read from the caller. Why it works: every request that was read has its place in the order of answers.

--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -36,6 +36,8 @@
 	running bool
 	// handlersDone is broadcast when running becomes false.
 	handlersDone sync.Cond
+	// roomInQueue is signalled when a handler leaves queue.
+	roomInQueue sync.Cond
 	// refused is true once input was refused; later input is discarded.
 	refused bool
 	// disconnected is true once the connection has closed.
@@ -58,7 +60,7 @@
 
 func newConnection(s *Server, nbConn *nbhttp.Conn) *connection {
 	c := &connection{Conn: nbConn.Conn, server: s, nbConn: nbConn, awaitingRequest: true}
-	c.handlersDone.L = &c.mu
+	c.handlersDone.L, c.roomInQueue.L = &c.mu, &c.mu
 	if s.tls != nil {
 		c.Conn = tls.Server(nbConn.Conn, s.tls)
 	}
@@ -257,7 +259,7 @@
 // registration.
 func (c *connection) setOnDisconnect(notify func()) {
 	c.mu.Lock()
-	disconnected := c.disconnected
+	disconnected := c.disconnected || c.failed.Load()
 	if !disconnected {
 		c.onDisconnect = notify
 	}
--- a/internal/httpfront/queue.go
+++ b/internal/httpfront/queue.go
@@ -31,12 +31,16 @@
 }
 
 // enqueue queues a handler, to be run in order on a goroutine of the connection,
-// so that the reader still sees the caller disconnect. It returns false if the
-// connection was refused or closed, or the queue is full.
+// so that the reader still sees the caller disconnect. While the queue is full it
+// waits, and nothing more is read from the caller. It returns false if the connection
+// was refused or closed.
 func (c *connection) enqueue(handler func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refused || c.disconnected || len(c.queue) >= maxPipelined {
+	for len(c.queue) >= maxPipelined && !c.refused && !c.disconnected {
+		c.roomInQueue.Wait()
+	}
+	if c.refused || c.disconnected {
 		return false
 	}
 	c.queue = append(c.queue, handler)
@@ -63,6 +67,7 @@
 		}
 		handler := c.queue[0]
 		c.queue = c.queue[1:]
+		c.roomInQueue.Signal()
 		c.mu.Unlock()
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		c.runHandler(handler)
