--- a/internal/httpfront/input.go
+++ b/internal/httpfront/input.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -71,6 +72,10 @@
 	switch http.CanonicalHeaderKey(key) {
 	case "Content-Length":
 		c.input.contentLengths++
+		if !isNumber(strings.Trim(value, " \t")) {
+			// nbhttp takes a length without a value for none, and one with a sign.
+			c.input.reject(malformed("the length of the body is not a number"))
+		}
 	case "Transfer-Encoding":
 		c.input.chunked = true
 	case "Expect":
@@ -79,6 +84,16 @@
 	c.Processor.OnHeader(parser, key, value)
 }
 
+// isNumber reports whether a text consists of digits.
+func isNumber(text string) bool {
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // countHeader adds to the size of the header block and enforces MaxHeaderBytes.
 func (c *processor) countHeader(n int) {
 	c.input.headerBytes += n
