--- a/internal/httpfront/framing_test.go
+++ b/internal/httpfront/framing_test.go
@@ -41,37 +41,55 @@
 	"chunked in quotes":               "Transfer-Encoding: \"chunked\"\r\n",
 	"chunked and more":                "Transfer-Encoding: chunkedx\r\n",
 	"folded length":                   "Content-Length:\r\n 0\r\n",
+	"tab before the colon":            "Transfer-Encoding\t: chunked\r\n",
 }
 
 // TestAmbiguousFramingIsRefused guards against a request inside the body of another one that runs (request smuggling): where the
 // length of a body is not plainly stated, the request is answered 400, nothing of it reaches a handler, and
 // the connection is closed.
 func TestAmbiguousFramingIsRefused(t *testing.T) {
-	const inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 	for name, framing := range requestFramings {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var ran atomic.Int64
-			server := pipelineServer(t, 10, func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
-				echoPath(w, r)
-			})
-			conn, err := net.Dial("tcp", server.Address())
-			require.NoError(t, err)
-			defer conn.Close()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-			_, err = fmt.Fprintf(conn, "POST /outer HTTP/1.1\r\nHost: h\r\n%s\r\n%s", framing, inner)
-			require.NoError(t, err)
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusBadRequest, response.StatusCode)
-			require.True(t, response.Close)
-			_, _ = io.Copy(io.Discard, conn)
-			require.Zero(t, ran.Load())
+			requireRefused(t, framing)
 		})
 	}
 }
 
+// TestSpaceBeforeTheColonIsRefused guards against the same where another server may take the name of the header for another
+// one, and where a header line is continued.
+func TestSpaceBeforeTheColonIsRefused(t *testing.T) {
+	for _, framing := range []string{"Content-Length : 0\r\n", "Transfer-Encoding : chunked\r\n", "X-A: b\r\n Content-Length: 9\r\n"} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			requireRefused(t, framing)
+		})
+	}
+}
+
+// requireRefused sends a request whose header has the lines and whose body is a request itself, and requires that neither
+// runs.
+func requireRefused(t *testing.T, lines string) {
+	const inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	var ran atomic.Int64
+	server := pipelineServer(t, 10, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		echoPath(w, r)
+	})
+	conn, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /outer HTTP/1.1\r\nHost: h\r\n%s\r\n%s", lines, inner)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	require.True(t, response.Close)
+	_, _ = io.Copy(io.Discard, conn)
+	require.Zero(t, ran.Load())
+}
+
 // TestPlainFramingIsTaken guards against refusing a body whose length is plainly stated.
 func TestPlainFramingIsTaken(t *testing.T) {
 	for name, request := range map[string]string{
