forward: one check of the order of events, and empty lines are no events

Read again: the order of events was checked twice (the first id of each read, and each id of a numbered stream), and each event was parsed twice. Empty lines between the events of a numbered stream were relayed, and a caller may read them as an event without an id; a byte order mark at the start of a sound stream broke it.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -258,7 +258,7 @@
 func TestEventEnds(t *testing.T) {
 	const text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\nid: 3\r\ndata: z\r\n\r\n"
 	for size := 1; size <= len(text); size++ {
-		s := eventSplitter{}
+		s := eventSplitter{order: eventOrder{numbered: size%2 == 0}}
 		var out strings.Builder
 		events := 0
 		for from := 0; from < len(text); from += size {
@@ -269,7 +269,7 @@
 		}
 		require.Equal(t, text, out.String(), "pieces of %d bytes", size)
 		require.Equal(t, 3, events)
-		require.Equal(t, "3", s.last)
+		require.Equal(t, "3", s.order.last)
 		require.Empty(t, s.remainder())
 	}
 }
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"bytes"
-	"strconv"
-)
+import "bytes"
 
 // eventSplitter splits a stream of server-sent events into complete events.
 type eventSplitter struct {
@@ -11,11 +8,8 @@
 	complete []byte
 	// scanned is the number of bytes of pending in which no event ends.
 	scanned int
-	// first is the id of the first event with an id that the last call of add
-	// returned, last that of the last event with an id since the start.
-	first, last string
-	// numbered checks the events if the stream's events are numbered; nil otherwise.
-	numbered *numberedEvents
+	// order checks the events; it outlasts reset.
+	order eventOrder
 }
 
 // reset discards the start of an event that was incomplete when the stream broke.
@@ -40,48 +34,48 @@
 }
 
 // add takes bytes of the stream and returns the events that they complete, up to the
-// first that is not an event of a numbered stream, which is an error. The result is valid
-// until the next call.
+// first that is out of order or, in a numbered stream, is none, which is an error. Empty
+// lines between the events of a numbered stream are left out. The result is valid until
+// the next call.
 func (s *eventSplitter) add(p []byte) (complete []byte, events int, err error) {
 	s.pending = append(s.pending, p...)
-	s.first = ""
+	s.complete = s.complete[:0]
 	start := 0
-	for {
+	for err == nil {
 		end := eventEnd(s.pending, s.scanned)
 		if end < 0 {
 			break
 		}
-		if s.numbered != nil {
-			if err = s.numbered.next(s.pending[start:end]); err != nil {
-				break
-			}
+		var found bool
+		if found, err = s.take(s.pending[start:end]); found {
+			events++
 		}
-		s.noteID(s.pending[start:end])
 		start, s.scanned = end, end
-		events++
-	}
-	if events == 0 {
-		s.scanned = max(0, len(s.pending)-len(longestEventEnd))
-		return nil, 0, err
 	}
-	s.complete = append(s.complete[:0], s.pending[:start]...)
 	s.pending = append(s.pending[:0], s.pending[start:]...)
-	s.scanned = 0
+	s.scanned = max(0, len(s.pending)-len(longestEventEnd))
 	return s.complete, events, err
 }
 
-// noteID records the id of a complete event, if it has one.
-func (s *eventSplitter) noteID(event []byte) {
-	id := eventID(event)
-	if id == "" {
-		return
+// take adds a complete block to the result, and reports whether it is an event.
+func (s *eventSplitter) take(block []byte) (found bool, err error) {
+	if s.order.numbered {
+		block = bytes.TrimLeft(bytes.TrimPrefix(block, byteOrderMark), "\r\n")
+	}
+	e := parseEvent(block)
+	if s.order.numbered && e.empty() {
+		return false, nil
 	}
-	if s.first == "" {
-		s.first = id
+	if err := s.order.next(block, &e); err != nil {
+		return false, err
 	}
-	s.last = id
+	s.complete = append(s.complete, block...)
+	return true, nil
 }
 
+// byteOrderMark may stand at the start of a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // longestEventEnd is the longest text that ends an event: an empty line after a
 // line. Both may end with LF alone.
 const longestEventEnd = "\n\r\n"
@@ -104,30 +98,3 @@
 		}
 	}
 }
-
-// eventID returns the id field of an event, or empty.
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-		event = rest
-	}
-	return ""
-}
-
-// continuesAfter reports whether the first event that add returned has a larger id
-// than before, the id of the last event relayed. Ids that are not numbers are not
-// compared.
-func (s *eventSplitter) continuesAfter(before string) bool {
-	if before == "" || s.first == "" {
-		return true
-	}
-	known, err := strconv.ParseUint(before, 10, 64)
-	if err != nil {
-		return true
-	}
-	next, err := strconv.ParseUint(s.first, 10, 64)
-	return err != nil || next > known
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -192,10 +192,7 @@
 func (r *CallerAnswer) Events() uint32 { return r.events }
 
 // Errors of exchanges.
-var (
-	errCallerDisconnected = errors.New("the caller does not read the answer")
-	errOutOfOrder         = errors.New("the continued stream does not follow the last event")
-)
+var errCallerDisconnected = errors.New("the caller does not read the answer")
 
 // Options bound the connections of a Client.
 type Options struct {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -38,9 +39,7 @@
 		}
 	}
 	x.relay.eventSplitter.reset()
-	if x.request.NumberedEvents && x.relay.eventSplitter.numbered == nil {
-		x.relay.eventSplitter.numbered = &numberedEvents{}
-	}
+	x.relay.eventSplitter.order.numbered = x.request.NumberedEvents
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -101,13 +100,9 @@
 	return nil
 }
 
-// relayEvents relays complete events and reports progress. Events that do not
-// follow the last one relayed are an error.
+// relayEvents relays complete events and reports progress.
 func (x *exchange) relayEvents(response *http.Response, complete []byte, events int) error {
 	first := x.relay.events == 0
-	if !x.relay.eventSplitter.continuesAfter(x.relay.lastEvent) {
-		return errOutOfOrder
-	}
 	if err := x.startAnswer(response, unknownLength); err != nil {
 		return err
 	}
@@ -115,7 +110,7 @@
 		return err
 	}
 	x.relay.events += uint32(events)
-	x.relay.lastEvent = x.relay.eventSplitter.last
+	x.relay.lastEvent = x.relay.eventSplitter.order.last
 	if first {
 		x.relay.Progress.FirstEvent()
 	}
@@ -143,5 +138,9 @@
 	if err := x.startAnswer(response, unknownLength); err != nil {
 		return err
 	}
-	return x.writeToCaller(x.relay.eventSplitter.remainder())
+	rest := x.relay.eventSplitter.remainder()
+	if x.request.NumberedEvents {
+		rest = bytes.TrimLeft(rest, "\r\n")
+	}
+	return x.writeToCaller(rest)
 }
