httpfront: outcomes of the own interface have their own status too

A plain service's failure with a status that has no standard text (529) reached the caller of the own interface as a 200: Outcome handed it to nbhttp as the gateway had done. Change: Outcome uses WriteHead. The body of an error is written at one place, not at two.

--- a/internal/httpfront/answer.go
+++ b/internal/httpfront/answer.go
@@ -34,7 +34,7 @@
 // newAnswer returns an Answer that streams if the caller asked for a stream and
 // otherwise collects the chunks into one response.
 func newAnswer(w http.ResponseWriter, call *http.Request, r *Request) Answer {
-	base := baseAnswer{w: w, id: r.CallerID}
+	base := baseAnswer{w: w, call: call, id: r.CallerID}
 	if r.Stream {
 		return &streamAnswer{baseAnswer: base, pieces: NewPieceWriter(w, call)}
 	}
@@ -43,8 +43,9 @@
 
 // baseAnswer writes outcomes and refusals; both other answers embed it.
 type baseAnswer struct {
-	w  http.ResponseWriter
-	id string
+	w    http.ResponseWriter
+	call *http.Request
+	id   string
 }
 
 // Outcome writes the status, content type and body of the outcome unchanged.
@@ -53,10 +54,10 @@
 	if o.GetContentType() != "" {
 		header.Set("Content-Type", o.GetContentType())
 	}
-	header.Set("Content-Length", strconv.Itoa(len(o.GetBody())))
-	a.w.WriteHeader(int(o.GetHttpStatus()))
-	if _, err := a.w.Write(o.GetBody()); err != nil {
-		return err
+	if WriteHead(a.w, a.call, int(o.GetHttpStatus()), int64(len(o.GetBody()))) {
+		if _, err := a.w.Write(o.GetBody()); err != nil {
+			return err
+		}
 	}
 	return WriteFailure(a.w)
 }
--- a/internal/httpfront/head_test.go
+++ b/internal/httpfront/head_test.go
@@ -11,8 +11,45 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
+// TestOutcomeIsExact guards against a failure of a plain service with a status that has no standard text and that a caller of the
+// own interface gets as a success, and against a length or a body where an answer has none.
+func TestOutcomeIsExact(t *testing.T) {
+	for _, status := range []int{200, 204, 299, 304, 404, 460, 503, 520, 529, 599} {
+		for _, method := range []string{http.MethodPost, http.MethodHead} {
+			t.Run(fmt.Sprint(method, status), func(t *testing.T) {
+				t.Parallel()
+				bodyless := method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+				outcome := &pb.BindingOutcome{HttpStatus: uint32(status), ContentType: "text/plain"}
+				if status != http.StatusNoContent && status != http.StatusNotModified {
+					outcome.Body = []byte("body")
+				}
+				server := pipelineServer(t, 10, func(w http.ResponseWriter, r *http.Request) {
+					_ = newAnswer(w, r, &Request{}).Outcome(outcome)
+				})
+				conn, err := net.Dial("tcp", server.Address())
+				require.NoError(t, err)
+				defer conn.Close()
+				require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+				reader := bufio.NewReader(conn)
+				for range 2 { // the answer after it is whole, too
+					_, _ = fmt.Fprintf(conn, "%s / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", method)
+					response, err := http.ReadResponse(reader, &http.Request{Method: method})
+					require.NoError(t, err)
+					body, err := io.ReadAll(response.Body)
+					require.NoError(t, err)
+					require.Equal(t, status, response.StatusCode)
+					require.Equal(t, bodyless, string(body) != "body")
+					require.Equal(t, len(outcome.Body) > 0, response.Header.Get("Content-Length") == "4")
+				}
+			})
+		}
+	}
+}
+
 // TestNothingFollowsAnAnswerToHead guards against bytes after an answer to HEAD, whatever its handler writes, which the
 // caller takes for the start of the next answer; and against an answer, an interim one or an error, that is held back
 // after one to HEAD.
--- a/internal/httpfront/refusal.go
+++ b/internal/httpfront/refusal.go
@@ -89,18 +89,14 @@
 
 // writeRefusal writes an error response with the refusal's status, headers and body.
 func writeRefusal(w http.ResponseWriter, requestID string, r Refusal) {
-	text := r.body(requestID)
 	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(text)))
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
 	if r.Code == "unauthenticated" {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	w.WriteHeader(r.Status())
-	_, _ = w.Write(text)
+	writeErrorBody(w, r.Status(), r.body(requestID))
 }
 
 func badRequest(reason, remedy string) *Refusal {
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -44,7 +44,10 @@
 // WriteError writes a refusal's error body with the given HTTP status instead of
 // that of its code.
 func WriteError(w http.ResponseWriter, status int, r Refusal) {
-	text := r.body("")
+	writeErrorBody(w, status, r.body(""))
+}
+
+func writeErrorBody(w http.ResponseWriter, status int, text []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	SetLength(w.Header(), int64(len(text)))
 	w.WriteHeader(status)
