forward: answers without a body are sound on routes of numbered streams

Read again: the rule that a success on such a route is a stream refused a sound server's 204 and its answer to HEAD. Change: an answer that has no body by definition is relayed as it is; it neither begins nor continues a stream. Test: TestAnswersWithoutBodyOnStreamRoutes (before: 4 of 6 cases fail). Measured: internal/forward and internal/gateway green.

--- a/internal/forward/classify.go
+++ b/internal/forward/classify.go
@@ -24,7 +24,7 @@
 	switch {
 	case success && (!head.Sealed || head.Encoded):
 		return Result{Status: Mismatched, Code: response.StatusCode, Detail: "the answer is not the upstream's own"}, true
-	case success && x.request.NumberedEvents && !x.isStream(response):
+	case success && x.expectsEvents(response) && !x.isStream(response):
 		return Result{Status: Mismatched, Code: response.StatusCode, Detail: "the answer is no stream of events"}, true
 	case promisesNotRun(response.StatusCode):
 		status := Broken
@@ -40,6 +40,12 @@
 	return Result{}, false
 }
 
+// expectsEvents reports whether a success must be a stream of numbered events. An answer
+// that has no body by definition is none.
+func (x *exchange) expectsEvents(response *http.Response) bool {
+	return x.request.NumberedEvents && x.request.Method != http.MethodHead && response.StatusCode != http.StatusNoContent
+}
+
 // withholdFailure withholds a failure of the upstream if the request asks for it.
 // A failure that is too large, or whose length is not known, is relayed.
 func (x *exchange) withholdFailure(response *http.Response) (Result, bool) {
--- a/internal/forward/mediatype_test.go
+++ b/internal/forward/mediatype_test.go
@@ -28,6 +28,29 @@
 	}
 }
 
+// TestAnswersWithoutBodyOnStreamRoutes guards against refusing a sound answer that has no body by definition on a route whose answers
+// are numbered streams.
+func TestAnswersWithoutBodyOnStreamRoutes(t *testing.T) {
+	for name, c := range map[string]struct{ method, answer string }{
+		"HEAD":                  {http.MethodHead, okHead + "Content-Type: text/event-stream\r\n\r\n"},
+		"HEAD, length":          {http.MethodHead, okHead + "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n"},
+		"HEAD, chunks":          {http.MethodHead, okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		"HEAD, no type":         {http.MethodHead, okHead + "\r\n"},
+		"204":                   {http.MethodOptions, "HTTP/1.1 204 N\r\nId: a\r\nSeal: x\r\n\r\n"},
+		"204, type of a stream": {http.MethodPost, "HTTP/1.1 204 N\r\nId: a\r\nSeal: x\r\nContent-Type: text/event-stream\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := &caller{}
+			r := request(upstream(t, c.answer), "a")
+			r.Method, r.Stream, r.NumberedEvents = c.method, true, true
+			result := boundedClient(t).Exchange(t.Context(), r, got.relay())
+			require.Equal(t, Complete, result.Status, result.Detail)
+			require.Equal(t, 1, got.starts)
+			require.Empty(t, got.body.String())
+		})
+	}
+}
+
 // TestNumberedStreamNeedsItsType guards against an answer that is relayed unchecked on a route whose answers
 // are numbered streams, because it claims to be something else. A failure may be anything.
 func TestNumberedStreamNeedsItsType(t *testing.T) {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,9 +8,10 @@
 )
 
 // isStream reports whether an answer is the stream of events that was asked for. A
-// failure is none, whatever its body.
+// failure is none, whatever its body, and neither is an answer to HEAD.
 func (x *exchange) isStream(response *http.Response) bool {
-	return x.request.Stream && response.StatusCode == http.StatusOK && mediaType(response.Header) == "text/event-stream"
+	return x.request.Stream && x.request.Method != http.MethodHead && response.StatusCode == http.StatusOK &&
+		mediaType(response.Header) == "text/event-stream"
 }
 
 // mediaType returns the media type of a body in lower case, without parameters.
