gateway: 'store regained' counts from the start of the process; names and comments after reading the change again

Change: it counts from the process's start. The time of a log line is not kept with the list of upstreams any more; comments say what quotaLedger starts, and that a full queue delays the notice of a caller's disconnect; TestPlainFramingIsTaken states the body that it expects.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -42,7 +42,8 @@
 	unavailable [len(refresh.Parts)]bool
 	// upstreamAddresses are the addresses of the upstreams published last.
 	upstreamAddresses map[string]bool
-	// configReadAt is when the newest read of the configuration began.
+	// configReadAt is when the newest read of the configuration began, or when this
+	// instance started if there was none.
 	configReadAt time.Duration
 	// faultsLoggedAt is the boot time at which invalid upstream entries were last
 	// logged.
@@ -183,7 +184,7 @@
 	}
 	g.log.Write(eventlog.ConfigInForce{Version: config.Version, Routes: len(config.Routes), Upstreams: len(upstreams),
 		Organisations: len(config.Organisations), AgeMs: eventlog.Milliseconds(boottime.Now() - c.state.Tracker.Confirmation().At)})
-	g.loop.Post(g.lists.setUpstreams(upstreams))
+	g.loop.Post(g.known.set(upstreams))
 	ttft, interToken := config.Targets()
 	g.loop.Post(node.UseConfiguration{
 		TargetTTFT: ttft, TargetInterToken: interToken, PromptSlowdown: promptSlowdown,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,10 +89,10 @@
 	// parse them.
 	bounds  ingress.Bounds
 	members atomic.Pointer[membersView]
-	lists   knownUpstreams
-	// partFaultsLoggedAt is the boot time at which invalid records of parts were last
-	// logged.
-	partFaultsLoggedAt atomic.Int64
+	known   knownUpstreams
+	// instanceFaultsLoggedAt and partFaultsLoggedAt are the boot times at which invalid
+	// entries of instances and invalid records of parts were last logged.
+	instanceFaultsLoggedAt, partFaultsLoggedAt atomic.Int64
 
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
@@ -133,6 +133,7 @@
 	}
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
 	g.config.state = ingress.NewState()
+	g.config.configReadAt = boottime.Now()
 	g.members.Store(&membersView{notReady: "this instance is starting"})
 	limits := s.GetGateway()
 	g.upstreams = forward.NewClient(forward.Options{
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,13 +117,10 @@
 type knownUpstreams struct {
 	mu        sync.Mutex
 	upstreams []node.ListedInstance
-	// faultsLoggedAt is the boot time at which invalid instance entries were last
-	// logged.
-	faultsLoggedAt atomic.Int64
 }
 
-// setUpstreams replaces the upstreams and returns their list for the node.
-func (l *knownUpstreams) setUpstreams(upstreams []ingress.Upstream) node.UpstreamList {
+// set replaces the upstreams and returns their list for the node.
+func (l *knownUpstreams) set(upstreams []ingress.Upstream) node.UpstreamList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.upstreams = l.upstreams[:0]
@@ -157,6 +153,6 @@
 		g.loop.Post(node.InstanceList{})
 		return
 	}
-	g.logFaults(&g.lists.faultsLoggedAt, "instances", faults)
-	g.loop.Post(g.lists.withInstances(instances))
+	g.logFaults(&g.instanceFaultsLoggedAt, "instances", faults)
+	g.loop.Post(g.known.withInstances(instances))
 }
--- a/internal/httpfront/framing_test.go
+++ b/internal/httpfront/framing_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,15 +91,15 @@
 
 // TestPlainFramingIsTaken guards against refusing a body whose length is plainly stated.
 func TestPlainFramingIsTaken(t *testing.T) {
-	for name, request := range map[string]string{
-		"no body":            "\r\n",
-		"length":             "Content-Length: 4\r\n\r\nbody",
-		"length of 0":        "Content-Length: 0\r\n\r\n",
-		"length with zeros":  "Content-Length: 0004\r\n\r\nbody",
-		"no space":           "Content-Length:4\r\n\r\nbody",
-		"more space":         "Content-Length:  4  \r\n\r\nbody",
-		"chunks":             "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"chunks in capitals": "TRANSFER-ENCODING: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	for name, c := range map[string]struct{ request, body string }{
+		"no body":            {"\r\n", ""},
+		"length":             {"Content-Length: 4\r\n\r\nbody", "body"},
+		"length of 0":        {"Content-Length: 0\r\n\r\n", ""},
+		"length with zeros":  {"Content-Length: 0004\r\n\r\nbody", "body"},
+		"no space":           {"Content-Length:4\r\n\r\nbody", "body"},
+		"more space":         {"Content-Length:  4  \r\n\r\nbody", "body"},
+		"chunks":             {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"},
+		"chunks in capitals": {"TRANSFER-ENCODING: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -113,14 +112,14 @@
 			require.NoError(t, err)
 			defer conn.Close()
 			require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-			_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\n%s", request)
+			_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\n%s", c.request)
 			require.NoError(t, err)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, response.StatusCode)
 			body, err := io.ReadAll(response.Body)
 			require.NoError(t, err)
-			require.Equal(t, strings.HasSuffix(request, "body") || strings.Contains(request, "4\r\nbody"), string(body) == ">body")
+			require.Equal(t, ">"+c.body, string(body))
 		})
 	}
 }
--- a/internal/httpfront/queue.go
+++ b/internal/httpfront/queue.go
@@ -32,8 +32,8 @@
 
 // enqueue queues a handler, to be run in order on a goroutine of the connection,
 // so that the reader still sees the caller disconnect. While the queue is full it
-// waits, and nothing more is read from the caller. It returns false if the connection
-// was refused or closed.
+// waits, and nothing more is read from the caller, whose disconnect is noticed only
+// once there is room. It returns false if the connection was refused or closed.
 func (c *connection) enqueue(handler func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/node/quota.go
+++ b/pkg/node/quota.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// quotaLedger returns the buckets of this instance, or nil if it does not serve yet.
+// quotaLedger returns the buckets of this instance, or nil if it does not serve yet. They
+// fill from the first call after it began to.
 func (n *Node) quotaLedger() *quota.Ledger {
 	if n.quotas.ledger == nil && n.startingReason() == "" {
 		since := n.now
@@ -190,7 +191,7 @@
 
 // tickQuotas ends the wait for answers that did not arrive in time.
 func (n *Node) tickQuotas() {
-	n.quotaLedger() // the buckets fill from when this instance serves
+	_ = n.quotaLedger() // starts the buckets, without waiting for a request
 	for _, organisation := range slices.Sorted(maps.Keys(n.quotas.waiting)) {
 		waiting := n.quotas.waiting[organisation]
 		if len(waiting) > 0 && n.now >= waiting[0].until {
