--- a/internal/forward/mediatype_test.go
+++ b/internal/forward/mediatype_test.go
@@ -22,9 +22,11 @@
 		"application/json":                    false,
 		"":                                    false,
 	} {
-		x := exchange{request: &Request{Stream: true}}
-		response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {text}}}
-		require.Equal(t, stream, x.isStream(response), "%q", text)
+		t.Run(text, func(t *testing.T) {
+			x := exchange{request: &Request{Stream: true}}
+			response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {text}}}
+			require.Equal(t, stream, x.isStream(response))
+		})
 	}
 }
 
