tests: an address that refuses connections stays reserved

The fixture for 'no server listens here' took a free port and released it, so that another listener could get the port while the test still connected to it: a second gateway's front, or a scripted server. Ruled out: a fault of the product (a lost wake-up, a second send after a begun answer): the two tests that would show it fail only beside the fixture. Change: testserver.Refuse binds a port without listening and holds it until the test ends; five tests use it.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -161,10 +161,7 @@
 // TestNotSent guards against counting a request as sent if no connection could be
 // opened.
 func TestNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
+	address := testserver.Refuse(t)
 	result := newClient(t).Exchange(context.Background(), request(address, "a"), (&caller{}).relay())
 	require.Equal(t, NotSent, result.Status)
 	require.Equal(t, answer.RanNo, result.Ran())
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -63,10 +63,7 @@
 // address.
 func (r sendResult) listen(t *testing.T) string {
 	if r.closed {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		require.NoError(t, listener.Close())
-		return listener.Addr().String()
+		return testserver.Refuse(t)
 	}
 	return testserver.Listen(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/internal/testserver"
 )
 
 // cutServer answers the first request of each connection and closes the
@@ -149,10 +151,7 @@
 // TestConnectRefusedIsNotSent guards against reporting a request as sent when the
 // connection was refused.
 func TestConnectRefusedIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
+	address := testserver.Refuse(t)
 	sent, err := post(t, NewTransport(Options{DialTimeout: time.Second}), address, "x")
 	require.Error(t, err)
 	require.False(t, sent)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/citrongate/citrongate/internal/standin/platform"
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/store"
 )
 
@@ -92,10 +93,7 @@
 // TestNotReached guards against reporting a write as unknown that was not sent
 // because the platform could not be reached.
 func TestNotReached(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	client := NewClient(listener.Addr().String(), time.Second)
-	require.NoError(t, listener.Close())
+	client := NewClient(testserver.Refuse(t), time.Second)
 	for _, kind := range allOpKinds {
 		require.Equal(t, store.Unavailable, client.Execute(context.Background(), store.Op{Kind: kind, Key: "a"}).Status)
 	}
--- a/internal/testserver/testserver.go
+++ b/internal/testserver/testserver.go
@@ -3,10 +3,12 @@
 package testserver
 
 import (
+	"fmt"
 	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // Listen starts a server on a loopback address that handles each connection with serve
@@ -29,3 +31,15 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Refuse returns a loopback address that refuses connections. Its port stays bound until
+// the end of the test, so that no other listener, of this or another process, gets it.
+func Refuse(t testing.TB) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/citrongate/citrongate/internal/testserver"
 	"github.com/citrongate/citrongate/pkg/node"
 )
 
@@ -292,10 +293,7 @@
 // could be opened. A request that is known not to have been sent may be sent
 // again, even if it is not idempotent.
 func TestNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
+	address := testserver.Refuse(t)
 	client, s := newTestClient(t), &sink{}
 	require.Equal(t, NotSent, client.ModelCall(context.Background(), ModelCallRequest{Address: address, ID: "w1"}, s, s).Status)
 	result, _ := client.ServiceCall(context.Background(), ServiceCallRequest{Address: address, Name: "pay", ID: "w1"})
