quota: tokens of other instances are kept above the share for a short time only

Operators would see more than a lowered quota allows long after its acknowledgement, and more than one burst after an idle time. Cause: what an instance had received and not needed stayed above its share of the burst, while the giver's bucket filled again; and tokens that were on the way, or were given by an instance that did not know the lower quota yet, arrived after the cut to the new share. Change: tokens above the share are kept for 250 ms after the last transfer. Ruled out: giving them up at the quota's rate at once: an organisation whose requests all come to one instance would lose a third of what (by arithmetic, not measured) it asks others for.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -9,6 +9,7 @@
 //     instances, plus one request;
 //   - tokens that one instance gives are received by at most one other, at most once;
 //   - from when a smaller share takes effect, an instance holds no tokens above it;
+//   - an instance holds tokens above its share of the burst for surplusTime at most;
 //   - a bucket is empty until the instance starts to serve, and then fills.
 package quota
 
@@ -50,6 +51,12 @@
 // instances, so that this instance does not have to ask for tokens itself at once.
 const transferReserve = 0.1
 
+// surplusTime is how long after the last transfer an instance keeps tokens above its share
+// of the burst. They are meant for requests that come now. Kept for longer, they would add to
+// the burst, since the bucket that they came from fills again; and they may have been given
+// under a quota that an operator has lowered since.
+const surplusTime = 250 * time.Millisecond
+
 // floorFraction is the fraction of a quota that less urgent requests may use although
 // the bucket holds less than the reserve for more urgent ones, so that no tier is
 // starved.
@@ -89,6 +96,8 @@
 	refilled time.Duration
 	// burst is the share of the burst at the last refill.
 	burst float64
+	// receivedAt is the time of the last transfer from another instance.
+	receivedAt time.Duration
 	// lastRequest is the time of the last request of each tier; 0 if there was none.
 	lastRequest [maxTiers]time.Duration
 }
@@ -118,8 +127,8 @@
 }
 
 // refill adds the tokens earned since the last call to an organisation's bucket, up
-// to its share of the burst. Tokens received above the burst stay until the share
-// becomes smaller, since there are more instances or the limit was lowered.
+// to its share of the burst. Tokens received above it stay for surplusTime, and only until
+// the share becomes smaller, since there are more instances or the limit was lowered.
 func (l *Ledger) refill(now time.Duration, organisation string, share Limit) *bucket {
 	b := l.buckets[organisation]
 	if b == nil {
@@ -129,7 +138,7 @@
 		b = &bucket{refilled: l.since}
 		l.buckets[organisation] = b
 	}
-	if share.Burst < b.burst {
+	if share.Burst < b.burst || now-b.receivedAt > surplusTime {
 		b.tokens = min(b.tokens, share.Burst)
 	}
 	b.burst = share.Burst
@@ -184,6 +193,7 @@
 func (l *Ledger) Receive(now time.Duration, organisation string, limit Limit, amount float64, instances int) {
 	b := l.refill(now, organisation, limit.share(instances))
 	b.tokens += max(0, amount)
+	b.receivedAt = now
 }
 
 // RetainOnly removes the buckets of organisations that have no quota in keep.
