httpfront: a refused request is answered after those before it

Callers saw: a request that is malformed, too large or too late, sent behind others on a connection, ended the answers to those: the connection was closed at once, although servers had run them. Cause: a refusal must not stand in the middle of an answer, and the front closed a busy connection instead of waiting. Evidence: TestMalformedRequestLeavesTheOthers, 1 to 60 requests before it, in one write or two: all 8 cases fail before. Change: the refusal is kept and follows the last answer; then the connection is closed. Input behind it is discarded. Measured: the 8 cases pass; internal/httpfront with the race detector passes.

--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -40,6 +40,8 @@
 	roomInQueue sync.Cond
 	// refused is true once input was refused; later input is discarded.
 	refused bool
+	// refusal is the answer to refused input that follows the answers in progress, or nil.
+	refusal *InputError
 	// disconnected is true once the connection has closed.
 	disconnected bool
 	// onDisconnect, if set, is called when the connection closes.
@@ -208,20 +210,25 @@
 	})
 }
 
-// refuse answers invalid input, discards further input and closes the connection
-// after lingerTime. If an answer is in progress, the connection is closed at once.
+// refuse answers invalid input once the requests before it are answered, discards further
+// input and closes the connection after lingerTime.
 func (c *connection) refuse(problem InputError) {
 	c.mu.Lock()
 	again, busy := c.refused, c.running
 	c.refused = true
-	c.mu.Unlock()
-	if again {
-		return
+	if busy && !again {
+		c.refusal = &problem
 	}
-	if busy {
-		_ = c.Conn.Close()
-		return
+	c.roomInQueue.Signal()
+	c.mu.Unlock()
+	if !again && !busy {
+		c.answerAndClose(problem)
 	}
+}
+
+// answerAndClose answers refused input and closes the connection after lingerTime, so that
+// the caller can read the answer.
+func (c *connection) answerAndClose(problem InputError) {
 	c.answerError(problem)
 	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
 }
--- a/internal/httpfront/pipeline_test.go
+++ b/internal/httpfront/pipeline_test.go
@@ -110,3 +110,50 @@
 	close(block)
 	require.Eventually(t, func() bool { return server.OpenConnections() == 0 && !server.Busy() }, 20*time.Second, 5*time.Millisecond)
 }
+
+// TestMalformedRequestLeavesTheOthers guards against an answer that is cut off because the caller has sent a malformed
+// request after its own: the requests before it are answered, each whole, then it is answered 400, and the
+// connection is closed.
+func TestMalformedRequestLeavesTheOthers(t *testing.T) {
+	for _, before := range []int{1, 2, 5, 60} {
+		for _, apart := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d before, apart %v", before, apart), func(t *testing.T) {
+				t.Parallel()
+				server := pipelineServer(t, 10, func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(5 * time.Millisecond)
+					echoPath(w, r)
+				})
+				conn, err := net.Dial("tcp", server.Address())
+				require.NoError(t, err)
+				defer conn.Close()
+				require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+				var text strings.Builder
+				for i := range before {
+					fmt.Fprintf(&text, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+				}
+				_, err = io.WriteString(conn, text.String())
+				require.NoError(t, err)
+				if apart {
+					time.Sleep(2 * time.Millisecond)
+				}
+				_, err = io.WriteString(conn, "GET /odd HTTP/1.1\r\nHost : h\r\n\r\nGET /after HTTP/1.1\r\nHost: h\r\n\r\n")
+				require.NoError(t, err)
+				reader := bufio.NewReader(conn)
+				for i := range before {
+					response, err := http.ReadResponse(reader, nil)
+					require.NoError(t, err)
+					body, err := io.ReadAll(response.Body)
+					require.NoError(t, err)
+					require.Equal(t, fmt.Sprintf("/%d", i), string(body))
+				}
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusBadRequest, response.StatusCode)
+				_, err = io.ReadAll(response.Body)
+				require.NoError(t, err)
+				_, err = http.ReadResponse(reader, nil)
+				require.Error(t, err, "an answer after the end")
+			})
+		}
+	}
+}
--- a/internal/httpfront/queue.go
+++ b/internal/httpfront/queue.go
@@ -58,8 +58,13 @@
 		c.mu.Lock()
 		if len(c.queue) == 0 {
 			c.running = false
+			refusal := c.refusal
+			c.refusal = nil
 			c.handlersDone.Broadcast()
 			c.mu.Unlock()
+			if refusal != nil {
+				c.answerAndClose(*refusal)
+			}
 			if c.server.draining.Load() {
 				c.drainIfIdle()
 			}
