--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -89,7 +89,7 @@
 }
 
 func (c *caller) Start(code int, _ http.Header, _ int64) error { c.starts++; c.code = code; return nil }
-func (c *caller) Head(AnswerHead)                             {}
+func (c *caller) Head(AnswerHead)                              {}
 func (c *caller) FirstEvent()                                  { c.first++ }
 func (c *caller) Events(uint32)                                {}
 func (c *caller) Write(p []byte) error {
