httpfront: tests give callers more than 300 ms to send a request

The fixture's read timeout is 300 ms; a reader that does not run for so long takes the request for late (408, or the connection is closed if nothing was read), which has nothing to do with crossed answers. Evidence: with each close and refusal printed, 20 copies beside each other: 9 failed, each first failure after 'late refuse' or 'silent close' of that connection by the timer; further ones come from the stop of the server after it. Change: the fixture gives a minute; the two cases about slow callers have a server of their own with 300 ms. What is checked is unchanged.

--- a/internal/httpfront/connection_test.go
+++ b/internal/httpfront/connection_test.go
@@ -21,9 +21,10 @@
 // TestInputBounds checks that input beyond a limit and invalid HTTP are refused
 // with the right status and code and never reach the backend.
 func TestInputBounds(t *testing.T) {
-	f := start(t, func(_ context.Context, r *Request, answer Answer) {
+	echoLength := func(_ context.Context, r *Request, answer Answer) {
 		_ = answer.Outcome(&pb.BindingOutcome{HttpStatus: 200, Body: []byte(fmt.Sprint(len(r.Body)))})
-	})
+	}
+	f, impatient := start(t, echoLength), startWithin(t, 300*time.Millisecond, echoLength)
 	chunk := "400\r\n" + strings.Repeat("a", 1024) + "\r\n"
 	for _, c := range []struct {
 		name, input string
@@ -46,7 +47,11 @@
 		{"body too slow", rawHead + "Content-Length: 10\r\n\r\nabc", 408, "bad_request"},
 	} {
 		t.Log(c.name)
-		resp := f.raw(t, c.input)
+		server := f
+		if c.status == 408 {
+			server = impatient
+		}
+		resp := server.raw(t, c.input)
 		text, err := io.ReadAll(resp.Body)
 		require.NoError(t, err, c.name)
 		require.Equal(t, c.status, resp.StatusCode, "%s: %s", c.name, text)
@@ -54,7 +59,7 @@
 			require.Equal(t, c.code, refusalOf(t, string(text)).Code, c.name)
 		}
 	}
-	require.Equal(t, int64(1), f.served.Load(), "refused input must not reach the backend")
+	require.Equal(t, int64(1), f.served.Load()+impatient.served.Load(), "refused input must not reach the backend")
 }
 
 // TestTruncatedRequest guards against serving a request whose caller closed the
--- a/internal/httpfront/fixture_test.go
+++ b/internal/httpfront/fixture_test.go
@@ -79,14 +79,22 @@
 	handler *Handler
 }
 
+// start starts a server whose requests are served by a function. Callers have so much time to send
+// a request that no test runs into it on a busy machine.
 func start(t *testing.T, serve func(ctx context.Context, r *Request, answer Answer)) *front {
+	t.Helper()
+	return startWithin(t, time.Minute, serve)
+}
+
+// startWithin is start with the time that a caller has to send a request.
+func startWithin(t *testing.T, readTimeout time.Duration, serve func(ctx context.Context, r *Request, answer Answer)) *front {
 	t.Helper()
 	f := &front{backend: &backend{serve: serve}}
 	f.handler = NewHandler(f.backend, time.Minute, eventlog.New(zerolog.Nop(), "", "", nil))
 	f.handler.SetAccess(NewAccess(testSet()))
 	server, err := NewServer(ServerConfig{
 		Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 2048, MaxConnections: 100, MaxBufferedBytes: 10_000,
-		ReadTimeout: 300 * time.Millisecond, Handler: f.handler, InputErrorBody: BadInputBody, Log: zerolog.Nop(),
+		ReadTimeout: readTimeout, Handler: f.handler, InputErrorBody: BadInputBody, Log: zerolog.Nop(),
 	})
 	require.NoError(t, err)
 	require.NoError(t, server.Start())
