node: the comment on the bound of hold-offs says what happens at it

Cause: it said that the oldest are asked again too early; in fact no further one is remembered while the bound is reached. Change: the comment only.

--- a/pkg/node/holdoff.go
+++ b/pkg/node/holdoff.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxHoldOffs bounds the upstreams that are remembered as holding this instance off. Beyond it
-// the oldest ones would be asked again too early; a site has far fewer upstreams.
+// maxHoldOffs bounds the upstreams that are remembered as holding this instance off. While so
+// many do, no further one is remembered; a site has far fewer upstreams.
 const maxHoldOffs = 16_384
 
 // holdOffs remembers the upstreams that want no request from this instance for a time. The
