ingress: tiers follow the priority of the organisation and then that of the route

Cause: an organisation's priority took the place of the route's. Where all organisations have one, all requests shared one tier: in an overload the most urgent route got a third of the sends of the second one. Change: requests are ordered by both priorities, the organisation's first; ranks are numbered densely.

--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -16,9 +16,6 @@
 // NoOrganisation is the organisation that requests without a key are assigned to.
 const NoOrganisation = "none"
 
-// maxPriority is the largest rank of a tier; greater priorities are reduced to it.
-const maxPriority = 15
-
 // defaultSlots is used for an upstream that registers no number of slots.
 const defaultSlots = 4
 
@@ -62,29 +59,20 @@
 // addKinds adds a request kind for each route at its own priority and at each
 // priority that an organisation sets.
 func (b *builder) addKinds() {
-	priorities := map[int]bool{}
-	for _, o := range b.config.Organisations {
-		if o.HasPriority {
-			priorities[o.Priority] = true
-		}
-	}
-	tiers := map[string]bool{}
+	ranks := tierRanks(b.config)
+	added := map[int]bool{}
 	for i := range b.config.Routes {
 		r := &b.config.Routes[i]
-		b.addKind(r, r.Priority, tiers)
-		for priority := range priorities {
-			if priority != r.Priority {
-				b.addKind(r, priority, tiers)
-			}
+		for _, priority := range kindPriorities(b.config, r) {
+			b.addKind(r, priority, ranks[urgencyOf(r, priority)], added)
 		}
 	}
 }
 
-func (b *builder) addKind(r *Route, priority int, tiers map[string]bool) {
-	rank := min(max(priority, 0), maxPriority)
-	tier := "priority-" + strconv.Itoa(rank)
-	if !tiers[tier] {
-		tiers[tier] = true
+func (b *builder) addKind(r *Route, priority, rank int, added map[int]bool) {
+	tier := "tier-" + strconv.Itoa(rank)
+	if !added[rank] {
+		added[rank] = true
 		b.add(configstate.KindTier, tier, nil, &pb.Object{Spec: &pb.Object_Tier{Tier: &pb.TierSpec{Rank: uint32(rank)}}})
 	}
 	b.add(configstate.KindRequestKind, KindName(r, priority), nil,
@@ -93,7 +81,7 @@
 
 // KindName returns the request kind of a route at a priority.
 func KindName(r *Route, priority int) string {
-	return r.Name + "@" + strconv.Itoa(min(max(priority, 0), maxPriority))
+	return r.Name + "@" + strconv.Itoa(priority)
 }
 
 // PriorityOf returns the priority of an organisation's requests on a route.
