scheduler: prefill apart from the fixed time to the first token; one slow stream is no straggler

Cause: (1) the time to the first token was taken as prefill in proportion to the prompt, so that short prompts taught a time per token three to eight times too long, and engines passed for busy. (2) In a cell of more than 8 instances entries report only what is unusual. (3) A long prompt that fitted no free engine kept the rest of its tier waiting. Change: a least-squares model of fixed time and time per token; evidence of a straggler is weighed against the streams in flight, and unusual reports teach no usual speed; others pass a prompt that fits nowhere.

--- a/pkg/scheduler/holdoff.go
+++ b/pkg/scheduler/holdoff.go
@@ -93,39 +93,6 @@
 	p.pendingSheds = append(p.pendingSheds, Decision{ID: d.ID, Attempt: d.Attempt, Reason: HeldOff, RetryAfter: wait})
 }
 
-// maxHeldOffScan bounds the requests of one queue that are looked at for one that no
-// upstream holds off.
-const maxHeldOffScan = 64
-
-// passHeldOff returns the first request behind r in its queue that a free upstream takes, and
-// that upstream, or nil.
-func (p *Pool) passHeldOff(now time.Duration, r *request) (next *request, u *upstream) {
-	next = r.next
-	for range maxHeldOffScan {
-		if next == nil {
-			break
-		}
-		if u := p.chooseUpstream(now, next); u != nil {
-			return next, u
-		}
-		next = next.next
-	}
-	return nil, nil
-}
-
-// heldOff reports whether a free upstream holds off the entry of a request.
-func (p *Pool) heldOff(now time.Duration, r *request) bool {
-	if now >= p.holdsUntil {
-		return false
-	}
-	for _, index := range p.classes[r.Class].upstreams {
-		if u := p.upstreams[index]; u.free && u.holdsOff(r.ID.Entry) > now {
-			return true
-		}
-	}
-	return false
-}
-
 // nextHoldEnd returns when the next hold ends, or Never.
 func (p *Pool) nextHoldEnd(now time.Duration) time.Duration {
 	next := Never
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -66,8 +66,7 @@
 	// profile is the smoothed time between tokens by the bit length of the
 	// number of requests in flight, in nanoseconds, 0 if unknown.
 	profile [profileBuckets]float64
-	// prefillPerToken is in nanoseconds.
-	prefillPerToken float64
+	prefill prefillModel
 	// slotCost and slotTime are the average expected cost of a request and the
 	// average time in nanoseconds for which it occupies a slot.
 	slotCost, slotTime float64
@@ -110,9 +109,9 @@
 func (c *targetCount) hasHeadroom() bool { return c.near*20 <= c.samples }
 
 func newUpstream(config Upstream) *upstream {
-	u := &upstream{Upstream: config, prefillPerToken: float64(defaultPrefillPerToken)}
+	u := &upstream{Upstream: config, prefill: newPrefillModel(float64(defaultPrefillPerToken))}
 	if config.PrefillTokensPerSecond > 0 {
-		u.prefillPerToken = float64(time.Second) / config.PrefillTokensPerSecond
+		u.prefill = newPrefillModel(float64(time.Second) / config.PrefillTokensPerSecond)
 	}
 	u.limit = float64(config.Concurrency)
 	if config.Concurrency == 0 {
@@ -186,7 +185,7 @@
 // concurrency limit alone reacts too late to several long prompts that arrive
 // together.
 func (p *Pool) prefillBudgetExceeded(u *upstream) bool {
-	return float64(u.pendingPrefill)*u.prefillPerToken > prefillBudget*float64(p.config.TargetTTFT)
+	return u.prefill.prefill(u.pendingPrefill) > prefillBudget*float64(p.config.TargetTTFT)
 }
 
 func (p *Pool) refreshAllFree() {
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -22,23 +22,16 @@
 			break
 		}
 		u := p.chooseUpstream(now, r)
-		if u == nil && r.anyUpstreamFrom > now && (p.nextAnyUpstream == 0 || r.anyUpstreamFrom < p.nextAnyUpstream) {
-			p.nextAnyUpstream = r.anyUpstreamFrom
-		}
-		if u == nil && p.heldOff(now, r) {
-			// Requests of other entries do not wait for one that is held off.
+		if u == nil {
+			// Other requests of the tier do not wait for one whose prompt fits no free
+			// upstream yet, or whose entry is held off.
 			queue := r.orgQueue
-			if r, u = p.passHeldOff(now, r); u == nil {
+			if r, u = p.passBlocked(now, r); u == nil {
 				p.deactivate(queue)
 				passed = append(passed, queue)
 				continue
 			}
 		}
-		if u == nil {
-			// The request waits for an upstream where its prompt fits; lower tiers
-			// may use the others.
-			break
-		}
 		out = append(out, p.grant(now, r, u))
 	}
 	for _, queue := range passed {
@@ -167,20 +160,12 @@
 	defer p.refreshFree(u)
 	smooth(&u.ttft, float64(ttft), smoothing)
 	if r.prefillAhead > 0 && !u.quarantined {
-		// The fraction of the step time that is not prefill is small for long
-		// prompts, but would make the prefill of short ones look slow.
-		if perToken := float64(ttft) / float64(r.prefillAhead) / u.slowdown.expected(now); r.prefillAhead >= minPrefillSample {
-			smooth(&u.prefillPerToken, perToken, slowSmoothing)
-		}
+		u.prefill.observe(float64(r.prefillAhead), float64(ttft)/u.slowdown.expected(now))
 	}
 	p.sampleLimit(now, u, &u.ttftCount, float64(ttft), float64(p.config.TargetTTFT))
 	p.observeProbe(now, r, ttft <= p.config.TargetTTFT)
 }
 
-// minPrefillSample is the least number of prompt tokens from which the prefill
-// speed is learned.
-const minPrefillSample = 512
-
 // Release ends a permit and corrects the cost charged for it by the true number of tokens.
 func (p *Pool) Release(now time.Duration, c Completion) {
 	r := p.requests.get(c.ID)
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -31,7 +31,7 @@
 	if u.Service {
 		return speed{fixed: usual * u.slotTime}
 	}
-	return speed{perPrompt: usual * u.prefillPerToken, perOutput: usual * u.expectedInterToken(inFlight)}
+	return speed{fixed: usual * u.prefill.fixed, perPrompt: usual * u.prefill.perToken, perOutput: usual * u.expectedInterToken(inFlight)}
 }
 
 // finishTime estimates the time in nanoseconds until a request would finish on
@@ -43,8 +43,8 @@
 	if u.Service {
 		return slowed * u.slotTime * float64(u.inFlight+1) / max(1, u.limit)
 	}
-	prefill := float64(u.pendingPrefill+max(0, int64(r.PromptLength)-cached)) * u.prefillPerToken
-	return slowed * (prefill + float64(r.MeanOutput)*u.expectedInterToken(u.inFlight+1))
+	firstToken := u.prefill.firstToken(u.pendingPrefill + max(0, int64(r.PromptLength)-cached))
+	return slowed * (firstToken + float64(r.MeanOutput)*u.expectedInterToken(u.inFlight+1))
 }
 
 // prefillFits reports whether an upstream may prefill the prompt of a request
@@ -56,7 +56,7 @@
 	if p.meetsInterToken(now, u) || !p.classes[r.Class].meetsInterToken || now >= r.anyUpstreamFrom {
 		return true
 	}
-	prefill := float64(u.pendingPrefill+int64(r.PromptLength)) * u.prefillPerToken
+	prefill := u.prefill.prefill(u.pendingPrefill + int64(r.PromptLength))
 	pause := u.slowdown.usual(now) * (prefill + u.expectedInterToken(u.inFlight+1))
 	return pause <= float64(p.config.TargetInterToken)
 }
--- a/pkg/scheduler/placement_test.go
+++ b/pkg/scheduler/placement_test.go
@@ -18,7 +18,7 @@
 		u := p.upstreams[i]
 		u.learnProfile(0, u.inFlight, float64(interToken))
 		u.profile[bucketOf(1)] = float64(interToken)
-		u.prefillPerToken = float64(10*time.Microsecond) * []float64{1, 4}[i]
+		u.prefill.perToken = float64(10*time.Microsecond) * []float64{1, 4}[i]
 	}
 	p.updateCapacities(0)
 	return p
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -47,15 +47,18 @@
 	probeRequest *request
 }
 
-// updateSuspicion updates the suspicion of an upstream after a report. It uses
-// the mean of the latest reports, because the smoothed one takes longer than 2 s
-// to show a slowdown.
-func (p *Pool) updateSuspicion(now time.Duration, u *upstream, mean float64, streams, stalled uint32) {
+// updateSuspicion updates the suspicion of an upstream after a report. It uses recent
+// reports, because the smoothed time takes longer than 2 s to show a slowdown. Entries
+// report slow and stalled streams at once, so that streams without a recent report count
+// as sound: a single slow stream is no straggler.
+func (p *Pool) updateSuspicion(now time.Duration, u *upstream) {
 	if u.Service || u.quarantined {
 		return
 	}
-	slow := mean > float64(p.config.TargetInterToken) && mean > slowRatio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight)
-	stalls := streams >= 2 && 2*stalled >= streams
+	e := u.evidenceAt(now, p.slowFrom(now, u, slowRatio))
+	all := max(e.streams, u.inFlight)
+	slow := e.slow > 0 && 2*e.slow >= all
+	stalls := e.streams >= 2 && 2*e.stalled >= all
 	switch {
 	case !slow && !stalls:
 		u.suspectSince = 0
@@ -65,6 +68,12 @@
 	}
 }
 
+// slowFrom returns the inter-token time in nanoseconds above which streams at an upstream
+// are slow: one that misses the target, and ratio times the expected one.
+func (p *Pool) slowFrom(now time.Duration, u *upstream, ratio float64) float64 {
+	return max(float64(p.config.TargetInterToken), ratio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight))
+}
+
 // checkStragglers quarantines upstreams for which the evidence of slowness has lasted.
 func (p *Pool) checkStragglers(now time.Duration) {
 	p.checkFailing(now)
@@ -86,7 +95,7 @@
 	if oldest == nil {
 		return false
 	}
-	expected := time.Duration(u.slowdown.expected(now) * float64(oldest.prefillAhead) * u.prefillPerToken)
+	expected := time.Duration(u.slowdown.expected(now) * u.prefill.firstToken(oldest.prefillAhead))
 	age := now - max(oldest.grantedAt, u.lastProgress)
 	return age > max(overdueFirstToken, overdueFactor*expected)
 }
@@ -200,8 +209,8 @@
 	if !u.quarantined || !r.probe {
 		return
 	}
-	_, stalled, mean := u.combineReports(now)
-	if !inTime || stalled > 0 || mean > recoveredRatio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight) {
+	e := u.evidenceAt(now, recoveredRatio*u.slowdown.expected(now)*u.expectedInterToken(u.inFlight))
+	if !inTime || e.stalled > 0 || 2*e.slow > e.streams {
 		u.probeRequest = nil
 		return
 	}
