membership: upstreams that left are forgotten an hour after they were last needed

Cause: the names of upstreams that left were kept for the life of the process. Change: once a second names are forgotten that were neither listed nor configured for an hour, and the oldest beyond 8,192 that are not configured. A configured one is never forgotten, since it would be used again, as when the store is down for long. Instances that join are told of those needed in the last half hour, so that no name passes from one to the next for ever.

--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -151,7 +151,7 @@
 		for _, id := range v.order {
 			reply.Members = append(reply.Members, updatesOf(v.members[id].Member)...)
 		}
-		reply.Members = append(reply.Members, v.leaving.updates()...)
+		reply.Members = append(reply.Members, v.leaving.updates(now)...)
 	} else {
 		for _, m := range v.sampleLive(contactsPerCell, from) {
 			reply.Members = append(reply.Members, updatesOf(m.Member)...)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -180,7 +180,7 @@
 	case UpstreamList:
 		n.upstreamList(e)
 	case UpstreamLeaves:
-		n.view.OnUpstreamLeaves(e.Upstream, e.Incarnation)
+		n.view.OnUpstreamLeaves(n.now, e.Upstream, e.Incarnation)
 		n.updateOwnership()
 	case UpstreamHoldsOff:
 		n.holdOffs.add(n.now, e.Upstream, e.For)
@@ -242,6 +242,7 @@
 	if n.view.WantsList(n.now) {
 		n.emit(ListInstances{})
 	}
+	n.view.ExpireUpstreams(n.now, n.configured)
 	n.updateOwnership()
 	n.checkOwners()
 	n.table.LimitSharers = n.view.LimitSharers(n.now)
--- a/pkg/node/submit.go
+++ b/pkg/node/submit.go
@@ -227,6 +227,16 @@
 	return n.learnedAddresses[upstream]
 }
 
+// configured reports whether an upstream is in the configuration, or its address was learned
+// from an owner whose configuration has it.
+func (n *Node) configured(upstream string) bool {
+	if n.set != nil && n.set.Upstreams[upstream] != nil {
+		return true
+	}
+	_, learned := n.learnedAddresses[upstream]
+	return learned
+}
+
 // flowTable interns the names of kinds or organisations and holds their limits.
 type flowTable struct {
 	index map[string]uint32
