poison, node: instances tell each other which parts were answered; ends found together are weighed together

Change: each instance tells one other every second at most 64 parts that it knows to have been answered (PromptParts.answered, a new field; older instances ignore it). It lifts nothing. All ends of a step are counted before a part is weighed.

--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -22,6 +22,8 @@
 	partExchangeInterval = time.Second
 	// maxExchanged bounds the records that are sent at a time; more are sent in turn.
 	maxExchanged = 24
+	// maxAnsweredExchanged bounds the parts that are sent at a time as answered: 0.5 KB.
+	maxAnsweredExchanged = 64
 )
 
 const (
@@ -130,10 +132,11 @@
 	}
 	for _, pool := range slices.Sorted(maps.Keys(n.watches)) {
 		watch := n.watches[pool]
-		for _, ending := range watch.Step(n.now) {
+		endings := watch.Step(n.now)
+		for range endings {
 			n.count("upstream_ends", "seen")
-			n.poison.UpstreamEnded(n.now, pool, ending)
 		}
+		n.poison.UpstreamEnded(n.now, pool, endings...)
 		if watch.Idle() {
 			delete(n.watches, pool)
 		}
@@ -248,22 +251,40 @@
 	}
 }
 
-// exchangeParts sends records to one live instance, to each in turn.
+// exchangeParts sends records, and parts that were answered, to one live instance, to each in
+// turn. An instance that is cut off or takes over a pool must know which parts are sound.
 func (n *Node) exchangeParts() {
-	records := n.poison.Records()
-	if len(records) == 0 {
-		return
-	}
 	var live []uint64
 	n.view.EachLive(func(m membership.Member) { live = append(live, m.Incarnation) })
-	if len(live) > 0 {
-		// Instances start at different members, so that each is told by some soon.
-		to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
-		windows := uint64(len(records)+maxExchanged-1) / maxExchanged
+	if len(live) == 0 {
+		return
+	}
+	records, answered := n.poison.Records(), n.poison.NextAnswered(maxAnsweredExchanged)
+	if len(records) == 0 && len(answered) == 0 {
+		return
+	}
+	// Instances start at different members, so that each is told by some soon.
+	to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
+	if windows := uint64(len(records)+maxExchanged-1) / maxExchanged; windows > 0 {
 		first := int(n.partStore.exchanges/uint64(len(live))%windows) * maxExchanged
-		n.send(to, n.partsMessage(records[first:min(first+maxExchanged, len(records))]))
-		n.partStore.exchanges++
+		records = records[first:min(first+maxExchanged, len(records))]
 	}
+	message := n.partsMessage(records)
+	message.GetPromptParts().Answered = answeredToProto(answered)
+	n.send(to, message)
+	n.partStore.exchanges++
+}
+
+// answeredToProto groups keys, which are in order, by pool.
+func answeredToProto(keys []poison.Key) (groups []*pb.AnsweredParts) {
+	for _, key := range keys {
+		if len(groups) == 0 || groups[len(groups)-1].Pool != key.Pool {
+			groups = append(groups, &pb.AnsweredParts{Pool: key.Pool})
+		}
+		group := groups[len(groups)-1]
+		group.Parts = append(group.Parts, key.Part)
+	}
+	return groups
 }
 
 // onPromptParts merges the records of another instance.
@@ -271,6 +292,11 @@
 	for _, part := range m.Parts {
 		n.mergePart(n.partFromProto(part))
 	}
+	for _, group := range m.Answered {
+		for _, part := range group.GetParts() {
+			n.poison.AnsweredElsewhere(poison.Key{Pool: group.GetPool(), Part: part})
+		}
+	}
 }
 
 // mergePart merges a record of another instance or of the store.
--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -147,10 +147,10 @@
 // before most parts were answered once, and against late sends while all upstreams end within
 // a second just as the owner of their pool is cut off.
 func TestBlocksDuringOutages(t *testing.T) {
-	for _, seed := range []uint64{265, 463, 783, 1049} {
+	for _, seed := range []uint64{265, 463, 783, 1049, 3031} {
 		require.Empty(t, playOutageDay(t, seed), "seed %d", seed)
 	}
-	for _, seed := range []uint64{54, 102, 128, 138, 155, 399, 818, 919, 992, 1074, 1182} {
+	for _, seed := range []uint64{54, 102, 128, 138, 155, 399, 818, 919, 992, 1074, 1182, 1317, 1488, 1574, 2257} {
 		require.Empty(t, playCutDay(t, seed), "seed %d", seed)
 	}
 }
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -5,24 +5,30 @@
 	"time"
 )
 
-// UpstreamEnded counts the end of an upstream of a pool against the parts of the requests
-// there that had hardly begun, and blocks a part that has enough ends.
-func (r *Registry) UpstreamEnded(now time.Duration, pool uint64, ending Ending) {
-	if !r.Enabled() || r.explained(now, pool, ending) {
+// UpstreamEnded counts ends of upstreams of a pool against the parts of the requests there that
+// had hardly begun, and blocks a part that has enough ends. Ends that were found at the same
+// time are passed together, so that a part is weighed against all of them.
+func (r *Registry) UpstreamEnded(now time.Duration, pool uint64, endings ...Ending) {
+	if !r.Enabled() {
 		return
 	}
-	r.pool(now, pool).addEnd(ending)
-	for _, parts := range ending.Young {
-		for _, part := range parts {
-			r.addEnd(now, Key{pool, part}, ending)
+	endings = slices.DeleteFunc(endings, func(ending Ending) bool { return r.explained(now, pool, ending) })
+	for _, ending := range endings {
+		r.pool(now, pool).addEnd(ending)
+		for _, parts := range ending.Young {
+			for _, part := range parts {
+				r.addEnd(now, Key{pool, part}, ending)
+			}
 		}
 	}
-	for _, parts := range ending.Young {
-		// Of parts that cannot be told apart the later one is blocked, since fewer other
-		// prompts have it; that explains the ends.
-		for _, part := range slices.Backward(parts) {
-			if key := (Key{pool, part}); r.convicted(key) {
-				r.block(now, key)
+	for _, ending := range endings {
+		for _, parts := range ending.Young {
+			// Of parts that cannot be told apart the later one is blocked, since fewer other
+			// prompts have it; that explains the ends.
+			for _, part := range slices.Backward(parts) {
+				if key := (Key{pool, part}); r.convicted(key) {
+					r.block(now, key)
+				}
 			}
 		}
 	}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -100,6 +100,8 @@
 	cfg      Config
 	records  map[Key]*Record
 	answered recent
+	// lastTold is the last key that NextAnswered returned.
+	lastTold Key
 	pools    map[uint64]*poolEvidence
 	// unreported is the newest time in which an instance was not heard from.
 	unreported struct{ from, to time.Duration }
@@ -168,6 +170,24 @@
 	}
 }
 
+// AnsweredElsewhere records that other instances saw a part answered. It lifts nothing, since the
+// part may have been answered before the ends that count against it here.
+func (r *Registry) AnsweredElsewhere(key Key) {
+	if r.Enabled() && !r.answered.has(key) {
+		r.answered.add(key)
+	}
+}
+
+// NextAnswered returns up to limit parts that are known to have been answered, others at each
+// call until all were returned.
+func (r *Registry) NextAnswered(limit int) []Key {
+	keys := r.answered.after(r.lastTold, limit)
+	if len(keys) > 0 {
+		r.lastTold = keys[len(keys)-1]
+	}
+	return keys
+}
+
 // Lift ends all suspicion against a part.
 func (r *Registry) Lift(now time.Duration, key Key) {
 	record := r.records[key]
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -290,6 +290,38 @@
 	require.False(t, blocked(r, 3*time.Second, bad))
 }
 
+// TestEndsFoundTogether guards against a sound part that is blocked by the first of many ends
+// that are found at once, although it is not under the others.
+func TestEndsFoundTogether(t *testing.T) {
+	r := poison.New(config)
+	answer(r, 200, 20)
+	endUnder(r, time.Second, []uint64{shared}, []uint64{20})
+	endUnder(r, 2*time.Second, []uint64{shared}, []uint64{20})
+	endings := []poison.Ending{{Upstream: 1, At: 3 * time.Second, Young: [][]uint64{{shared}}}}
+	for i := range uint64(6) {
+		endings = append(endings, poison.Ending{Upstream: 2 + i, At: 3 * time.Second, Young: [][]uint64{{20}}})
+	}
+	r.UpstreamEnded(3*time.Second, pool, endings...)
+	require.False(t, blocked(r, 4*time.Second, shared))
+}
+
+// TestRivalWithFewEnds guards against a verdict that waits for further ends since another part,
+// under fewer than half of them, ended upstreams at as many times.
+func TestRivalWithFewEnds(t *testing.T) {
+	const ms = time.Millisecond
+	r := poison.New(config)
+	answer(r, 200, 20)
+	for i := range time.Duration(9) {
+		young := [][]uint64{{bad}, {20}}
+		if i%3 == 0 {
+			young = append(young, []uint64{shared})
+		}
+		endUnder(r, (1+i/3)*time.Second+i%3*ms, young...)
+	}
+	require.True(t, blocked(r, 4*time.Second, bad))
+	require.False(t, blocked(r, 4*time.Second, shared))
+}
+
 // TestEndsWithinASecond guards against a block that comes too late when nearly all upstreams
 // end at two times within a second: the ends at one time have one cause, but of two times with
 // this many ends a part that is under all of them is the cause.
--- a/pkg/poison/pool_test.go
+++ b/pkg/poison/pool_test.go
@@ -23,3 +23,39 @@
 	r.Tick(time.Second + retention)
 	require.Empty(t, r.pools)
 }
+
+// TestAnsweredPartsAreTold guards against an instance that takes over a pool, or is cut off, and
+// blocks a sound part that only others saw answered; and against a block that is lifted by what
+// was answered before it.
+func TestAnsweredPartsAreTold(t *testing.T) {
+	from, to := New(Config{Ends: 3, Trial: time.Minute}), New(Config{Ends: 3, Trial: time.Minute})
+	const parts, limit = 150, 64
+	for part := range uint64(parts) {
+		from.Answered(0, 1+part%2, []uint64{part})
+	}
+	told := map[Key]int{}
+	for range 2 * (parts/limit + 1) {
+		keys := from.NextAnswered(limit)
+		require.LessOrEqual(t, len(keys), limit)
+		for _, key := range keys {
+			told[key]++
+			to.AnsweredElsewhere(key)
+		}
+	}
+	require.Len(t, told, parts)
+	for key, times := range told {
+		require.Equal(t, 2, times, "%v", key)
+	}
+	end := func(r *Registry, i uint64) {
+		at := time.Duration(i) * time.Second
+		r.UpstreamEnded(at, 1, Ending{Upstream: i, At: at, Young: [][]uint64{{2}}})
+	}
+	for i := range uint64(5) {
+		end(to, i+1)
+	}
+	require.False(t, to.AnyBlocked())
+	end(to, 6)
+	require.True(t, to.AnyBlocked())
+	to.AnsweredElsewhere(Key{Pool: 1, Part: 2})
+	require.True(t, to.AnyBlocked())
+}
