node: a reader of the store looks each second for blocks by an instance that is not heard from

Change: while answers break (30 s after one) and a member is not heard from, the reader in 24 instances reads the current records each second, as an instance that is cut off does.

--- a/pkg/node/partstore.go
+++ b/pkg/node/partstore.go
@@ -17,8 +17,8 @@
 	partReadRetry    = time.Second
 	// partWriteRetry is the time between attempts to write a record.
 	partWriteRetry = 2 * time.Second
-	// partAlertTime is how long after a broken answer an instance that seems to be cut off
-	// reads the current records and not older ones.
+	// partAlertTime is how long after a broken answer an instance that seems to be cut off,
+	// or a reader that misses a member, reads the current records and not older ones.
 	partAlertTime = 30 * time.Second
 )
 
@@ -79,16 +79,18 @@
 }
 
 // readPartsIfDue reads the stored records if this instance has not read them yet, seems to be
-// cut off from the others, or is due to read them for others.
+// cut off from the others, or is due to read them for others. While answers break and a member
+// is not heard from, it is due at each look: that member may have blocked a part.
 func (n *Node) readPartsIfDue() {
 	s := &n.partStore
 	cutOff := n.cutOff()
-	due := n.now >= s.nextRead && n.view.ReaderOf(instancesPerReader, true) == 0
+	broke := s.brokeAt > 0 && n.now-s.brokeAt < partAlertTime
+	alert := broke && (cutOff || n.reportsMissing())
+	due := (alert || n.now >= s.nextRead) && n.view.ReaderOf(instancesPerReader, true) == 0
 	if s.known && !cutOff && !due {
 		return
 	}
-	broke := s.brokeAt > 0 && n.now-s.brokeAt < partAlertTime
-	n.emit(ReadPartRecords{Current: cutOff && broke || !s.known})
+	n.emit(ReadPartRecords{Current: alert || !s.known})
 }
 
 // cutOff reports whether this instance seems to be cut off from the others, so that blocks
