--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -22,6 +22,8 @@
 	partExchangeInterval = time.Second
 	// maxExchanged bounds the records that are sent at a time; more are sent in turn.
 	maxExchanged = 24
+	// maxAnsweredExchanged bounds the parts that are sent at a time as answered: 0.5 KB.
+	maxAnsweredExchanged = 64
 )
 
 const (
@@ -93,6 +95,9 @@
 	case scheduler.Complete:
 		n.noteAlive(h, upstream)
 		if it.firstTokenAt > 0 {
+			if len(parts) > 0 && it.descriptor.ID.Entry != n.self { // those of this instance are counted in noteOwnResult
+				n.poison.CountAnswer(n.now, uint64(h.id))
+			}
 			n.poison.Answered(n.now, uint64(h.id), parts)
 		}
 	case scheduler.Failed, scheduler.Refused:
@@ -122,18 +127,30 @@
 
 // judgeEnds counts the ends of upstreams that were found, and removes idle watches.
 func (n *Node) judgeEnds() {
+	if len(n.watches) > 0 && n.reportsMissing() {
+		n.poison.ReportsMissing(n.now)
+	}
 	for _, pool := range slices.Sorted(maps.Keys(n.watches)) {
 		watch := n.watches[pool]
-		for _, ending := range watch.Step(n.now) {
+		endings := watch.Step(n.now)
+		for range endings {
 			n.count("upstream_ends", "seen")
-			n.poison.UpstreamEnded(n.now, pool, ending)
 		}
+		n.poison.UpstreamEnded(n.now, pool, endings...)
 		if watch.Idle() {
 			delete(n.watches, pool)
 		}
 	}
 }
 
+// reportsMissing reports whether a member of the cell is not heard from and may have requests
+// at upstreams.
+func (n *Node) reportsMissing() bool {
+	return slices.ContainsFunc(n.view.Members(), func(m membership.Member) bool {
+		return m.Incarnation != n.self && !m.Leaving && m.State != membership.Alive
+	})
+}
+
 // noteOwnResult records how a request of this instance ended at its upstream. Each instance
 // knows which parts it saw answered, so that it can take over a pool. An answer without a
 // token, such as an error, shows nothing.
@@ -144,6 +161,7 @@
 	}
 	switch {
 	case e.Result == ResultComplete && record.FirstTokenAt > 0:
+		n.poison.CountAnswer(n.now, record.Pool)
 		n.poison.Answered(n.now, record.Pool, record.Parts)
 	case e.Result == ResultBroken:
 		n.partStore.brokeAt = n.now
@@ -233,22 +251,40 @@
 	}
 }
 
-// exchangeParts sends records to one live instance, to each in turn.
+// exchangeParts sends records, and parts that were answered, to one live instance, to each in
+// turn. An instance that is cut off or takes over a pool must know which parts are sound.
 func (n *Node) exchangeParts() {
-	records := n.poison.Records()
-	if len(records) == 0 {
-		return
-	}
 	var live []uint64
 	n.view.EachLive(func(m membership.Member) { live = append(live, m.Incarnation) })
-	if len(live) > 0 {
-		// Instances start at different members, so that each is told by some soon.
-		to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
-		windows := uint64(len(records)+maxExchanged-1) / maxExchanged
+	if len(live) == 0 {
+		return
+	}
+	records, answered := n.poison.Records(), n.poison.NextAnswered(maxAnsweredExchanged)
+	if len(records) == 0 && len(answered) == 0 {
+		return
+	}
+	// Instances start at different members, so that each is told by some soon.
+	to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
+	if windows := uint64(len(records)+maxExchanged-1) / maxExchanged; windows > 0 {
 		first := int(n.partStore.exchanges/uint64(len(live))%windows) * maxExchanged
-		n.send(to, n.partsMessage(records[first:min(first+maxExchanged, len(records))]))
-		n.partStore.exchanges++
+		records = records[first:min(first+maxExchanged, len(records))]
+	}
+	message := n.partsMessage(records)
+	message.GetPromptParts().Answered = answeredToProto(answered)
+	n.send(to, message)
+	n.partStore.exchanges++
+}
+
+// answeredToProto groups keys, which are in order, by pool.
+func answeredToProto(keys []poison.Key) (groups []*pb.AnsweredParts) {
+	for _, key := range keys {
+		if len(groups) == 0 || groups[len(groups)-1].Pool != key.Pool {
+			groups = append(groups, &pb.AnsweredParts{Pool: key.Pool})
+		}
+		group := groups[len(groups)-1]
+		group.Parts = append(group.Parts, key.Part)
 	}
+	return groups
 }
 
 // onPromptParts merges the records of another instance.
@@ -256,6 +292,11 @@
 	for _, part := range m.Parts {
 		n.mergePart(n.partFromProto(part))
 	}
+	for _, group := range m.Answered {
+		for _, part := range group.GetParts() {
+			n.poison.AnsweredElsewhere(poison.Key{Pool: group.GetPool(), Part: part})
+		}
+	}
 }
 
 // mergePart merges a record of another instance or of the store.
