ingress: calls to plain services wait no longer than their goal

Cause: below the top tier a call could wait for half of its time left. In an overload of a plain service the queue was always that long, so that nearly all answers missed their goal without more being served. Ruled out: 0.15 of the goal as for streams was not tried; calls take much less than their goal. Change: Route.StartWithin also bounds the wait of calls to plain services, by their goal.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -175,15 +175,13 @@
 		Labels:    map[string]string{ingress.LabelService: j.service},
 		Remaining: j.deadline - now, Prefix: j.head.Prefix, Shared: j.head.Shared, Parts: j.head.Parts,
 		MaxSends: uint32(j.route.MaxSends), Repeatable: j.route.Repeatable(),
+		StartWithin: j.route.StartWithin(),
 	}
 	if engine := j.snapshot.engines[j.service]; engine != nil && j.route.ModelCall {
 		s.Model = ingress.AnyModel
 		s.PromptTokens = max(1, j.head.PromptTokens)
 		s.MaxOutputTokens = eventsForTokens(j.head.OutputTokens, engine)
 	}
-	if j.route.Kind == ingress.Stream {
-		s.StartWithin = j.route.StartWithin()
-	}
 	return s
 }
 
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -78,16 +78,20 @@
 	return max(minAbandonTime, abandonGoalMultiple*r.Goal, abandonGapMultiple*r.EventGapGoal)
 }
 
-// StartWithin is the time within which a stream must be sent to an upstream, so that
-// its first event arrives before the caller disconnects.
+// StartWithin is the time that a request may wait in the queue; 0 if only its deadline
+// bounds it. In an overload a longer queue serves no more requests, but all of them late.
 func (r *Route) StartWithin() time.Duration {
-	return time.Duration(float64(r.Goal) * startFraction)
+	if r.Kind == Stream {
+		return time.Duration(float64(r.Goal) * streamStartFraction)
+	}
+	return r.Goal
 }
 
-// startFraction is the fraction of a route's goal that a request may wait in the
-// queue. A caller that is refused at once can retry while its answer can still be in
-// time; a caller that waits longer is refused as often, only later.
-const startFraction = 0.15
+// streamStartFraction is the fraction of a route's goal that a stream may wait. A caller
+// that is refused at once can retry while its answer can still be in time; a caller that
+// waits longer is refused as often, only later. Calls to plain services may wait for all
+// of it: they are shorter than their goal, and many of them follow each other on a slot.
+const streamStartFraction = 0.15
 
 // Callers disconnect from a stream without an event after the longest of
 // minAbandonTime and these multiples of the route's Goal and EventGapGoal.
