settings: rollout_expose_share, rollout_expose_slack, rollout_rollback

Cause: a rollout needs the bounds on exposure and revert that the platform states. Change: three settings in [gateway]; the template fills them where the platform has them. The share is 0 by default, which turns rollouts off. At start: rollouts need gateway mode, and a revert can not be due before a lost owner is noticed. Measured: go test ./internal/settings ./cmd/citrongate passes, also with the placeholders filled in with decimals.

--- a/cmd/citrongate/template_test.go
+++ b/cmd/citrongate/template_test.go
@@ -43,7 +43,8 @@
 		"listenAddrs.directory": "10.0.0.1:3", "listenAddrs.control": "10.0.0.1:4", "ip": "10.0.0.1", "portRange.0": "5", "platform.address": "10.0.0.2:1"}
 	all := map[string]string{"bounds.graceS": "7.5", "bounds.drainMs": "2666.6666666666665", "bounds.configApplyMs": "1333.3", "bounds.strictRevoke": "true",
 		"bounds.revokeMs": "5000.5", "bounds.budgetRatio": "0.2", "bounds.budgetWindowS": "10.5", "bounds.budgetExtra": "37.28813559322034", "bounds.ttl_max_s": "4.5",
-		"limits.memoryMb": "283.75", "limits.maxFds": "4100.0", "bounds.quotaWindowS": "8.25", "bounds.quotaOver": "0.125", "bounds.quotaSlack": "140000.5"}
+		"limits.memoryMb": "283.75", "limits.maxFds": "4100.0", "bounds.quotaWindowS": "8.25", "bounds.quotaOver": "0.125", "bounds.quotaSlack": "140000.5",
+		"bounds.exposeShare": "0.1", "bounds.exposeSlack": "50.0", "bounds.rollbackMs": "5000.0"}
 	for _, values := range []map[string]string{{}, all} {
 		for name, value := range always {
 			values[name] = value
--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -32,6 +32,7 @@
 	problems = append(problems, checkListeners(s.GetListen())...)
 	problems = append(problems, checkBufferedBodies(s.GetLimits())...)
 	problems = append(problems, checkGateway(s)...)
+	problems = append(problems, checkRollouts(s)...)
 	return append(problems, checkFailureDetection(s.GetPeer())...)
 }
 
@@ -59,6 +60,31 @@
 	return problems
 }
 
+// checkRollouts requires, for rollouts, gateway mode, since only a gateway reads orders
+// from the store, and a rollout_rollback of at least owner_timeout: until then an
+// instance still waits for a pool's owner that has failed.
+func checkRollouts(s *pb.Settings) []Problem {
+	gateway := s.GetGateway()
+	if gateway.GetRolloutExposeShare() == 0 {
+		return nil
+	}
+	var problems []Problem
+	if gateway.GetMode() != On {
+		problems = append(problems, Problem{
+			Section: "gateway", Key: "rollout_expose_share", Value: strconv.FormatFloat(gateway.GetRolloutExposeShare(), 'g', -1, 64),
+			What: "rollouts need a gateway, and mode is off", Remedy: "set mode = on below [gateway], or remove rollout_expose_share",
+		})
+	}
+	timeout := s.GetScheduler().GetOwnerTimeout()
+	if rollback := Duration(gateway.GetRolloutRollback()); rollback > 0 && rollback < Duration(timeout) {
+		problems = append(problems, Problem{
+			Section: "gateway", Key: "rollout_rollback", Value: gateway.GetRolloutRollback(), What: "less than [scheduler] owner_timeout",
+			Allowed: "at least owner_timeout (" + timeout + ")", Remedy: "raise rollout_rollback or lower owner_timeout",
+		})
+	}
+	return problems
+}
+
 // checkBufferedBodies requires that the limit on all buffered bodies admits one
 // body of the maximum size.
 func checkBufferedBodies(limits *pb.LimitSettings) []Problem {
