node: events and actions of orders to move a service to another version

Cause: the platform adapter and the decision of an order are written at the same time as the node; both need these declarations. Change: UseConfiguration.Rollouts, RolloutWritten, WriteRollout, RolloutChanged, Config.Rollouts. Nothing uses them yet.

--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -6,6 +6,7 @@
 	"github.com/citrongate/citrongate/pkg/answer"
 	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/refresh"
+	"github.com/citrongate/citrongate/pkg/rollout"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -105,6 +106,26 @@
 // answer that is a few seconds old, which costs the store less, will do unless Current.
 type ReadPartRecords struct{ Current bool }
 
+// WriteRollout writes what is known of an order to the store if the object still has the
+// record's Revision. A RolloutWritten follows.
+type WriteRollout struct {
+	Service string
+	Record  rollout.Record
+}
+
+// RolloutChanged reports that the phase of an order changed, as far as known here.
+type RolloutChanged struct {
+	Service string
+	// Order is rollout.Order.ID.
+	Order uint64
+	Phase rollout.Phase
+	// Reason and Status say why; they are known only to the instance that decided it.
+	Reason string
+	Status rollout.Status
+	// Here is true if this instance decided it.
+	Here bool
+}
+
 // SendOrder sends an order to an upstream.
 type SendOrder struct {
 	Order         uint64
@@ -158,6 +179,8 @@
 func (WritePartRecord) isAction()  {}
 func (ReadPartRecords) isAction()  {}
 func (DeletePartRecord) isAction() {}
+func (WriteRollout) isAction()     {}
+func (RolloutChanged) isAction()   {}
 func (SendOrder) isAction()        {}
 func (OrderResult) isAction()      {}
 func (ChangeDone) isAction()       {}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -6,6 +6,7 @@
 	"github.com/citrongate/citrongate/pkg/configstate"
 	"github.com/citrongate/citrongate/pkg/dispatch"
 	"github.com/citrongate/citrongate/pkg/poison"
+	"github.com/citrongate/citrongate/pkg/rollout"
 )
 
 // Config holds the settings of one instance. Zero durations and counts take
@@ -92,6 +93,10 @@
 	// default none is.
 	PartBlocks poison.Config
 
+	// Rollouts bounds what a version that is not proven may get; by default the orders to
+	// move a service to another version are ignored.
+	Rollouts rollout.Bounds
+
 	// Mutations break guarantees on purpose, so that a test can show that its
 	// checks detect the violation. It must be zero outside tests.
 	Mutations Mutations
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -7,6 +7,7 @@
 	"github.com/citrongate/citrongate/pkg/poison"
 	"github.com/citrongate/citrongate/pkg/quota"
 	"github.com/citrongate/citrongate/pkg/refresh"
+	"github.com/citrongate/citrongate/pkg/rollout"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 	"github.com/citrongate/citrongate/pkg/store"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
@@ -235,6 +236,26 @@
 	TargetTTFT, TargetInterToken time.Duration
 	// PromptSlowdown replaces that of Config if it is positive.
 	PromptSlowdown float64
+	// Rollouts holds the orders to move services to another version, one for each service
+	// at most.
+	Rollouts []RolloutOrder
+}
+
+// RolloutOrder is an order to move a service to another version, as read from the store.
+type RolloutOrder struct {
+	Order rollout.Order
+	// Record is what the store has of the order; the zero value if it has nothing.
+	Record rollout.Record
+	// Command is the operator's command on this order; 0 if there is none.
+	Command rollout.Command
+	// Current and Target name the service's upstreams of other versions and of the ordered one.
+	Current, Target []string
+}
+
+// RolloutWritten is the result of a WriteRollout action.
+type RolloutWritten struct {
+	Service string
+	Result  rollout.WriteResult
 }
 
 // StoreReadDone is the result of a ReadStore action.
@@ -287,5 +308,6 @@
 func (StoreReadDone) isEvent()      {}
 func (PartRecordsRead) isEvent()    {}
 func (PartRecordWritten) isEvent()  {}
+func (RolloutWritten) isEvent()     {}
 func (Drain) isEvent()              {}
 func (Tick) isEvent()               {}
