--- a/pkg/ingress/registry.go
+++ b/pkg/ingress/registry.go
@@ -54,7 +54,7 @@
 // A listing that began before the newest one is ignored. Observe returns true if the
 // upstreams or their attributes changed.
 func (r *Registry) Observe(started, now time.Duration, list []Upstream) (changed bool) {
-	if r.listed && started < r.listedAt {
+	if r.newerThan(started) {
 		return false
 	}
 	if r.listed && started-r.listedAt >= outageGap {
@@ -87,6 +87,9 @@
 	return changed
 }
 
+// newerThan reports whether the newest listing began after the given time.
+func (r *Registry) newerThan(started time.Duration) bool { return r.listed && started < r.listedAt }
+
 func (r *Registry) observeEntry(name string, u Upstream) (changed bool) {
 	known, ok := r.upstreams[name]
 	if !ok {
