gateway: orders are read after the upstreams, their records written, changes logged

Cause: the node decides on orders; a gateway reads and writes them. Change: with rollout_expose_share above 0 one read lists upstreams, then orders, then (while an order is unfinished, and with stale reads) commands; a failure of the first two fails the read. Upstreams whose version must not be used are left out of the node's objects. Lines rollout changed, rollout not written and rollout refused, counter rollout_writes, gauge citrongate_rollout_overdue. The end of an order that the node reports is in force at once, without the store. Measured: go test ./internal/gateway ./pkg/ingress ./internal/eventlog ./platform passes; with the setting absent the read makes the one call it made before.

--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -289,7 +289,7 @@
 
 // EntriesUnused is written if the store holds entries that cannot be used.
 type EntriesUnused struct {
-	Kind    string `json:"kind" about:"upstreams or instances"`
+	Kind    string `json:"kind" about:"upstreams, instances, parts, rollouts or rollout commands"`
 	Entries int    `json:"entries" about:"number of these entries"`
 	Error   string `json:"error" about:"error of the first of these entries"`
 }
@@ -391,5 +391,6 @@
 var All = []Line{
 	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, MalformedRequest{}, UpstreamLeaves{}, UpstreamHoldsOff{}, CallerDisconnected{}, OrderSent{},
 	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsReloaded{}, InvalidSettings{}, ReadinessChanged{}, LimitSharersChanged{}, ConfigInForce{}, TableInForce{},
-	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, PromptPartChanged{}, PromptPartNotWritten{}, InternalFault{}, LinesDropped{},
+	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, PromptPartChanged{}, PromptPartNotWritten{},
+	RolloutChanged{}, RolloutNotWritten{}, RolloutRefused{}, InternalFault{}, LinesDropped{},
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -48,6 +48,8 @@
 	// faultsLoggedAt is the boot time at which invalid upstream entries were last
 	// logged.
 	faultsLoggedAt atomic.Int64
+	// rollouts are the orders published last; nil before the first.
+	rollouts atomic.Pointer[[]ingress.ServiceRollout]
 	// upstreamsListedAt is the newest boot time at which this instance's list of
 	// upstreams is known to have been the store's; 0 before the first listing.
 	upstreamsListedAt atomic.Int64
@@ -73,9 +75,8 @@
 		config, err := g.store.Config(g.ctx)
 		read.Version, read.OK = g.observeConfig(started, config, err)
 	case refresh.Upstreams:
-		upstreams, faults, err := g.store.Upstreams(g.ctx)
-		g.logFaults(&g.config.faultsLoggedAt, "upstreams", faults)
-		read.Version, read.OK = g.observeUpstreams(started, upstreams, err)
+		listing, err := g.readListing(g.ctx)
+		read.Version, read.OK = g.observeListing(started, listing, err)
 	}
 	g.loop.Post(read)
 }
@@ -100,10 +101,9 @@
 	return version, ok
 }
 
-// observeUpstreams puts a listing of the upstreams in force and returns its digest,
-// and false if the read failed.
-func (g *Gateway) observeUpstreams(started time.Duration, upstreams []ingress.Upstream, err error) (uint64, bool) {
-	g.countStoreCall("upstreams", err)
+// observeListing puts a listing of the upstreams and the orders in force and returns its
+// digest, and false if the read failed.
+func (g *Gateway) observeListing(started time.Duration, listing ingress.Listing, err error) (uint64, bool) {
 	c := &g.config
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -112,7 +112,8 @@
 		return 0, false
 	}
 	c.upstreamsListedAt.Store(int64(started))
-	digest, changed := c.state.ObserveUpstreams(started, boottime.Now(), upstreams)
+	digest, changed := c.state.ObserveListing(started, boottime.Now(), listing)
+	c.publishRollouts()
 	g.publishIfChanged(changed)
 	return digest, true
 }
@@ -175,6 +176,8 @@
 	c.revision++
 	table := c.state.Tracker.Table()
 	upstreams := c.state.Registry.Upstreams()
+	used := c.state.Upstreams()
+	c.publishRollouts()
 	next := &snapshot{table: table, engines: map[string]*ingress.Service{}}
 	config := table.Config()
 	for i := range config.Services {
@@ -188,13 +191,14 @@
 	ttft, interToken := config.Targets()
 	g.loop.Post(node.UseConfiguration{
 		TargetTTFT: ttft, TargetInterToken: interToken, PromptSlowdown: promptSlowdown,
-		Set: ingress.Objects(c.revision, config, upstreams), Quotas: g.quotas(config)})
+		Set: ingress.Objects(c.revision, config, used), Quotas: g.quotas(config),
+		Rollouts: rolloutOrders(*c.rollouts.Load())})
 	c.current.Store(next)
-	g.closeConnectionsToRemoved(upstreams)
+	g.closeConnectionsToRemoved(used)
 }
 
 // closeConnectionsToRemoved closes the idle connections to upstreams that are no
-// longer registered, since their addresses may be given to other upstreams.
+// longer used, since their addresses may be given to other upstreams.
 func (g *Gateway) closeConnectionsToRemoved(upstreams []ingress.Upstream) {
 	registered := make(map[string]bool, len(upstreams))
 	for i := range upstreams {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -24,6 +25,7 @@
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/poison"
+	"github.com/citrongate/citrongate/pkg/rollout"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -90,9 +92,17 @@
 	bounds  ingress.Bounds
 	members atomic.Pointer[membersView]
 	known   knownUpstreams
-	// instanceFaultsLoggedAt and partFaultsLoggedAt are the boot times at which invalid
-	// entries of instances and invalid records of parts were last logged.
-	instanceFaultsLoggedAt, partFaultsLoggedAt atomic.Int64
+	// instanceFaultsLoggedAt, partFaultsLoggedAt, orderFaultsLoggedAt and
+	// commandFaultsLoggedAt are the boot times at which invalid entries of instances, records
+	// of parts, orders and commands on orders were last logged.
+	instanceFaultsLoggedAt, partFaultsLoggedAt, orderFaultsLoggedAt, commandFaultsLoggedAt atomic.Int64
+
+	// rollouts are the bounds from the settings; orders are not read if they are zero.
+	rollouts rollout.Bounds
+	// commands are the operators' commands read last, by service, and refusedOrders the
+	// services whose order could not be read last.
+	commands      atomic.Pointer[map[string]ingress.RolloutCommand]
+	refusedOrders atomic.Pointer[map[string]bool]
 
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
@@ -129,6 +139,7 @@
 		mailboxes: nodeloop.NewMailboxes(),
 		drained:   make(chan struct{}),
 		bounds:    boundsOf(s.GetGateway()),
+		rollouts:  rolloutBounds(s.GetGateway()),
 		ctx:       ctx, stop: stop,
 	}
 	g.discoveryTTL.Store(int64(settings.Duration(s.GetGateway().GetDiscoveryTtl())))
@@ -141,7 +152,7 @@
 		MaxHeadBytes: int(limits.GetMaxAnswerHeaderBytes()), MaxEventBytes: int(limits.GetMaxEventBytes()),
 		MaxBodyBytes: int64(limits.GetMaxAnswerBytes()),
 	})
-	if err := g.registerAgeMetrics(); err != nil {
+	if err := errors.Join(g.registerAgeMetrics(), g.registerRolloutMetrics()); err != nil {
 		stop()
 		return nil, err
 	}
@@ -184,6 +195,7 @@
 		RefreshWithin: refreshWithin(s.GetGateway()),
 		PartBlocks: poison.Config{Ends: int(s.GetGateway().GetPartBlockEnds()),
 			Trial: settings.Duration(s.GetGateway().GetPartBlockTrial())},
+		Rollouts: g.rollouts,
 	}
 }
 
@@ -316,6 +328,11 @@
 		g.goRun(func() { g.deletePartRecord(a.Key) })
 	case node.ReadPartRecords:
 		g.goRun(func() { g.readPartRecords(a.Current) })
+	case node.WriteRollout:
+		g.goRun(func() { g.writeRollout(a.Service, a.Record) })
+	case node.RolloutChanged:
+		g.logRollout(a)
+		g.goRun(func() { g.endRollout(a) })
 	case node.Count:
 		g.metrics.Count(a.Name, a.Reason)
 	case node.ConfigInForce:
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -12,6 +12,7 @@
 	"github.com/citrongate/citrongate/internal/forward"
 	"github.com/citrongate/citrongate/pkg/ingress"
 	"github.com/citrongate/citrongate/pkg/poison"
+	"github.com/citrongate/citrongate/pkg/rollout"
 	"github.com/citrongate/citrongate/pkg/scheduler"
 )
 
@@ -24,7 +25,7 @@
 }
 
 // Store reads and writes the platform's store. Its methods are safe for
-// concurrent use; each makes one call or one listing and never retries.
+// concurrent use; each makes one call or one listing and never retries, unless it says so.
 type Store interface {
 	// Config reads the newest configuration. An unchanged one may be returned as
 	// the same value again.
@@ -44,6 +45,16 @@
 	// it exists. Until is the time that is left of a block.
 	WritePartRecord(ctx context.Context, record poison.Record) error
 	DeletePartRecord(ctx context.Context, key poison.Key) error
+	// Rollouts lists the orders to move services to another version; faults are the errors of
+	// orders that could not be read, whose services are among those refused.
+	Rollouts(ctx context.Context) (orders ingress.Orders, faults []error, err error)
+	// RolloutCommands lists the operators' commands on orders, by service. With mayBeOld the
+	// list may be a few seconds old. faults are the errors of commands that could not be read.
+	RolloutCommands(ctx context.Context, mayBeOld bool) (commands map[string]ingress.RolloutCommand, faults []error, err error)
+	// WriteRollout writes the record of an order if the object still has the record's
+	// Revision. It may read the object to find out what the store has. err is nil if the result
+	// is acknowledged or a conflict.
+	WriteRollout(ctx context.Context, order rollout.Order, record rollout.Record) (rollout.WriteResult, error)
 }
 
 // PartRecords are the stored records of parts of prompts.
--- a/pkg/ingress/rollouts_test.go
+++ b/pkg/ingress/rollouts_test.go
@@ -73,6 +73,25 @@
 	l.requireUsed(all, one(orderTo(13, "1", rollout.Completed)), "1")
 }
 
+// TestEndBeforeTheStore guards against requests to a reverted version until the store has the
+// end of its order, against an end that an older listing takes back, and against a service
+// without upstreams where an order was completed and withdrawn between two listings.
+func TestEndBeforeTheStore(t *testing.T) {
+	l := newListings(t)
+	judging := one(orderTo(7, "2", rollout.Judging))
+	l.requireUsed(versioned("1", "2"), judging, "1", "2")
+	require.False(t, l.state.EndRollout("plain", 6, rollout.Reverted), "another order")
+	require.False(t, l.state.EndRollout("plain", 7, rollout.Shifting))
+	require.True(t, l.state.EndRollout("plain", 7, rollout.Reverted))
+	l.requireUsed(versioned("1", "2"), judging, "1")
+	l.requireUsed(versioned("1", "2"), one(orderTo(7, "2", rollout.Completed)), "2")
+	require.False(t, l.state.EndRollout("plain", 7, rollout.Reverted))
+	l = newListings(t)
+	l.requireUsed(versioned("1", "2"), one(orderTo(7, "2", rollout.Shifting)), "1", "2")
+	l.requireUsed(versioned("1", "2"), ingress.Orders{}, "1")
+	l.requireUsed(versioned("2"), ingress.Orders{}, "2")
+}
+
 // TestUpstreamsOfAnOrder guards against an old version's upstreams that are not told apart from
 // those of the new one, and against counting a version that must not be used as current.
 func TestUpstreamsOfAnOrder(t *testing.T) {
--- a/pkg/ingress/state.go
+++ b/pkg/ingress/state.go
@@ -1,8 +1,9 @@
 package ingress
 
 import (
-	"slices"
 	"time"
+
+	"github.com/citrongate/citrongate/pkg/rollout"
 )
 
 // State is an instance's view of the store: the configuration in force and the
@@ -58,8 +59,12 @@
 
 // Upstreams returns the registered upstreams, including leaving ones, whose version may be
 // used, ordered by name.
-func (s *State) Upstreams() []Upstream {
-	return slices.DeleteFunc(s.Registry.Upstreams(), func(u Upstream) bool { return !s.versions.usable(&u) })
+func (s *State) Upstreams() []Upstream { return s.versions.inUse(s.Registry.Upstreams()) }
+
+// EndRollout processes the report that an order has ended, which may come before the store
+// has it. If changed is true, the caller must apply the new state.
+func (s *State) EndRollout(service string, order uint64, phase rollout.Phase) (changed bool) {
+	return s.versions.end(service, order, phase) && s.Tracker.Table() != nil
 }
 
 // Rollouts returns the orders in force, by service, with the upstreams that they concern.
--- a/pkg/ingress/versions.go
+++ b/pkg/ingress/versions.go
@@ -18,9 +18,10 @@
 
 // versions tracks through successive listings which versions of each service may be used. An
 // order that is completed leaves its version as the only one. The version of an order that is
-// reverted, withdrawn or replaced before that is not used until another order names it. While
-// an order can not be read, only versions that were in use before it are used. Without any
-// order, every version is used.
+// reverted, withdrawn or replaced before that is not used until another order names it; if it
+// had all new requests already, others may know the order as completed, and it is used where
+// no other version is left. While an order can not be read, only versions that were in use
+// before it are used. Without any order, every version is used.
 type versions struct{ services map[string]*serviceVersions }
 
 type serviceVersions struct {
@@ -31,8 +32,10 @@
 	// only is the version that a completed order left as the only one, if completed.
 	only      string
 	completed bool
-	// excluded are the versions not to be used, oldest first.
+	// excluded are the versions not to be used, oldest first. proven is the one of an order
+	// that was withdrawn during the shift; empty if there is none.
 	excluded []string
+	proven   string
 	// refused is set while the order can not be read. kept are then the versions in use before
 	// it; empty if that is not known.
 	refused bool
@@ -85,32 +88,57 @@
 	}
 }
 
-// accept puts an order in force. A final phase is final, whatever a later listing says.
+// accept puts an order in force. A final phase that is known stays, unless the store has
+// another one.
 func (s *serviceVersions) accept(now time.Duration, r Rollout) {
 	s.changedAt, s.refused, s.kept = now, false, nil
 	if s.ordered && s.rollout.Order.ID == r.Order.ID {
-		if s.rollout.phase().Final() {
+		if s.rollout.phase().Final() && !r.phase().Final() {
 			r.Record.Order, r.Record.Phase = r.Order.ID, s.rollout.Record.Phase
 		}
 		s.rollout = r
 	} else {
 		s.withdraw()
-		s.rollout, s.ordered, s.seenAt = r, true, now
+		s.rollout, s.ordered, s.seenAt, s.proven = r, true, now, ""
 		s.excluded = slices.DeleteFunc(s.excluded, func(version string) bool { return version == r.Order.Version })
 	}
-	switch r.phase() {
+	s.apply(r.phase())
+}
+
+// apply puts a final phase of the order in force.
+func (s *serviceVersions) apply(phase rollout.Phase) {
+	switch version := s.rollout.Order.Version; phase {
 	case rollout.Completed:
-		s.only, s.completed, s.excluded = r.Order.Version, true, nil
+		s.only, s.completed, s.excluded = version, true, nil
 	case rollout.Reverted:
-		s.exclude(r.Order.Version)
+		s.exclude(version)
 	}
 }
 
+// end puts the end of an order in force that is not read from the store. A completion, which
+// is reported only once it is stored, replaces a revert that was not. It returns false if
+// another order is in force or its end is known.
+func (v *versions) end(service string, order uint64, phase rollout.Phase) bool {
+	s := v.services[service]
+	if s == nil || !s.ordered || s.rollout.Order.ID != order || !phase.Final() {
+		return false
+	}
+	if known := s.rollout.phase(); known == phase || known == rollout.Completed {
+		return false
+	}
+	s.rollout.Record.Order, s.rollout.Record.Phase = order, phase
+	s.apply(phase)
+	return true
+}
+
 // withdraw ends the order in force, whose version is not used unless it was completed.
 func (s *serviceVersions) withdraw() {
 	if s.ordered && s.rollout.phase() != rollout.Completed {
 		s.exclude(s.rollout.Order.Version)
 	}
+	if s.ordered && s.rollout.phase() == rollout.Shifting {
+		s.proven = s.rollout.Order.Version
+	}
 	s.rollout, s.ordered, s.refused, s.kept = Rollout{}, false, false, nil
 }
 
@@ -170,10 +198,23 @@
 	return s.ordered && version == s.rollout.Order.Version
 }
 
-// usable reports whether an upstream may be used.
-func (v *versions) usable(u *Upstream) bool {
-	s := v.services[u.Service]
-	return s == nil || s.usable(u.Version)
+// inUse returns those upstreams of a list that may be used.
+func (v *versions) inUse(list []Upstream) (used []Upstream) {
+	usable := func(u *Upstream) bool { s := v.services[u.Service]; return s == nil || s.usable(u.Version) }
+	served := map[string]bool{}
+	for i := range list {
+		if u := &list[i]; usable(u) && !u.Leaving {
+			served[u.Service] = true
+		}
+	}
+	for i := range list {
+		u := &list[i]
+		s := v.services[u.Service]
+		if usable(u) || !served[u.Service] && s.proven != "" && u.Version == s.proven {
+			used = append(used, *u)
+		}
+	}
+	return used
 }
 
 // rollouts returns the orders in force, by service, with the upstreams that they concern.
