citrongate rollout: status, hold, resume, complete and revert

Cause: an operator must see what an order waits for, and be able to intervene. Change: the command reads an order and its record from the store (--store) and writes commands as objects citrongate-rollouts/SERVICE with the order's identity, so that a command never takes effect on a later order.

--- a/cmd/citrongate/exit.go
+++ b/cmd/citrongate/exit.go
@@ -65,7 +65,7 @@
 }
 
 // exitHelp is added to the help of each command.
-const exitHelp = "Exit codes: 0 success, 1 failed or refused, 2 wrong usage, 3 no answer from an instance, 4 conflict."
+const exitHelp = "Exit codes: 0 success, 1 failed or refused, 2 wrong usage, 3 no answer from an instance or the store, 4 conflict."
 
 // prepare configures a command and its subcommands: they report wrong usage in the
 // same way, list the exit codes in their help, and leave it to run to print errors
--- a/cmd/citrongate/gateway.go
+++ b/cmd/citrongate/gateway.go
@@ -5,7 +5,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/joomcode/errorx"
+
+	"github.com/citrongate/citrongate/internal/client"
 	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/gateway"
 	"github.com/citrongate/citrongate/internal/settings"
@@ -58,3 +62,19 @@
 	}
 	g.Reload(next)
 }
+
+// openOrderStore returns a client of the store that holds orders.
+func openOrderStore(address string, timeout time.Duration) orderStore {
+	return platform.NewStore(address, timeout)
+}
+
+// orderStoreError translates an error of the store to one that determines the exit code.
+func orderStoreError(err error, service string) error {
+	switch {
+	case platform.IsMissing(err):
+		return client.Failed.New("there is no order for the service %q; remedy: name the service of an order, or give one", service)
+	case errorx.IsOfType(err, platform.ErrUnavailable):
+		return client.NotReached.Wrap(err, "the store was not reached; remedy: check --store")
+	}
+	return err
+}
--- a/cmd/citrongate/main.go
+++ b/cmd/citrongate/main.go
@@ -51,6 +51,7 @@
 			explainCommand(),
 			orderCommand(),
 			drainCommand(),
+			rolloutCommand(),
 			callCommand(),
 			traceCommand(),
 			keysCommand(),
