--- a/cmd/citrongate/rollout.go
+++ b/cmd/citrongate/rollout.go
@@ -34,6 +34,9 @@
 Examples:
   citrongate rollout status checkout --store 10.0.0.9:2379
   citrongate rollout revert checkout --store 10.0.0.9:2379`,
+		Action: func(_ context.Context, _ *cli.Command) error {
+			return newUsageError("rollout requires the subcommand status, hold, resume, complete or revert; remedy: citrongate rollout --help shows examples")
+		},
 		Commands: []*cli.Command{
 			rolloutStatusCommand(),
 			interveneCommand("hold", rollout.Hold, "keep the order where it is; bad answers still revert it"),
--- a/cmd/citrongate/rollout_test.go
+++ b/cmd/citrongate/rollout_test.go
@@ -103,6 +103,7 @@
 		{[]string{"status", "checkout", "--store", "127.0.0.1:1"}, exitNotReached, "check --store"},
 		{[]string{"revert", "--store", address}, exitUsage, "SERVICE"},
 		{[]string{"revert", "checkout"}, exitUsage, "store"},
+		{[]string{"launch", "checkout"}, exitUsage, "subcommand"},
 	} {
 		code, out, errOut := runApp(t, append([]string{"rollout"}, c.args...)...)
 		require.Equal(t, c.code, code, "%v: %s%s", c.args, out, errOut)
