scheduler: groups of upstreams that get requests only while an allowance lasts

Cause: upstreams of a version that is not proven may get a counted number of requests only. Change: Upstream.Group and Pool.SetAllowance. Each grant takes one unit, a permit returned unused gives it back. Limited upstreams come first while the allowance lasts, since it is given to find out how they behave; they add nothing to the capacity, the speeds and the overlaps of their classes, and are not taken for able to replace an upstream in quarantine.

--- a/pkg/scheduler/holdoff.go
+++ b/pkg/scheduler/holdoff.go
@@ -48,7 +48,7 @@
 	}
 	for _, index := range p.classes[class].upstreams {
 		u := p.upstreams[index]
-		if !u.present || u.Leaving {
+		if !u.present || u.Leaving || u.exhausted() {
 			continue
 		}
 		until := u.holdsOff(entry)
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -44,6 +44,8 @@
 	index   int
 	present bool
 	classes []uint32
+	// group is nil if the upstream's group is 0.
+	group *group
 	// free is true if the upstream has a free slot for normal placement; probes
 	// do not need one.
 	free     bool
@@ -165,9 +167,9 @@
 
 // refreshFree updates whether an upstream can take a request, and the counts of
 // the classes that depend on it. It must be called after each change of
-// inFlight, limit, quarantine or configuration.
+// inFlight, limit, quarantine, allowance or configuration.
 func (p *Pool) refreshFree(u *upstream) {
-	free := u.present && !u.Leaving && !u.quarantined && u.inFlight < p.limitOf(u) && !p.prefillBudgetExceeded(u)
+	free := u.present && !u.Leaving && !u.quarantined && !u.exhausted() && u.inFlight < p.limitOf(u) && !p.prefillBudgetExceeded(u)
 	if free == u.free {
 		return
 	}
@@ -285,7 +287,7 @@
 	p.nextCapacityUpdate = now + capacityInterval
 	for _, u := range p.upstreams {
 		u.capacity = 0
-		if !u.Leaving && !u.quarantined {
+		if !u.Leaving && !u.quarantined && !u.exhausted() {
 			u.capacity = float64(p.limitOf(u)) * u.slotCost / (u.slowdown.usual(now) * u.slotTime) * float64(time.Second)
 			if u.hasHeadroom {
 				u.capacity *= headroomFactor
@@ -300,10 +302,11 @@
 func (p *Pool) updateClass(now time.Duration, c *class) {
 	c.capacity, c.meetsInterToken = 0, false
 	first, weight := true, 0.0
+	onlyLimited := p.onlyLimited(c)
 	var sum speed
 	for _, index := range c.upstreams {
 		u := p.upstreams[index]
-		if u.Leaving {
+		if u.Leaving || u.limited() && !onlyLimited {
 			continue
 		}
 		c.capacity += u.capacity
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -77,6 +77,7 @@
 	hints := p.hints.forRequest(r)
 	cachedTokens := hints.cachedTokens(uint32(u.index), r)
 	p.hints.learnPrompt(r, u.index)
+	p.useAllowance(r, u)
 	p.attach(now, r, u, max(0, int64(r.PromptLength)-cachedTokens))
 	return Decision{ID: r.ID, Attempt: r.Attempt, Upstream: uint32(u.index)}
 }
@@ -190,6 +191,9 @@
 	u := r.upstream
 	p.recordSaturation(u)
 	p.learnOutcome(now, r, c)
+	if c.Outcome == Unused {
+		p.returnAllowance(r)
+	}
 	p.endPermit(now, r, p.trueCost(r, c))
 }
 
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -69,7 +69,8 @@
 
 // chooseUpstream returns the free upstream with the least expected finish time,
 // or nil if the prompt fits no free one or all hold its entry off. Failing upstreams come last. Equal times
-// go to the upstream with the smaller fraction of its limit in use.
+// go to the upstream with the smaller fraction of its limit in use. Limited upstreams come
+// first, failing or not: their allowance is meant to be used, to find out how they behave.
 func (p *Pool) chooseUpstream(now time.Duration, r *request) *upstream {
 	hints := p.hints.forRequest(r)
 	var best *upstream
@@ -83,7 +84,11 @@
 		load := float64(u.inFlight) / u.limit
 		switch {
 		case best == nil:
-		case best.failing != u.failing:
+		case best.limited() != u.limited():
+			if best.limited() {
+				continue
+			}
+		case !u.limited() && best.failing != u.failing:
 			if u.failing {
 				continue
 			}
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -23,7 +23,9 @@
 	topology  Topology
 	upstreams []*upstream
 	classes   []class
-	hints     hintTable
+	// groups holds the allowances of the groups of upstreams; nil without groups.
+	groups map[uint32]*group
+	hints  hintTable
 
 	requests   table[GlobalID, request]
 	kindStates table[uint32, limitState[*kindQueue]]
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -40,6 +40,7 @@
 	awaitPrev       *request
 	awaitNext       *request
 	inFlightAtGrant uint32 // in-flight level of the upstream when granted
+	group           *group // whose allowance the permit used; nil if none
 }
 
 func (r *request) setPosition(i int) { r.position = i }
--- a/pkg/scheduler/stragglers.go
+++ b/pkg/scheduler/stragglers.go
@@ -133,7 +133,9 @@
 }
 
 func (p *Pool) canQuarantine(u *upstream) bool {
-	if 2*(p.quarantined+1) > len(p.upstreams) {
+	// The allowance already bounds what a limited upstream gets, and it is in use to find
+	// out how the upstream behaves.
+	if quarantined, total := p.quarantineShare(); u.limited() || 2*(quarantined+1) > total {
 		return false
 	}
 	for _, c := range u.classes {
@@ -145,10 +147,10 @@
 }
 
 // hasHealthy reports whether a class has an upstream other than u that is
-// neither leaving nor in quarantine.
+// neither leaving, limited nor in quarantine.
 func (p *Pool) hasHealthy(c uint32, u *upstream) bool {
 	for _, index := range p.classes[c].upstreams {
-		if other := p.upstreams[index]; other != u && !other.Leaving && !other.quarantined {
+		if other := p.upstreams[index]; other != u && !other.Leaving && !other.limited() && !other.quarantined {
 			return true
 		}
 	}
@@ -157,15 +159,17 @@
 
 // probe sends one request of a tier to each quarantined upstream whose probe is
 // due. The top tier is used only if its class has no other healthy upstream, or
-// if the probe is overdue by overdueProbe because no other work could be used. A
+// if the probe is overdue by overdueProbe because no other work could be used, or if the
+// upstream is limited, so that its allowance is meant for any work. A
 // lower tier is never used while a higher one waits for the upstream.
 func (p *Pool) probe(now time.Duration, tier uint8, out []Decision) []Decision {
 	for _, u := range p.upstreams {
-		if !u.quarantined || u.Leaving || u.probeRequest != nil || now < u.nextProbe {
+		if !u.quarantined || u.Leaving || u.exhausted() || u.probeRequest != nil || now < u.nextProbe {
 			continue
 		}
 		r := p.highestTierRequest(now, u)
-		if r == nil || r.Tier != tier || u.holdsOff(r.ID.Entry) > now || r.Tier == 0 && now < u.nextProbe+overdueProbe && p.hasHealthy(r.Class, u) {
+		if r == nil || r.Tier != tier || u.holdsOff(r.ID.Entry) > now ||
+			r.Tier == 0 && !u.limited() && now < u.nextProbe+overdueProbe && p.hasHealthy(r.Class, u) {
 			continue
 		}
 		out = append(out, p.grant(now, r, u))
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -61,6 +61,7 @@
 			p.detach(u)
 		}
 	}
+	p.assignGroups()
 	p.hints.remap(old, p.upstreams)
 	p.buildClasses()
 	for i := range p.tiers {
@@ -96,10 +97,7 @@
 
 func (p *Pool) buildClasses() {
 	p.classes = make([]class, len(p.topology.Classes))
-	words := (len(p.upstreams) + 63) / 64
-	sets := make([][]uint64, len(p.classes))
 	for c := range p.classes {
-		sets[c] = make([]uint64, words)
 		for _, index := range p.topology.Classes[c].Upstreams {
 			if int(index) >= len(p.upstreams) {
 				continue
@@ -108,20 +106,44 @@
 			p.classes[c].upstreams = append(p.classes[c].upstreams, index)
 			u.classes = append(u.classes, uint32(c))
 			u.free = false // refreshAllFree counts it again
-			if !u.Leaving {
-				sets[c][index/64] |= 1 << (index % 64)
-				p.classes[c].usable = true
-			}
+			p.classes[c].usable = p.classes[c].usable || !u.Leaving
+		}
+	}
+	p.updateOverlaps()
+}
+
+// updateOverlaps finds out which classes share upstreams. Limited upstreams count for the
+// fraction only where there are no others.
+func (p *Pool) updateOverlaps() {
+	usable, counted := make([][]uint64, len(p.classes)), make([][]uint64, len(p.classes))
+	for c := range p.classes {
+		usable[c] = p.upstreamSet(&p.classes[c], func(u *upstream) bool { return !u.Leaving })
+		counted[c] = usable[c]
+		if len(p.groups) > 0 && !p.onlyLimited(&p.classes[c]) {
+			counted[c] = p.upstreamSet(&p.classes[c], func(u *upstream) bool { return !u.Leaving && !u.limited() })
 		}
 	}
 	for c := range p.classes {
+		p.classes[c].overlaps = p.classes[c].overlaps[:0]
 		for other := range p.classes {
-			if shared, size := intersection(sets[c], sets[other]); shared > 0 {
-				p.classes[c].overlaps = append(p.classes[c].overlaps,
-					overlap{uint32(other), float64(shared) / float64(size)})
+			if shared, _ := intersection(usable[c], usable[other]); shared == 0 {
+				continue
 			}
+			shared, size := intersection(counted[c], counted[other])
+			p.classes[c].overlaps = append(p.classes[c].overlaps, overlap{uint32(other), float64(shared) / float64(size)})
+		}
+	}
+}
+
+// upstreamSet returns the accepted upstreams of a class as a set of bits.
+func (p *Pool) upstreamSet(c *class, accept func(*upstream) bool) []uint64 {
+	set := make([]uint64, (len(p.upstreams)+63)/64)
+	for _, index := range c.upstreams {
+		if accept(p.upstreams[index]) {
+			set[index/64] |= 1 << (index % 64)
 		}
 	}
+	return set
 }
 
 // dequeueAll removes all waiting requests from the queues, in order of arrival
--- a/pkg/scheduler/types.go
+++ b/pkg/scheduler/types.go
@@ -113,6 +113,9 @@
 	DecodePerToken         time.Duration
 	// Leaving upstreams receive no grants.
 	Leaving bool
+	// Group is the set of upstreams that get requests only while its allowance lasts (see
+	// Pool.SetAllowance); 0 if there is no such limit.
+	Group uint32
 }
 
 // Class is a set of eligible upstreams, as indices into Topology.Upstreams.
