--- /dev/null
+++ b/pkg/rollout/exposure.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// judgingPart is the part of the exposure bound that may be reserved in Judging. The rest is
+	// for a version that becomes bad in the shift, until its answers show it.
+	judgingPart = 0.6
+	// rehearsalPart replaces it in the last rehearsal before the shift, in which all upstreams
+	// of the version are used, for versions that are bad under the full load only.
+	rehearsalPart = 0.75
+	rehearsal     = 400 * time.Millisecond
+	// firstPart is the part of ExposeSlack that may be used at the start; the rest follows evenly
+	// up to the shift, since some versions become bad later.
+	firstPart = 0.4
+	// upstreamShare is the part of the version's upstreams that Judging uses.
+	upstreamShare = 0.12
+	// reserveEvery is the least time between two raises of the reservation.
+	reserveEvery = 250 * time.Millisecond
+	// groupWait is how long requests are held back to be granted together, so that an upstream
+	// of the version is at times as busy as it will be after the shift.
+	groupWait = time.Second
+)
+
+// exposure counts what the version gets.
+type exposure struct {
+	// arrived counts the requests of the service up to the deadline. spent counts those sent to
+	// the version, with all that earlier owners or writers reserved; granted those of this owner.
+	arrived, spent, granted uint64
+	targetInFlight          int
+	lastGrant               time.Duration
+	// crossed is set once the requests of the version have reached the bound.
+	crossed bool
+}
+
+// bound is the exposure bound at the number of requests seen so far.
+func (r *Rollout) bound() float64 {
+	return r.bounds.ExposeShare*float64(r.arrived) + r.bounds.ExposeSlack
+}
+
+// rehearsing reports whether the shift is near enough to use all upstreams of the version.
+func (r *Rollout) rehearsing() bool {
+	return r.elapsed(r.now) >= r.shiftAt()-rehearsal
+}
+
+// reservable returns how many requests the version may have been sent in Judging by now.
+func (r *Rollout) reservable() uint64 {
+	if r.phase != Judging || r.rec.Hold || r.next != 0 || r.up.Target == 0 {
+		return 0
+	}
+	part := judgingPart
+	if r.rehearsing() {
+		part = rehearsalPart
+	}
+	progress := float64(r.elapsed(r.now)) / float64(max(r.shiftAt(), 1))
+	slack := r.bounds.ExposeSlack * (firstPart + (1-firstPart)*min(1, progress))
+	return uint64(part * (r.bounds.ExposeShare*float64(r.arrived) + slack))
+}
+
+// judgingUpstreams returns how many upstreams of the version Judging uses.
+func (r *Rollout) judgingUpstreams() int {
+	if r.rehearsing() {
+		return -1
+	}
+	return max(1, int(math.Round(upstreamShare*float64(r.up.Target))))
+}
+
+// allowance returns how many requests may be granted to the version now, within the reservation
+// that the store has acknowledged and the slots of the upstreams in use.
+func (r *Rollout) allowance() int {
+	if r.stored.Order != r.order.ID || r.stored.Reserved <= r.spent || r.up.Target == 0 {
+		return 0
+	}
+	left := int(min(r.stored.Reserved-r.spent, math.MaxInt32))
+	used := r.judgingUpstreams()
+	if used < 0 {
+		used = r.up.Target
+	}
+	slots := max(1, r.up.TargetSlots*used/r.up.Target)
+	if r.targetInFlight == 0 && left < slots && r.now-r.lastGrant < groupWait {
+		return 0
+	}
+	return max(0, min(left, slots-r.targetInFlight))
+}
+
+// crossesBound reports, once, that the requests of the version have reached the bound.
+func (r *Rollout) crossesBound() bool {
+	if r.crossed || float64(r.spent) < r.bound() {
+		return false
+	}
+	r.crossed = true
+	return true
+}
--- /dev/null
+++ b/pkg/rollout/failures.go
@@ -0,0 +1,112 @@
+package rollout
+
+import "math"
+
+// addedRates are the alternatives to the current version's failure rate: the share of answers
+// that a bad version fails in addition.
+var addedRates = [...]float64{0.1, 0.2, 0.4, 0.8}
+
+// forgetAt bounds the answers of the current version that count: at this number all counts of
+// the current version are halved, so that its newer answers count more.
+const forgetAt = 20_000
+
+// rateGrid holds the failure rates that the current version may have, evenly spaced by odds, and
+// the logarithms of them and of their complements, for each added rate; the first is none.
+var rateGrid = newRateGrid()
+
+type gridPoint struct{ fail, pass [len(addedRates) + 1]float64 }
+
+func newRateGrid() (grid [48]gridPoint) {
+	const lowest, highest = 0.0005, 0.6
+	logit := func(p float64) float64 { return math.Log(p / (1 - p)) }
+	for i := range grid {
+		x := logit(lowest) + (logit(highest)-logit(lowest))*float64(i)/float64(len(grid)-1)
+		rate := 1 / (1 + math.Exp(-x))
+		grid[i].fail[0], grid[i].pass[0] = math.Log(rate), math.Log1p(-rate)
+		for j, added := range addedRates {
+			p := rate + added*(1-rate)
+			grid[i].fail[j+1], grid[i].pass[j+1] = math.Log(p), math.Log1p(-p)
+		}
+	}
+	return grid
+}
+
+// evaluate computes the likelihood ratios of all answers of the route, between the version
+// having an added failure rate and none, each as a mixture over the current version's rate. The
+// ratio is a martingale if the version is as good as the current one, so that it exceeds x at any
+// time with a probability of at most 1/x (Ville's inequality).
+func (r *routeEvidence) evaluate() {
+	if r.current.answers >= forgetAt {
+		r.current.answers /= 2
+		r.current.failures /= 2
+	}
+	var logs [len(addedRates) + 1][len(rateGrid)]float64
+	fails, passes := float64(r.target.failures), float64(r.target.answers-r.target.failures)
+	currentFails, currentPasses := float64(r.current.failures), float64(r.current.answers-r.current.failures)
+	for i := range rateGrid {
+		g := &rateGrid[i]
+		shared := currentFails*g.fail[0] + currentPasses*g.pass[0]
+		for j := range logs {
+			logs[j][i] = shared + fails*g.fail[j] + passes*g.pass[j]
+		}
+	}
+	none := logSumExp(logs[0][:])
+	for j := range r.ratios {
+		r.ratios[j] = logSumExp(logs[j+1][:]) - none
+	}
+	r.failureOdds = logMeanExp(r.ratios[:])
+}
+
+// evaluateAll returns the logarithm of the likelihood ratio of all routes together, for a version
+// that fails with the same added rate on each. Each route keeps its own baseline.
+func (e *evidence) evaluateAll() float64 {
+	var sums [len(addedRates)]float64
+	for _, route := range e.routes {
+		for j, ratio := range route.ratios {
+			sums[j] += ratio
+		}
+	}
+	return logMeanExp(sums[:])
+}
+
+// excess returns the number of failures and slow answers of the version beyond those that the
+// current version's rates explain, and the deviation in standard deviations.
+func (e *evidence) excess() (bad, deviation float64) {
+	var variance float64
+	for _, route := range e.routes {
+		n := float64(route.target.answers)
+		rate := (float64(route.current.failures) + 0.5) / (float64(route.current.answers) + 1)
+		if route.current.answers == 0 {
+			rate = unknownRate
+		}
+		bad += float64(route.target.failures) - n*rate
+		variance += n * rate * (1 - rate)
+	}
+	slow, slowVariance := e.slow.excess()
+	bad += slow
+	variance += slowVariance
+	if bad <= 0 {
+		return 0, 0
+	}
+	return bad, bad / math.Sqrt(variance+1)
+}
+
+// unknownRate is the failure rate assumed of a current version without an answer.
+const unknownRate = 0.02
+
+func logMeanExp(x []float64) float64 { return logSumExp(x) - math.Log(float64(len(x))) }
+
+func logSumExp(x []float64) float64 {
+	highest := math.Inf(-1)
+	for _, v := range x {
+		highest = max(highest, v)
+	}
+	if math.IsInf(highest, -1) {
+		return highest
+	}
+	sum := 0.0
+	for _, v := range x {
+		sum += math.Exp(v - highest)
+	}
+	return highest + math.Log(sum)
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -16,7 +16,10 @@
 //   - the memory of an order is bounded, whatever the number of routes, upstreams and requests.
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Order is an operator's order to move the traffic of a service to another version.
 type Order struct {
@@ -125,33 +128,175 @@
 	Record Record
 }
 
-// Status describes an order for operators.
-type Status struct {
-	Order  Order
-	Record Record
-	// Elapsed is the time since the order was first seen.
-	Elapsed time.Duration
-	// Granted is the number of requests sent to the version by this owner.
-	Granted uint64
-	// Arrived is the number of requests of the service since the order, as far as known.
-	Arrived uint64
-	// Evidence has one entry for each route with answers of the version, and one for all.
-	Evidence []RouteEvidence
-	// Waits says what the order waits for.
-	Waits string
-	// Unjudged is set once the deadline has passed without enough evidence for a judgement.
-	Unjudged bool
-}
-
-// RouteEvidence is what was seen of one route.
-type RouteEvidence struct {
-	Route uint32
-	// All is set for the evidence of all routes together.
-	All bool
-	// Answers and Failures of either version.
-	TargetAnswers, TargetFailures   uint64
-	CurrentAnswers, CurrentFailures uint64
-	// FailureOdds and SlowOdds are the likelihood ratios, as natural logarithms, that the version
-	// fails more often, or is slower, than the current one.
-	FailureOdds, SlowOdds float64
+// Rollout decides on one order. It is not safe for concurrent use.
+type Rollout struct {
+	bounds Bounds
+	order  Order
+	now    time.Duration
+	// start is when the order was first seen.
+	start time.Duration
+
+	// phase is in force. next is the phase that takes effect when its write is acknowledged,
+	// nextReason why it is to.
+	phase, next        Phase
+	phaseSince         time.Duration
+	reason, nextReason string
+	// forced is set if an operator demanded the shift.
+	forced bool
+
+	storeState
+	exposure
+	evidence evidence
+
+	up Upstreams
+	// seenCurrent is set once the service had an upstream of another version.
+	seenUpstreams, seenCurrent bool
+	currentInFlight            int
+	durations                  durations
+}
+
+// New returns the decision on an order of which stored is the newest known record. A record of
+// another order counts only for its Revision.
+func New(b Bounds, o Order, stored Record, now time.Duration) *Rollout {
+	r := &Rollout{bounds: b, order: o, now: now, start: now, phase: Waiting, phaseSince: now, evidence: newEvidence()}
+	r.stored = stored
+	if stored.Order != o.ID {
+		r.stored = Record{Revision: stored.Revision}
+		return r
+	}
+	if stored.Phase != 0 {
+		r.phase = stored.Phase
+	}
+	r.start = now - stored.Elapsed
+	r.rec = stored
+	r.spent = stored.Reserved
+	r.arrived = stored.Served
+	return r
+}
+
+func (r *Rollout) elapsed(now time.Duration) time.Duration { return now - r.start }
+
+// SetUpstreams tells which upstreams accept requests; it is called when that changes, and may be
+// called at any time to correct the number in flight.
+func (r *Rollout) SetUpstreams(now time.Duration, u Upstreams) {
+	r.now = now
+	r.up = u
+	r.seenUpstreams = true
+	r.seenCurrent = r.seenCurrent || u.Current > 0 || u.CurrentInFlight > 0
+	r.currentInFlight = u.CurrentInFlight
+}
+
+// Arrived counts a request of the service that was queued for the first time.
+func (r *Rollout) Arrived(now time.Duration) {
+	r.now = now
+	// The bound speaks of the requests up to the deadline.
+	if r.elapsed(now) <= r.order.Within {
+		r.arrived++
+	}
+}
+
+// Granted counts a request that was granted to either version.
+func (r *Rollout) Granted(now time.Duration, target bool) {
+	r.now = now
+	if !target {
+		r.currentInFlight++
+		return
+	}
+	r.granted++
+	r.spent++
+	r.targetInFlight++
+	r.lastGrant = now
+}
+
+// Unused takes back a grant that was returned without a send.
+func (r *Rollout) Unused(now time.Duration, target bool) {
+	r.now = now
+	if !target {
+		r.currentInFlight = max(0, r.currentInFlight-1)
+		return
+	}
+	if r.targetInFlight == 0 {
+		return // granted by an earlier owner, whose reservation counts as spent
+	}
+	r.granted--
+	r.spent--
+	r.targetInFlight--
+}
+
+// FirstToken reports the Latency of a stream that has not ended. It is optional; Ended is then
+// called with a Latency of 0.
+func (r *Rollout) FirstToken(now time.Duration, a Answer) {
+	r.now = now
+	r.evidence.began(a)
+}
+
+// Ended reports how a request at either version ended.
+func (r *Rollout) Ended(now time.Duration, a Answer) {
+	r.now = now
+	if a.Target {
+		r.targetInFlight = max(0, r.targetInFlight-1)
+	} else {
+		r.currentInFlight = max(0, r.currentInFlight-1)
+		r.durations.add(max(a.Duration, a.Latency))
+	}
+	r.evidence.ended(a)
+}
+
+// Command carries out an operator's command. It has no effect in a final phase.
+func (r *Rollout) Command(now time.Duration, c Command) {
+	r.now = now
+	if r.phase.Final() {
+		return
+	}
+	switch c {
+	case Hold:
+		r.rec.Hold = true
+	case Resume:
+		r.rec.Hold = false
+	case Complete:
+		r.rec.Hold = false
+		r.forced = true
+	case Revert:
+		if !r.completing() {
+			r.revert("an operator demanded it")
+		}
+	}
+}
+
+// Step returns what the owner of the pool does now.
+func (r *Rollout) Step(now time.Duration) Plan {
+	r.now = now
+	r.decide()
+	plan := Plan{Phase: r.phase, CurrentOpen: true}
+	switch r.phase {
+	case Judging:
+		plan.TargetUpstreams = r.judgingUpstreams()
+		plan.Allowance = r.allowance()
+	case Shifting, Completed:
+		plan.TargetUpstreams, plan.Allowance = -1, -1
+		plan.CurrentOpen = false
+	}
+	plan.Write = r.nextWrite()
+	plan.Reason, r.reason = r.reason, ""
+	return plan
+}
+
+// tick is how often an order in progress is looked at if nothing happens.
+const tick = 50 * time.Millisecond
+
+// NextWake returns when Step is to be called next if nothing happens before.
+func (r *Rollout) NextWake(now time.Duration) time.Duration {
+	const never = time.Duration(1<<63 - 1)
+	if r.phase.Final() && !r.writing && r.stored.Phase == r.phase && r.stored.Order == r.order.ID {
+		return never
+	}
+	return now + tick
+}
+
+func (r *Rollout) setPhase(p Phase, format string, figures ...any) {
+	if p == r.phase {
+		return
+	}
+	r.phase, r.phaseSince = p, r.now
+	r.reason = fmt.Sprintf(format, figures...)
 }
