node: the owner of a pool moves a service to another version

Cause: an order moves the traffic of a service to upstreams of another version, of which some are bad. Change: the owner of the pool keeps a rollout.Rollout for each order, feeds it from grants, first tokens and releases, and applies its plan: an allowance for the upstreams of the version, how many of them are open, whether the current ones are. Before it completes an order, all live instances have reported what they have in flight at the old version. Other instances know an order from the store and from the message RolloutState; they return permits that the end of an order forbids, and their local pools leave out a version that is not completed. Versions whose order was withdrawn stay out of use. Releases say whether a permit was returned without a dispatch, since such a one is no failed answer.

--- a/pkg/dispatch/decision.go
+++ b/pkg/dispatch/decision.go
@@ -87,7 +87,7 @@
 
 func (t *Table) returnPermit(d Decision, outcome Outcome, holdOff time.Duration) {
 	t.count("permits", "returned_unused")
-	t.emit(Release{ID: d.ID, Pool: d.Pool, Attempt: d.Attempt, Holder: d.From, Outcome: outcome, HoldOff: holdOff})
+	t.emit(Release{ID: d.ID, Pool: d.Pool, Attempt: d.Attempt, Holder: d.From, Outcome: outcome, HoldOff: holdOff, Returned: true})
 }
 
 // Shed refuses a request that the holder of its descriptor has shed.
--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -34,6 +34,8 @@
 	SlowdownPercent uint32
 	// HoldOff is as in Record.
 	HoldOff time.Duration
+	// Returned is true if the permit was returned without a dispatch, whatever Outcome.
+	Returned bool
 }
 
 // FirstToken reports the first token to the holder that granted the permit.
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -75,6 +75,7 @@
 	if n.cfg.ExternalConfig && e.Set.Revision > n.revision() {
 		n.setQuotas(e.Quotas)
 		n.setTargets(e.TargetTTFT, e.TargetInterToken, e.PromptSlowdown)
+		n.useRollouts(e.Rollouts, e.Set)
 		n.activateConfig(e.Set)
 	}
 }
--- a/pkg/node/decide.go
+++ b/pkg/node/decide.go
@@ -54,6 +54,7 @@
 	}
 	if d.Reason == 0 {
 		h.ledger.grant(n.now, it, d.Upstream)
+		n.noteRolloutGrant(h, it)
 		n.grant(h, d.ID, it)
 		return
 	}
@@ -156,7 +157,7 @@
 	switch {
 	case !n.view.Trusted():
 		permit.Use = dispatch.PermitUntrusted
-	case n.view.UpstreamLeaving(upstream), n.addressOf(upstream) == "":
+	case n.view.UpstreamLeaving(upstream), n.addressOf(upstream) == "", n.rolloutForbids(upstream):
 		permit.Use = dispatch.UpstreamUnavailable
 	case permit.HoldOff > 0:
 		permit.Use = dispatch.UpstreamHoldsOff
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -168,7 +168,7 @@
 	}
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
-			n.releaseAttempt(h, c, e.Attempt)
+			n.releaseAttempt(h, c, e.Attempt, e.Returned)
 		}
 		return
 	}
@@ -176,13 +176,15 @@
 		Sequence: uint64(e.ID), Pool: e.Pool, Attempt: e.Attempt, Outcome: pb.ReleaseOutcome(e.Outcome),
 		OutputTokens: e.OutputTokens, TtftMs: milliseconds(e.TTFT),
 		InterTokenUs: uint32(e.InterToken / time.Microsecond), CachedPromptTokens: e.CachedPrompt,
-		SlowdownPercent: e.SlowdownPercent, HoldOffMs: milliseconds(e.HoldOff + time.Millisecond - 1)}}})
+		SlowdownPercent: e.SlowdownPercent, HoldOffMs: milliseconds(e.HoldOff + time.Millisecond - 1),
+		Returned: e.Returned}}})
 }
 
-func (n *Node) releaseAttempt(h *hostedPool, c scheduler.Completion, attempt uint32) {
+// releaseAttempt ends the permit of an attempt; returned is as in hostedPool.onEnd.
+func (n *Node) releaseAttempt(h *hostedPool, c scheduler.Completion, attempt uint32, returned bool) {
 	if it := h.ledger.get(c.ID); it != nil && it.descriptor.Attempt <= attempt {
 		n.noteRelease(h, it, c.Outcome)
-		h.release(n.now, c)
+		h.release(n.now, c, returned)
 	}
 }
 
@@ -190,7 +192,7 @@
 func (n *Node) firstToken(e dispatch.FirstToken) {
 	if h, here := n.hostedAt(e.Pool, e.Holder); here {
 		if h != nil {
-			n.noteFirstToken(h, n.globalID(e.ID))
+			n.noteFirstToken(h, n.globalID(e.ID), e.TTFT)
 			h.sched.FirstToken(n.now, n.globalID(e.ID), e.TTFT, e.SlowdownPercent)
 		}
 		return
--- a/pkg/node/gateway_test.go
+++ b/pkg/node/gateway_test.go
@@ -41,6 +41,10 @@
 	completedAt map[string]int
 	// nextID numbers the requests of serveFor.
 	nextID uint64
+	// config changes the configuration of nodes that start, and handle carries out further
+	// actions and returns whether it did; either may be nil.
+	config func(*node.Config)
+	handle func(at string, action node.Action) bool
 	// actions holds all other actions of each node, by its address.
 	actions map[string][]node.Action
 }
@@ -67,9 +71,13 @@
 	if c.list != nil {
 		seeds = nil
 	}
-	c.nodes[at] = node.New(node.Config{Incarnation: node.Incarnation(incarnation), PeerAddress: at, CallerAddress: "c" + at, Region: "r", Started: c.now,
+	config := node.Config{Incarnation: node.Incarnation(incarnation), PeerAddress: at, CallerAddress: "c" + at, Region: "r", Started: c.now,
 		ExternalConfig: true, RefreshWithin: 2 * time.Second, Seeds: seeds, RepeatedSends: dispatch.SendBudget{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
-		PartBlocks: poison.Config{Ends: 3, Trial: time.Minute}}, incarnation)
+		PartBlocks: poison.Config{Ends: 3, Trial: time.Minute}}
+	if c.config != nil {
+		c.config(&config)
+	}
+	c.nodes[at] = node.New(config, incarnation)
 }
 
 // partStoreStep carries out an action on the stored records of parts, and returns false for
@@ -98,6 +106,9 @@
 
 func (c *cluster) step(at string, ev node.Event) {
 	for _, action := range c.nodes[at].Step(c.now, ev, nil) {
+		if c.handle != nil && c.handle(at, action) {
+			continue
+		}
 		if read, ok := action.(node.ReadStore); ok {
 			c.reads[at]++
 			c.step(at, node.StoreReadDone{Part: read.Part, Started: c.now, OK: !c.storeUnreachable[at], Version: c.version})
--- a/pkg/node/hosted.go
+++ b/pkg/node/hosted.go
@@ -58,6 +58,13 @@
 	askedAt map[uint64]time.Duration
 	// agreedAt is when a digest of an entry last agreed with the ledger.
 	agreedAt map[uint64]time.Duration
+	// members holds the part of each upstream in an order, nil if none has any; rollouts are
+	// these orders.
+	members  []rolloutMember
+	rollouts []*serviceRollout
+	// onEnd is called when a permit ends, before it is released. returned is true if its entry
+	// returned it without a dispatch.
+	onEnd func(it *item, c scheduler.Completion, returned bool)
 }
 
 func (n *Node) newHostedPool(def *routing.Pool, local bool) *hostedPool {
@@ -71,6 +78,7 @@
 			MaxQueue: n.cfg.MaxQueue, Seed: n.seed ^ uint64(def.ID), LimitDivisor: 1,
 		}),
 	}
+	h.onEnd = func(it *item, c scheduler.Completion, returned bool) { n.noteRolloutEnd(h, it, c, returned) }
 	n.setTopology(h, def)
 	return h
 }
@@ -84,7 +92,7 @@
 	h.upstreams = make(map[string]uint32, len(def.Upstreams))
 	for i, u := range def.Upstreams {
 		h.upstreams[u.Name] = uint32(i)
-		topology.Upstreams = append(topology.Upstreams, n.schedulerUpstream(u))
+		topology.Upstreams = append(topology.Upstreams, n.schedulerUpstream(u, h.local))
 	}
 	for _, class := range def.Classes {
 		topology.Classes = append(topology.Classes, scheduler.Class{Upstreams: class.Upstreams})
@@ -102,7 +110,13 @@
 	}
 	h.def = def
 	h.dirty = true
+	n.bindRollouts(h, def)
 	h.sched.SetTopology(n.now, topology)
+	for _, s := range h.rollouts {
+		if s.decider != nil && !h.local {
+			n.applyAllowance(s, h)
+		}
+	}
 }
 
 // remapIndices translates the classes of descriptors and the upstreams of permits
@@ -115,7 +129,11 @@
 		}
 		it.descriptor.Class = class
 		if it.granted && it.upstream != noUpstream {
+			member := h.memberOf(it)
 			it.upstream = h.indexOf(h.def.Upstreams[it.upstream].Name)
+			if it.upstream == noUpstream {
+				it.member = member
+			}
 		}
 	}
 }
@@ -139,13 +157,15 @@
 	return h.def.Classes[it.descriptor.Class].ID
 }
 
-func (n *Node) schedulerUpstream(u routing.Upstream) scheduler.Upstream {
+func (n *Node) schedulerUpstream(u routing.Upstream, local bool) scheduler.Upstream {
+	closed, group := n.useInPool(u.Name, local)
 	return scheduler.Upstream{
 		Name: u.Name, Service: u.Spec.GetType() == "service",
 		Concurrency: u.Spec.GetConcurrency(), MaxConcurrency: u.Spec.GetMaxConcurrency(), FixedLimit: u.Spec.GetFixedLimit(),
 		PrefillTokensPerSecond: u.Spec.GetPrefillTokensPerSecond(),
 		DecodePerToken:         time.Duration(u.Spec.GetDecodeMsPerToken() * float64(time.Millisecond)),
-		Leaving:                n.view.UpstreamLeaving(u.Name),
+		Leaving:                closed || n.view.UpstreamLeaving(u.Name),
+		Group:                  group,
 	}
 }
 
@@ -167,6 +187,8 @@
 		case d.Attempt == it.descriptor.Attempt:
 			return it.granted
 		}
+		// The release may have been lost, so that the request may have been sent.
+		it.endUnknown = true
 		h.drop(now, d.ID, scheduler.Unused)
 	}
 	h.ledger.add(&item{descriptor: d, since: now, auditAt: now + firstAuditAge})
@@ -176,15 +198,17 @@
 
 // drop ends an item: a waiting one is withdrawn, a permit is released.
 func (h *hostedPool) drop(now time.Duration, id scheduler.GlobalID, outcome scheduler.Outcome) {
-	h.release(now, scheduler.Completion{ID: id, Outcome: outcome})
+	h.release(now, scheduler.Completion{ID: id, Outcome: outcome}, false)
 }
 
-func (h *hostedPool) release(now time.Duration, c scheduler.Completion) {
+// release ends an item; returned is as in onEnd.
+func (h *hostedPool) release(now time.Duration, c scheduler.Completion, returned bool) {
 	it := h.ledger.get(c.ID)
 	if it == nil {
 		return
 	}
 	h.dirty = true
+	h.onEnd(it, c, returned)
 	h.ledger.remove(c.ID)
 	if it.granted {
 		h.sched.Release(now, c)
@@ -202,7 +226,7 @@
 		h.drop(now, f.Descriptor.ID, scheduler.Unused)
 	}
 	h.dirty = true
-	it := &item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream, since: now, auditAt: now + firstAuditAge}
+	it := &item{descriptor: f.Descriptor, granted: true, upstream: f.Upstream, since: now, sentAt: now - f.Age, auditAt: now + firstAuditAge}
 	if f.OutputTokens > 0 {
 		it.firstTokenAt = now
 	}
--- a/pkg/node/ledger.go
+++ b/pkg/node/ledger.go
@@ -23,6 +23,13 @@
 	// postponed is the reason of a shed that waits for the end of the
 	// synchronisation; 0 if none.
 	postponed scheduler.ShedReason
+	// sentAt is about when the request was sent to its upstream; 0 if it waits.
+	sentAt time.Duration
+	// tokenReported is true once the first token was reported to the order of the upstream's
+	// service. endUnknown is true if the permit ends without a report of its entry. member is the part in an
+	// order of an upstream that left the pool.
+	tokenReported, endUnknown bool
+	member                    rolloutMember
 }
 
 func (it *item) hash() uint64 {
@@ -111,7 +118,7 @@
 	d := l.digests[entry]
 	d.hash ^= it.hash()
 	it.granted, it.upstream = true, upstream
-	it.since, it.auditAt = now, now+firstAuditAge
+	it.since, it.sentAt, it.auditAt = now, now, now+firstAuditAge
 	d.hash ^= it.hash()
 	l.digests[entry] = d
 	l.expireRecentGrants(now)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -71,6 +71,7 @@
 	sentOrders map[uint64]sentOrder
 	quotas     quotaState
 	refresher  *refresh.Refresher
+	rollouts   rolloutSet
 	poison     *poison.Registry
 	partStore  partStore
 	// watches finds the ends of upstreams, by pool. A pool has one also after it was
@@ -110,6 +111,7 @@
 		outputPredictor:  newOutputPredictor(),
 		quotas:           newQuotaState(),
 		refresher:        refresh.New(cfg.RefreshWithin),
+		rollouts:         newRolloutSet(),
 		poison:           poison.New(cfg.PartBlocks),
 		partStore:        newPartStore(),
 		watches:          map[uint64]*poison.Watch{},
@@ -197,6 +199,8 @@
 		n.useConfiguration(e)
 	case StoreReadDone:
 		n.storeRead(e)
+	case RolloutWritten:
+		n.rolloutWritten(e)
 	case PartRecordsRead:
 		n.partRecordsRead(e)
 	case PartRecordWritten:
@@ -216,8 +220,9 @@
 		for _, effect := range effects {
 			n.applyEffect(effect)
 		}
+		planned := n.stepRollouts()
 		decided := n.stepPools()
-		if n.applyComponentOutput() || decided || len(effects) > 0 {
+		if n.applyComponentOutput() || planned || decided || len(effects) > 0 {
 			continue
 		}
 		return
--- a/pkg/node/ownership.go
+++ b/pkg/node/ownership.go
@@ -54,13 +54,7 @@
 	n.dropUnownedPools()
 	if refresh {
 		for _, h := range n.pools.list {
-			// A pool whose decisions are blocked keeps its definition until it
-			// decides again: a new one makes the scheduler shed the requests not
-			// admitted so far, which would miss lower-tier requests that are
-			// reported before these decisions are sent.
-			if h.topologyOutdated = n.decisionsBlocked(h); !h.topologyOutdated {
-				n.setTopology(h, n.routes.Pool(h.id))
-			}
+			n.refreshTopology(h)
 		}
 	}
 	n.startOwnedPools()
@@ -72,6 +66,16 @@
 	n.resyncAfterPause()
 }
 
+// refreshTopology gives a pool its definition in force. A pool whose decisions are blocked keeps
+// its definition until it decides again: a new one makes the scheduler shed the requests not
+// admitted so far, which would miss lower-tier requests that are reported before these decisions
+// are sent.
+func (n *Node) refreshTopology(h *hostedPool) {
+	if h.topologyOutdated = n.decisionsBlocked(h); !h.topologyOutdated {
+		n.setTopology(h, n.routes.Pool(h.id))
+	}
+}
+
 // countOwnerChange counts a pool that has another owner than before; 0 is none.
 func (n *Node) countOwnerChange(before, owner uint64) {
 	switch {
@@ -157,6 +161,7 @@
 		return
 	}
 	n.untrusted, n.trustedAt = false, n.now
+	n.restartDeciders()
 	for _, h := range n.pools.list {
 		h.dirty = true
 		if !h.local {
@@ -261,6 +266,9 @@
 		h.sched.DropEntry(n.now, entry)
 		h.dirty = true
 		for _, id := range items {
+			it := h.ledger.get(id)
+			it.endUnknown = true
+			h.onEnd(it, scheduler.Completion{ID: id, Outcome: scheduler.Canceled}, false)
 			h.ledger.remove(id)
 		}
 	}
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -61,7 +61,8 @@
 }
 
 // noteFirstToken records the first token of a request in a pool hosted here.
-func (n *Node) noteFirstToken(h *hostedPool, id scheduler.GlobalID) {
+func (n *Node) noteFirstToken(h *hostedPool, id scheduler.GlobalID, ttft time.Duration) {
+	n.noteRolloutToken(h, id, ttft)
 	it := h.ledger.get(id)
 	if it == nil || !it.granted || it.upstream == noUpstream {
 		return
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -57,6 +57,8 @@
 		n.onCopyState(m.CopyState)
 	case *pb.PeerMessage_PromptParts:
 		n.onPromptParts(m.PromptParts)
+	case *pb.PeerMessage_RolloutState:
+		n.onRolloutState(m.RolloutState)
 	case *pb.PeerMessage_BindingReply:
 		n.onBindingReply(from, m.BindingReply)
 	default:
@@ -147,6 +149,7 @@
 func (n *Node) onGrant(from uint64, m *pb.Grant) {
 	n.view.Answered(n.now, from)
 	n.learnAddress(m.Upstream, m.Address)
+	n.correctOwner(from, m.Upstream)
 	n.table.Grant(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt), n.permitFor(m.Upstream))
 }
 
@@ -163,7 +166,7 @@
 
 func (n *Node) onFirstToken(from uint64, m *pb.FirstToken) {
 	if h := n.pools.get(routing.PoolID(m.Pool), false); h != nil {
-		n.noteFirstToken(h, scheduler.GlobalID{Entry: from, Sequence: m.Sequence})
+		n.noteFirstToken(h, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond)
 		h.sched.FirstToken(n.now, scheduler.GlobalID{Entry: from, Sequence: m.Sequence}, time.Duration(m.TtftMs)*time.Millisecond, m.SlowdownPercent)
 		h.dirty = true
 	}
@@ -179,7 +182,7 @@
 		OutputTokens: m.OutputTokens, TTFT: time.Duration(m.TtftMs) * time.Millisecond,
 		InterToken: time.Duration(m.InterTokenUs) * time.Microsecond, CachedPrompt: m.CachedPromptTokens,
 		SlowdownPercent: m.SlowdownPercent, HoldOff: time.Duration(m.HoldOffMs) * time.Millisecond,
-	}, m.Attempt)
+	}, m.Attempt, m.Returned)
 }
 
 // onSyncRequest reports all requests of a pool to an owner. The request shows that
@@ -209,6 +212,7 @@
 		n.onSubmit(from, submit)
 	}
 	n.dropUnmentioned(h, from, mentioned)
+	n.censusAnswered(h, from)
 	n.markReported(h, from)
 }
 
@@ -234,6 +238,7 @@
 	for _, id := range h.ledger.idsOf(from) {
 		if it := h.ledger.get(id); !mentioned[id.Sequence] && it.since < asked {
 			n.count("permits", "audited")
+			it.endUnknown = true
 			h.drop(n.now, id, scheduler.Canceled)
 		}
 	}
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -212,6 +212,14 @@
 	p.refreshAllFree()
 }
 
+// InFlight returns the number of permits at an upstream.
+func (p *Pool) InFlight(upstream uint32) int {
+	if int(upstream) >= len(p.upstreams) {
+		return 0
+	}
+	return int(p.upstreams[upstream].inFlight)
+}
+
 // SetTargets changes Config.TargetTTFT, Config.TargetInterToken and
 // Config.PromptSlowdown; values that are not positive leave theirs unchanged.
 func (p *Pool) SetTargets(ttft, interToken time.Duration, promptSlowdown float64) {
