rollout: speeds of upstreams apart from the version's, windows of newest answers

Cause: one used upstream of the slow kind looked like a slow version, and earlier good answers hid a version that became bad. Change: an upstream's speed is a location per upstream with a common spread; failures are also tested over the newest 30, 120 and 480 answers, latencies over the newest 30.

--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -7,7 +7,7 @@
 
 // drainQuantile of the answers of the current version end within the time set aside for the
 // shift.
-const drainQuantile = 0.995
+const drainQuantile = 0.999
 
 // durations tells how long answers of the current version take.
 type durations struct{ seen histogram }
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -26,8 +28,9 @@
 type routeEvidence struct {
 	id              uint32
 	current, target counts
-	// ratios are the logarithms of the likelihood ratios for each additional failure rate.
-	ratios      [len(addedRates)]float64
+	recent          [len(recentHalves)]recent
+	// ratios are of all answers, then of each recent window.
+	ratios      [len(recentHalves) + 1]failureRatios
 	failureOdds float64
 	changed     bool
 }
@@ -55,7 +58,7 @@
 	i := len(e.routes)
 	e.index[id] = i
 	e.routes = append(e.routes, &routeEvidence{id: id})
-	e.slow.odds = append(e.slow.odds, 0)
+	e.slow.addRoute()
 	return i
 }
 
@@ -74,8 +77,7 @@
 		route.current.add(a.Failed)
 		return
 	}
-	route.changed = true
-	route.target.add(a.Failed)
+	route.addTarget(a.Failed)
 	e.target.add(a.Failed)
 }
 
@@ -110,6 +112,16 @@
 	return worst
 }
 
+// slowest returns the greatest logarithm of a likelihood ratio for a slower version.
+func (e *evidence) slowest() float64 {
+	return slices.Max(append(slices.Clone(e.slow.odds), e.slow.allOdds))
+}
+
+// limit is the logarithm of the likelihood ratio at which the version is reverted, and suspicion
+// that from which it is not shifted or completed. Both account for the number of tests.
+func (e *evidence) limit() float64     { return math.Log(float64(2*(len(e.routes)+1)) / falseRevert) }
+func (e *evidence) suspicion() float64 { return math.Log(suspicion * float64(len(e.routes)+1)) }
+
 // coversRoutes reports whether each route with a part of the answers worth mentioning has some
 // of the version.
 func (e *evidence) coversRoutes() bool {
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -17,12 +17,15 @@
 	// up to the shift, since some versions become bad later.
 	firstPart = 0.4
 	// upstreamShare is the part of the version's upstreams that Judging uses.
-	upstreamShare = 0.12
+	upstreamShare = 0.05
+	// busier is the factor by which an upstream is to be busier in Judging than the mean of all
+	// after the shift.
+	busier = 1.3
 	// reserveEvery is the least time between two raises of the reservation.
 	reserveEvery = 250 * time.Millisecond
 	// groupWait is how long requests are held back to be granted together, so that an upstream
 	// of the version is at times as busy as it will be after the shift.
-	groupWait = time.Second
+	groupWait = 2 * time.Second
 )
 
 // exposure counts what the version gets.
@@ -52,7 +55,7 @@
 		return 0
 	}
 	part := judgingPart
-	if r.rehearsing() {
+	if r.rehearsing() || r.taken.Reserved > 0 {
 		part = rehearsalPart
 	}
 	progress := float64(r.elapsed(r.now)) / float64(max(r.shiftAt(), 1))
@@ -80,12 +83,17 @@
 		used = r.up.Target
 	}
 	slots := max(1, r.up.TargetSlots*used/r.up.Target)
-	if r.targetInFlight == 0 && left < slots && r.now-r.lastGrant < groupWait {
+	if r.targetInFlight == 0 && left < min(slots, r.expectedLoad()*used) && r.now-r.lastGrant < groupWait {
 		return 0
 	}
 	return max(0, min(left, slots-r.targetInFlight))
 }
 
+// expectedLoad returns how many requests each upstream of the version will have after the shift.
+func (r *Rollout) expectedLoad() int {
+	return int(math.Ceil(busier * float64(r.currentInFlight) / float64(r.up.Target)))
+}
+
 // crossesBound reports, once, that the requests of the version have reached the bound.
 func (r *Rollout) crossesBound() bool {
 	if r.crossed || float64(r.spent) < r.bound() {
--- a/pkg/rollout/failures.go
+++ b/pkg/rollout/failures.go
@@ -16,7 +16,7 @@
 
 type gridPoint struct{ fail, pass [len(addedRates) + 1]float64 }
 
-func newRateGrid() (grid [48]gridPoint) {
+func newRateGrid() (grid [32]gridPoint) {
 	const lowest, highest = 0.0005, 0.6
 	logit := func(p float64) float64 { return math.Log(p / (1 - p)) }
 	for i := range grid {
@@ -31,18 +31,17 @@
 	return grid
 }
 
-// evaluate computes the likelihood ratios of all answers of the route, between the version
-// having an added failure rate and none, each as a mixture over the current version's rate. The
-// ratio is a martingale if the version is as good as the current one, so that it exceeds x at any
-// time with a probability of at most 1/x (Ville's inequality).
-func (r *routeEvidence) evaluate() {
-	if r.current.answers >= forgetAt {
-		r.current.answers /= 2
-		r.current.failures /= 2
-	}
+// failureRatios are logarithms of likelihood ratios for each of addedRates.
+type failureRatios [len(addedRates)]float64
+
+// compare returns the likelihood ratios of answers, between the version having an added failure
+// rate and none, each as a mixture over the current version's rate. The ratio is a martingale if
+// the version is as good as the current one, so that it exceeds x at any time with a probability
+// of at most 1/x (Ville's inequality).
+func compare(current, target counts) (ratios failureRatios) {
 	var logs [len(addedRates) + 1][len(rateGrid)]float64
-	fails, passes := float64(r.target.failures), float64(r.target.answers-r.target.failures)
-	currentFails, currentPasses := float64(r.current.failures), float64(r.current.answers-r.current.failures)
+	fails, passes := float64(target.failures), float64(target.answers-target.failures)
+	currentFails, currentPasses := float64(current.failures), float64(current.answers-current.failures)
 	for i := range rateGrid {
 		g := &rateGrid[i]
 		shared := currentFails*g.fail[0] + currentPasses*g.pass[0]
@@ -51,22 +50,75 @@
 		}
 	}
 	none := logSumExp(logs[0][:])
-	for j := range r.ratios {
-		r.ratios[j] = logSumExp(logs[j+1][:]) - none
+	for j := range ratios {
+		ratios[j] = logSumExp(logs[j+1][:]) - none
 	}
-	r.failureOdds = logMeanExp(r.ratios[:])
+	return ratios
 }
 
-// evaluateAll returns the logarithm of the likelihood ratio of all routes together, for a version
-// that fails with the same added rate on each. Each route keeps its own baseline.
+// recentHalves are half the sizes of the windows of newest answers that are compared beside all
+// answers, so that a version that becomes bad is not judged by its earlier answers.
+var recentHalves = [...]uint64{15, 60, 240}
+
+// recent counts the newest answers, in two halves of which the older one is dropped when the
+// newer one is full.
+type recent struct{ newer, older counts }
+
+func (r *recent) add(failed bool, half uint64) {
+	if r.newer.answers == half {
+		r.older, r.newer = r.newer, counts{}
+	}
+	r.newer.add(failed)
+}
+
+func (r *recent) counts() counts {
+	return counts{r.newer.answers + r.older.answers, r.newer.failures + r.older.failures}
+}
+
+// addTarget counts an answer of the version.
+func (r *routeEvidence) addTarget(failed bool) {
+	r.changed = true
+	r.target.add(failed)
+	for i, half := range recentHalves {
+		r.recent[i].add(failed, half)
+	}
+}
+
+// evaluate brings the odds of the route up to date.
+func (r *routeEvidence) evaluate() {
+	if r.current.answers >= forgetAt {
+		r.current.answers /= 2
+		r.current.failures /= 2
+	}
+	r.ratios[0] = compare(r.current, r.target)
+	for i := range recentHalves {
+		if newest := r.recent[i].counts(); newest.answers < r.target.answers {
+			r.ratios[i+1] = compare(r.current, newest)
+		} else {
+			r.ratios[i+1] = r.ratios[0]
+		}
+	}
+	r.failureOdds = math.Inf(-1)
+	for i := range r.ratios {
+		r.failureOdds = max(r.failureOdds, logMeanExp(r.ratios[i][:]))
+	}
+}
+
+// evaluateAll returns the greatest logarithm of a likelihood ratio of all routes together, over
+// the windows, for a version that fails with the same added rate on each. Each route keeps its
+// own baseline.
 func (e *evidence) evaluateAll() float64 {
-	var sums [len(addedRates)]float64
-	for _, route := range e.routes {
-		for j, ratio := range route.ratios {
-			sums[j] += ratio
+	highest := math.Inf(-1)
+	for window := range len(recentHalves) + 1 {
+		var sums failureRatios
+		for _, route := range e.routes {
+			for j, ratio := range route.ratios[window] {
+				sums[j] += ratio
+			}
 		}
+		highest = max(highest, logMeanExp(sums[:]))
 	}
-	return logMeanExp(sums[:])
+	return highest
 }
 
 // excess returns the number of failures and slow answers of the version beyond those that the
@@ -82,17 +134,20 @@
 		bad += float64(route.target.failures) - n*rate
 		variance += n * rate * (1 - rate)
 	}
-	slow, slowVariance := e.slow.excess()
-	bad += slow
-	variance += slowVariance
+	if e.slowest() > e.suspicion() {
+		slow, slowVariance := e.slow.excess()
+		bad += slow
+		variance += slowVariance
+	}
 	if bad <= 0 {
 		return 0, 0
 	}
 	return bad, bad / math.Sqrt(variance+1)
 }
 
-// unknownRate is the failure rate assumed of a current version without an answer.
-const unknownRate = 0.02
+// unknownRate is the failure rate assumed of a current version without an answer, such as that
+// after a takeover in Shifting: some routes fail up to 0.15 of their requests in normal operation.
+const unknownRate = 0.2
 
 func logMeanExp(x []float64) float64 { return logSumExp(x) - math.Log(float64(len(x))) }
 
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -11,7 +10,10 @@
 	// the deadline, and minRouteAnswers that for each route with more than routeShare of them.
 	minAnswers      = 10
 	minRouteAnswers = 3
-	routeShare      = 0.05
+	routeShare      = 0.2
+	// inheritedBad is the share of bad answers that the record of an earlier owner may show if no
+	// further evidence is needed.
+	inheritedBad = 0.05
 	// settle is how long all traffic stays at the version before the order is completed.
 	settle = 200 * time.Millisecond
 	// writeMargin is set aside for writes to the store, or writeMarginFactor times as long as
@@ -34,8 +36,9 @@
 // revert. The threshold divides it by the number of tests (Bonferroni).
 const falseRevert = 0.01
 
-// suspicion is the likelihood ratio above which a version is not shifted or completed yet.
-var suspicion = math.Log(3)
+// suspicion is the likelihood ratio of one test above which a version is not shifted or completed
+// yet.
+const suspicion = 4
 
 // decide moves the order to its next phase if that is due.
 func (r *Rollout) decide() {
@@ -82,7 +85,7 @@
 		r.revert("no request arrived by which the version could be judged")
 	case r.proven(late) && elapsed >= r.shiftAt():
 		r.advance(Shifting, "%s", r.evidence.describe())
-	case late && answers >= minAnswers && r.evidence.worst() > suspicion:
+	case late && answers >= minAnswers && r.evidence.worst() > r.evidence.suspicion():
 		r.revert("not proven by the deadline: %s", r.evidence.describe())
 	case elapsed >= unjudgedFactor*r.order.Within && r.failures == 0:
 		r.revert("cannot be judged: %s", r.evidence.describe())
@@ -93,10 +96,16 @@
 // deadline any answers suffice.
 func (r *Rollout) proven(late bool) bool {
 	answers := r.evidence.target.answers
-	if answers == 0 || r.evidence.worst() > suspicion {
+	if answers == 0 || r.evidence.worst() > r.evidence.suspicion() {
 		return false
 	}
-	return late || answers >= minAnswers && r.evidence.coversRoutes()
+	return late || r.inherited() || answers >= minAnswers && r.evidence.coversRoutes()
+}
+
+// inherited reports whether an earlier owner has gathered enough evidence that speaks for the
+// version.
+func (r *Rollout) inherited() bool {
+	return r.taken.Reserved >= 2*minAnswers && float64(r.taken.Bad) <= inheritedBad*float64(r.taken.Reserved)
 }
 
 // shiftAt returns the time since the order at which the shift begins, so that the requests at
@@ -118,7 +127,7 @@
 	if r.now-r.phaseSince < settle {
 		return
 	}
-	if !r.forced && r.evidence.worst() > suspicion && r.elapsed(r.now) < r.order.Within {
+	if !r.forced && r.evidence.worst() > r.evidence.suspicion() && r.elapsed(r.now) < r.order.Within {
 		return
 	}
 	r.advance(Completed, "nothing runs at the current version; %s", r.evidence.describe())
@@ -131,14 +140,13 @@
 	}
 	bad, deviation := r.evidence.excess()
 	bad += float64(r.rec.Bad)
-	limit := math.Log(float64(2*(len(r.evidence.routes)+1)) / falseRevert)
 	switch {
 	case bad >= countLimit && (deviation >= countDeviations || float64(r.rec.Bad) >= countLimit):
 		r.revert("%.0f bad answers beyond those of the current version; %s", bad, r.evidence.describe())
 	case r.forced:
-	case r.evidence.worst() >= limit:
+	case r.evidence.worst() >= r.evidence.limit():
 		r.revert("bad answers: %s", r.evidence.describe())
-	case r.crossesBound() && r.evidence.worst() > suspicion:
+	case r.crossesBound() && r.evidence.worst() > (r.evidence.suspicion()+r.evidence.limit())/2:
 		r.revert("exposure bound reached under suspicion: %s", r.evidence.describe())
 	}
 	return r.phase == Reverted
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -147,6 +147,8 @@
 	storeState
 	exposure
 	evidence evidence
+	// taken is the record of the earlier owner, if there was one.
+	taken Record
 
 	up Upstreams
 	// seenCurrent is set once the service had an upstream of another version.
@@ -168,7 +170,7 @@
 		r.phase = stored.Phase
 	}
 	r.start = now - stored.Elapsed
-	r.rec = stored
+	r.rec, r.taken = stored, stored
 	r.spent = stored.Reserved
 	r.arrived = stored.Served
 	return r
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -1,294 +1,289 @@
 package rollout
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math"
-	"time"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// lowestLatency is the latency of the first bin; binsPerDoubling bins cover a factor of 2.
-	lowestLatency   = 100 * time.Microsecond
-	binsPerDoubling = 3
-	latencyBins     = 64
-	// maxProfiles bounds the upstreams of either version whose latencies are kept; upstreams
-	// seen later are ignored.
-	maxProfiles = 12
-	// minProfile is the number of answers of a current upstream from which it is compared with.
-	minProfile = 8
-	// effectiveAnswers bounds the weight of an upstream's answers on one route, since latencies
-	// of successive answers depend on each other.
-	effectiveAnswers = 30
-	// outliers is the part of the answers that may have any latency.
-	outliers = 0.02
+	// maxCurrent and maxTarget bound the upstreams of either version whose latencies are kept.
+	maxCurrent, maxTarget = 16, 8
+	// minProfile is the number of answers of a current upstream from which it is compared with,
+	// profiledPart the part of the kept ones with as many before latencies count. Slow upstreams
+	// have fewer answers, so that the first ones show only the fast.
+	minProfile   = 5
+	profiledPart = 0.75
+	// maxShift bounds the differences in bins that are looked at: a factor of 256.
+	maxShift = 24
 	// slowQuantile of the current version's latencies on a route, and slowBeyond bins more, is
 	// where an answer counts as slow for the number of bad answers.
 	slowQuantile = 0.95
 	slowBeyond   = 1
 )
 
-// goodShifts are the differences in bins that a version as fast as the current one may show, a
-// factor of 0.8 to 1.26, and slowShifts those of slower ones, factors of 2 to 6.3.
-var (
-	goodShifts = [...]int{-1, 0, 1}
-	slowShifts = [...]int{3, 4, 5, 6, 8}
-)
-
-// smoothing spreads an answer over neighbouring bins.
-var smoothing = [...]float64{0.1, 0.25, 0.3, 0.25, 0.1}
+// slowShifts are the differences in bins of slower versions, factors of 2 to 6.3. A version as
+// fast as the current one may differ by goodShift on each route, a factor of 1.26.
+var slowShifts = [...]int{3, 4, 5, 6, 8}
 
-type histogram [latencyBins]uint32
+const goodShift = 1
 
-func binOf(latency time.Duration) int {
-	bin := math.Round(binsPerDoubling * math.Log2(float64(max(latency, 1))/float64(lowestLatency)))
-	return int(min(max(bin, 0), latencyBins-1))
+// currentProfile holds the latencies of one upstream of the current version by route.
+type currentProfile struct {
+	upstream, digest uint64
+	answers          uint64
+	routes           []histogram
 }
 
-// profile holds the latencies of one upstream by route.
-type profile struct {
+// targetProfile holds the newest latencies of one upstream of the new version by route.
+type targetProfile struct {
 	upstream uint64
-	answers  uint64
-	routes   []*histogram
-}
-
-func (p *profile) route(i int) *histogram {
-	if i >= len(p.routes) {
-		p.routes = append(p.routes, make([]*histogram, i+1-len(p.routes))...)
-	}
-	if p.routes[i] == nil {
-		p.routes[i] = &histogram{}
-	}
-	return p.routes[i]
+	routes   []window
 }
 
-// slowTest compares the latencies of the version's upstreams with those of the current ones. Each
-// upstream of the version is taken to be as fast as one of the current version's, since upstreams
-// differ in speed for reasons that are not their version's.
+// slowTest compares the latencies of the version's upstreams with those of the current ones.
+// Upstreams of one version differ in speed for reasons that are not their version's: an upstream
+// is described by its speed, as a difference in bins from the mean of each route, and the spread
+// of latencies at that speed is common to all. An upstream of a good version has the speed of one
+// of the current upstreams; one of a slow version is slower than one of them by one of
+// slowShifts, on all routes or on one.
 type slowTest struct {
-	current, target []*profile
-	// all holds the latencies of the current version by route, targetAll those of the new one.
-	all, targetAll profile
+	current []*currentProfile
+	target  []*targetProfile
+	// all holds the latencies of either version by route.
+	all, targetAll []histogram
 	odds           []float64
 	allOdds        float64
 	changed        bool
 }
 
+// addRoute makes room for one more route.
+func (s *slowTest) addRoute() {
+	s.odds = append(s.odds, 0)
+	s.all = append(s.all, histogram{})
+	s.targetAll = append(s.targetAll, histogram{})
+}
+
 func (s *slowTest) add(route int, a Answer) {
 	bin := binOf(a.Latency)
 	s.changed = true
-	profiles, all := &s.current, &s.all
 	if a.Target {
-		profiles, all = &s.target, &s.targetAll
+		s.targetAll[route][bin]++
+		if p := s.targetOf(a.Upstream); p != nil {
+			p.routes = grow(p.routes, route)
+			p.routes[route].add(bin)
+		}
+		return
 	}
-	all.route(route)[bin]++
-	all.answers++
-	if p := find(profiles, a.Upstream); p != nil {
-		p.route(route)[bin]++
+	s.all[route][bin]++
+	if p := s.currentOf(a.Upstream); p != nil {
+		p.routes = grow(p.routes, route)
+		p.routes[route][bin]++
 		p.answers++
 	}
 }
 
-func find(profiles *[]*profile, upstream uint64) *profile {
-	for _, p := range *profiles {
+// grow returns the slice with room for an index.
+func grow[T any](all []T, index int) []T {
+	if missing := index + 1 - len(all); missing > 0 {
+		return append(all, make([]T, missing)...)
+	}
+	return all
+}
+
+func (s *slowTest) targetOf(upstream uint64) *targetProfile {
+	for _, p := range s.target {
 		if p.upstream == upstream {
 			return p
 		}
 	}
-	if len(*profiles) == maxProfiles {
+	if len(s.target) == maxTarget {
 		return nil
 	}
-	p := &profile{upstream: upstream}
-	*profiles = append(*profiles, p)
-	return p
+	s.target = append(s.target, &targetProfile{upstream: upstream})
+	return s.target[len(s.target)-1]
 }
 
-// densities are the logarithms of a smoothed histogram.
-type densities [latencyBins]float64
-
-func (h *histogram) densities() *densities {
-	var d densities
-	total := 0.0
-	for bin, count := range h {
-		if count == 0 {
-			continue
-		}
-		total += float64(count)
-		for i, part := range smoothing {
-			at := min(max(bin+i-len(smoothing)/2, 0), latencyBins-1)
-			d[at] += part * float64(count)
+// currentOf returns the profile of a current upstream; nil if it is not kept. A sample by digest
+// is kept, which does not depend on how fast an upstream answers.
+func (s *slowTest) currentOf(upstream uint64) *currentProfile {
+	for _, p := range s.current {
+		if p.upstream == upstream {
+			return p
 		}
 	}
-	for i := range d {
-		d[i] = math.Log((1-outliers)*d[i]/total + outliers/latencyBins)
+	p := &currentProfile{upstream: upstream, digest: digest(upstream)}
+	if len(s.current) < maxCurrent {
+		s.current = append(s.current, p)
+		return p
 	}
-	return &d
+	highest := slices.MaxFunc(s.current, func(a, b *currentProfile) int { return cmp.Compare(a.digest, b.digest) })
+	if p.digest >= highest.digest {
+		return nil
+	}
+	s.current[slices.Index(s.current, highest)] = p
+	return p
 }
 
-// likelihoods of an upstream's answers on one route, if it is like one current upstream: as fast
-// (good) or slower by each of slowShifts.
-type likelihoods struct {
-	good float64
-	slow [len(slowShifts)]float64
+func digest(upstream uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, upstream))
 }
 
-// compare returns the likelihoods of a histogram, given the densities of a current upstream.
-func compare(h *histogram, d *densities) (l likelihoods) {
-	total := 0.0
-	var good [len(goodShifts)]float64
-	for bin, count := range h {
-		if count == 0 {
-			continue
+// baseline describes the current version: the speeds of its upstreams, and the spread of
+// latencies by route at speed 0.
+type baseline struct {
+	speeds []int
+	spread []*densities
+}
+
+// baseline returns nil while too few current upstreams are known.
+func (s *slowTest) baseline() *baseline {
+	kept := make([]histogram, len(s.odds))
+	for _, p := range s.current {
+		for route := range p.routes {
+			kept[route].addShifted(&p.routes[route], 0)
 		}
-		n := float64(count)
-		total += n
-		for i, shift := range goodShifts {
-			good[i] += n * d[min(max(bin-shift, 0), latencyBins-1)]
+	}
+	means := make([]float64, len(kept))
+	for route := range kept {
+		means[route] = kept[route].mean()
+	}
+	b := &baseline{spread: make([]*densities, len(kept))}
+	residuals := make([]histogram, len(kept))
+	for _, p := range s.current {
+		if p.answers < minProfile {
+			continue
 		}
-		for i, shift := range slowShifts {
-			l.slow[i] += n * d[max(bin-shift, 0)]
+		speed := p.speed(means)
+		b.speeds = append(b.speeds, speed)
+		for route := range p.routes {
+			residuals[route].addShifted(&p.routes[route], -speed)
 		}
 	}
-	weight := min(1, effectiveAnswers/total)
-	for i := range good {
-		good[i] *= weight
+	if len(b.speeds) == 0 || float64(len(b.speeds)) < profiledPart*float64(len(s.current)) {
+		return nil
 	}
-	for i := range l.slow {
-		l.slow[i] *= weight
+	for route := range residuals {
+		b.spread[route] = residuals[route].densities()
 	}
-	l.good = logMeanExp(good[:])
-	return l
+	return b
 }
 
-// baselines returns the densities by route of each current upstream with enough answers. Where
-// it has too few on a route, those of all current upstreams stand in.
-func (s *slowTest) baselines() (all [][]*densities) {
-	common := make([]*densities, len(s.odds))
-	for i := range common {
-		if i < len(s.all.routes) && s.all.routes[i] != nil {
-			common[i] = s.all.routes[i].densities()
+// speed returns the mean difference of the upstream's latencies from the means of the routes.
+func (p *currentProfile) speed(means []float64) int {
+	sum := 0.0
+	for route := range p.routes {
+		if n := float64(p.routes[route].total()); n > 0 {
+			sum += n * (p.routes[route].mean() - means[route])
 		}
 	}
-	for _, p := range s.current {
-		if p.answers < minProfile {
+	return int(math.Round(sum / float64(p.answers)))
+}
+
+// likelihoods are the logarithms of the likelihood of an upstream's answers on one route, by its
+// difference in bins, from -maxShift to maxShift.
+type likelihoods [2*maxShift + 1]float64
+
+func (l *likelihoods) at(shift int) float64 { return l[min(max(shift+maxShift, 0), 2*maxShift)] }
+
+// good is the likelihood of an upstream of a version that is as fast, at a speed.
+func (l *likelihoods) good(speed int) float64 {
+	var near [2*goodShift + 1]float64
+	for i := range near {
+		near[i] = l.at(speed + i - goodShift)
+	}
+	return logMeanExp(near[:])
+}
+
+func (w *window) likelihoods(d *densities) (l likelihoods) {
+	total := 0.0
+	for bin := range w.newer {
+		n := float64(w.newer[bin] + w.older[bin])
+		if n == 0 {
 			continue
 		}
-		own := make([]*densities, len(common))
-		for i := range own {
-			own[i] = common[i]
-			if i < len(p.routes) && p.routes[i] != nil && p.routes[i].total() >= minProfile {
-				own[i] = p.routes[i].densities()
-			}
+		total += n
+		for i := range l {
+			l[i] += n * d.logs[clampBin(bin-(i-maxShift))]
 		}
-		all = append(all, own)
 	}
-	return all
-}
-
-func (h *histogram) total() (n uint64) {
-	for _, count := range h {
-		n += uint64(count)
+	// The density is itself an estimate, so that few answers of the current version give little
+	// weight to many of the new one.
+	weight := d.answers / max(d.answers+total, 1)
+	for i := range l {
+		l[i] *= weight
 	}
-	return n
+	return l
 }
 
+// slowRatios are logarithms of likelihood ratios for each of slowShifts.
+type slowRatios [len(slowShifts)]float64
+
 // evaluate computes the odds that the version is slower on each route alone, and on all.
 func (s *slowTest) evaluate() {
 	s.changed = false
-	baselines := s.baselines()
-	if len(baselines) == 0 || len(s.target) == 0 {
+	b := s.baseline()
+	if b == nil {
 		return
 	}
-	routes := len(s.odds)
-	ratios := make([][len(slowShifts)]float64, routes)
-	var allRatios [len(slowShifts)]float64
+	alone := make([]slowRatios, len(s.odds))
+	var together slowRatios
 	for _, p := range s.target {
-		if p.answers == 0 {
-			continue
-		}
-		alone, together := p.ratios(baselines, routes)
-		for i := range allRatios {
-			allRatios[i] += together[i]
-		}
-		for route := range alone {
-			for i := range alone[route] {
-				ratios[route][i] += alone[route][i]
-			}
-		}
+		p.compare(b, alone, &together)
 	}
-	for route := range ratios {
-		s.odds[route] = logMeanExp(ratios[route][:])
+	for route := range alone {
+		s.odds[route] = logMeanExp(alone[route][:])
 	}
-	s.allOdds = logMeanExp(allRatios[:])
+	s.allOdds = logMeanExp(together[:])
 }
 
-// ratios returns the logarithms of the likelihood ratios of an upstream's answers, for each shift,
-// between slowness on one route alone, or on all together, and none.
-func (p *profile) ratios(baselines [][]*densities, routes int) (alone [][len(slowShifts)]float64, together [len(slowShifts)]float64) {
-	good := make([]float64, len(baselines))
-	all := make([][]float64, len(slowShifts))
-	single := make([][]float64, routes*len(slowShifts))
-	compared := make([][]likelihoods, len(baselines))
-	for b, baseline := range baselines {
-		compared[b] = make([]likelihoods, routes)
-		for route, h := range p.routes {
-			if h == nil || baseline[route] == nil {
-				continue
-			}
-			compared[b][route] = compare(h, baseline[route])
-			good[b] += compared[b][route].good
+// compare adds the ratios of an upstream, between slowness on one route alone, or on all
+// together, and none.
+func (p *targetProfile) compare(b *baseline, alone []slowRatios, together *slowRatios) {
+	routes := make([]likelihoods, len(p.routes))
+	for route := range p.routes {
+		routes[route] = p.routes[route].likelihoods(b.spread[route])
+	}
+	good := make([]float64, len(b.speeds))
+	for c, speed := range b.speeds {
+		for route := range routes {
+			good[c] += routes[route].good(speed)
 		}
 	}
-	for i := range slowShifts {
-		all[i] = make([]float64, len(baselines))
-		for b := range baselines {
+	none := logSumExp(good)
+	slow := make([]float64, len(b.speeds))
+	for i, shift := range slowShifts {
+		for c, speed := range b.speeds {
+			slow[c] = 0
 			for route := range routes {
-				all[i][b] += compared[b][route].slow[i]
+				slow[c] += routes[route].at(speed + shift)
 			}
 		}
+		together[i] += logSumExp(slow) - none
 		for route := range routes {
-			single[route*len(slowShifts)+i] = make([]float64, len(baselines))
-			for b := range baselines {
-				l := &compared[b][route]
-				single[route*len(slowShifts)+i][b] = good[b] - l.good + l.slow[i]
+			for c, speed := range b.speeds {
+				slow[c] = good[c] - routes[route].good(speed) + routes[route].at(speed+shift)
 			}
+			alone[route][i] += logSumExp(slow) - none
 		}
 	}
-	none := logSumExp(good)
-	alone = make([][len(slowShifts)]float64, routes)
-	for i := range slowShifts {
-		together[i] = logSumExp(all[i]) - none
-		for route := range routes {
-			alone[route][i] = logSumExp(single[route*len(slowShifts)+i]) - none
-		}
-	}
-	return alone, together
 }
 
 // excess returns the number of slow answers of the version beyond the current version's share of
 // them, and the variance of that number.
 func (s *slowTest) excess() (slow, variance float64) {
-	for i, h := range s.targetAll.routes {
-		if h == nil || i >= len(s.all.routes) || s.all.routes[i] == nil {
-			continue
-		}
-		limit := s.all.routes[i].quantile(slowQuantile) + slowBeyond
-		n := float64(h.total())
+	for route := range s.all {
+		limit := s.all[route].quantile(slowQuantile) + slowBeyond
+		n := float64(s.targetAll[route].total())
 		var above float64
 		for bin := limit + 1; bin < latencyBins; bin++ {
-			above += float64(h[bin])
+			above += float64(s.targetAll[route][bin])
 		}
 		slow += above - n*(1-slowQuantile)
 		variance += n * (1 - slowQuantile) * slowQuantile
 	}
 	return max(slow, 0), variance
 }
-
-// quantile returns the bin below which the part of the latencies lies.
-func (h *histogram) quantile(part float64) int {
-	total, sum := float64(h.total()), 0.0
-	for bin, count := range h {
-		if sum += float64(count); sum >= part*total {
-			return bin
-		}
-	}
-	return latencyBins - 1
-}
