rollout: observe up to the deadline, requests that take too long

Cause: versions that became bad or slow shortly before the shift were completed, since slow answers are not seen before they end. Change: an order is completed only shortly before its deadline; requests at the version that are overdue hold or revert it.

--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -26,3 +27,57 @@
 	bin := float64(d.seen.quantile(drainQuantile)) + 0.5
 	return time.Duration(float64(lowestLatency) * math.Exp2(bin/binsPerDoubling))
 }
+
+const (
+	// markEvery is the time between two marks of the grants; maxMarks bounds them.
+	markEvery = 20 * time.Millisecond
+	maxMarks  = 2048
+	// overdueLeast and overduePart of the recent grants are the requests in progress for longer
+	// than those at the current version from which a version is not shifted or completed, and
+	// overdueRevert times as many revert it. Answers of a slow version are not seen before
+	// they end.
+	overdueLeast  = 5
+	overduePart   = 0.05
+	overdueRevert = 3
+)
+
+// grantMark is the number of grants to the version before a time.
+type grantMark struct {
+	at     time.Duration
+	before uint64
+}
+
+// grantMarks tells how many requests were granted within a time.
+type grantMarks []grantMark
+
+func (m *grantMarks) add(now time.Duration, before uint64) {
+	if n := len(*m); n > 0 && now-(*m)[n-1].at < markEvery {
+		return
+	}
+	if len(*m) == maxMarks {
+		*m = append((*m)[:0], (*m)[maxMarks/2:]...)
+	}
+	*m = append(*m, grantMark{now, before})
+}
+
+// since returns the number of grants since a time, of all so far.
+func (m grantMarks) since(at time.Duration, all uint64) uint64 {
+	i := sort.Search(len(m), func(i int) bool { return m[i].at >= at })
+	if i == 0 || all < m[i-1].before {
+		return all
+	}
+	return all - m[i-1].before
+}
+
+// overdue returns how many requests are at the version for longer than any at the current one,
+// and from which number on the version is suspected. Requests are taken to end in the order of
+// their grants.
+func (r *Rollout) overdue() (requests, suspected float64) {
+	expected := r.durations.drain()
+	if expected == 0 {
+		return 0, overdueLeast
+	}
+	recent := r.marks.since(r.now-expected, r.granted)
+	within := r.marks.since(r.now-2*expected, r.granted)
+	return max(0, float64(r.targetInFlight)-float64(recent)), max(overdueLeast, overduePart*float64(within))
+}
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -8,7 +8,7 @@
 const (
 	// judgingPart is the part of the exposure bound that may be reserved in Judging. The rest is
 	// for a version that becomes bad in the shift, until its answers show it.
-	judgingPart = 0.6
+	judgingPart = 0.55
 	// rehearsalPart replaces it in the last rehearsal before the shift, in which all upstreams
 	// of the version are used, for versions that are bad under the full load only.
 	rehearsalPart = 0.75
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -85,7 +85,7 @@
 		r.revert("no request arrived by which the version could be judged")
 	case r.proven(late) && elapsed >= r.shiftAt():
 		r.advance(Shifting, "%s", r.evidence.describe())
-	case late && answers >= minAnswers && r.evidence.worst() > r.evidence.suspicion():
+	case late && answers >= minAnswers && r.suspected():
 		r.revert("not proven by the deadline: %s", r.evidence.describe())
 	case elapsed >= unjudgedFactor*r.order.Within && r.failures == 0:
 		r.revert("cannot be judged: %s", r.evidence.describe())
@@ -96,12 +96,18 @@
 // deadline any answers suffice.
 func (r *Rollout) proven(late bool) bool {
 	answers := r.evidence.target.answers
-	if answers == 0 || r.evidence.worst() > r.evidence.suspicion() {
+	if answers == 0 || r.suspected() {
 		return false
 	}
 	return late || r.inherited() || answers >= minAnswers && r.evidence.coversRoutes()
 }
 
+// suspected reports whether something speaks against the version, if not enough to revert it.
+func (r *Rollout) suspected() bool {
+	requests, suspected := r.overdue()
+	return requests >= suspected || r.evidence.worst() > r.evidence.suspicion()
+}
+
 // inherited reports whether an earlier owner has gathered enough evidence that speaks for the
 // version.
 func (r *Rollout) inherited() bool {
@@ -112,9 +118,14 @@
 // the current version end, and the writes are made, before the deadline. It is as late as that
 // permits, since some versions become bad only after some time.
 func (r *Rollout) shiftAt() time.Duration {
-	reserve := r.durations.drain() + settle + max(writeMargin, writeMarginFactor*r.writeTime)
 	earliest := time.Duration(earliestShift * float64(r.order.Within))
-	return max(r.order.Within-reserve, earliest)
+	return max(r.completeAt()-r.durations.drain()-settle, earliest)
+}
+
+// completeAt returns the time since the order from which it may be completed. Until then the
+// version is observed, even if nothing runs at the current version any more.
+func (r *Rollout) completeAt() time.Duration {
+	return r.order.Within - max(writeMargin, writeMarginFactor*r.writeTime)
 }
 
 func (r *Rollout) decideShifting() {
@@ -127,7 +138,10 @@
 	if r.now-r.phaseSince < settle {
 		return
 	}
-	if !r.forced && r.evidence.worst() > r.evidence.suspicion() && r.elapsed(r.now) < r.order.Within {
+	if !r.forced && r.elapsed(r.now) < r.completeAt() {
+		return
+	}
+	if !r.forced && r.suspected() && r.elapsed(r.now) < r.order.Within+r.durations.drain() {
 		return
 	}
 	r.advance(Completed, "nothing runs at the current version; %s", r.evidence.describe())
@@ -138,6 +152,7 @@
 	if r.completing() {
 		return false
 	}
+	overdue, suspected := r.overdue()
 	bad, deviation := r.evidence.excess()
 	bad += float64(r.rec.Bad)
 	switch {
@@ -146,6 +161,8 @@
 	case r.forced:
 	case r.evidence.worst() >= r.evidence.limit():
 		r.revert("bad answers: %s", r.evidence.describe())
+	case overdue >= overdueRevert*suspected:
+		r.revert("%.0f requests take longer than any at the current version; %s", overdue, r.evidence.describe())
 	case r.crossesBound() && r.evidence.worst() > (r.evidence.suspicion()+r.evidence.limit())/2:
 		r.revert("exposure bound reached under suspicion: %s", r.evidence.describe())
 	}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -155,6 +155,7 @@
 	seenUpstreams, seenCurrent bool
 	currentInFlight            int
 	durations                  durations
+	marks                      grantMarks
 }
 
 // New returns the decision on an order of which stored is the newest known record. A record of
@@ -204,6 +205,7 @@
 		r.currentInFlight++
 		return
 	}
+	r.marks.add(now, r.granted)
 	r.granted++
 	r.spent++
 	r.targetInFlight++
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -17,6 +17,10 @@
 	// have fewer answers, so that the first ones show only the fast.
 	minProfile   = 5
 	profiledPart = 0.75
+	// With enoughAnswers of all of them, fewProfile answers of each suffice: a service may have
+	// many upstreams with few requests each.
+	enoughAnswers = 60
+	fewProfile    = 2
 	// maxShift bounds the differences in bins that are looked at: a factor of 256.
 	maxShift = 24
 	// slowQuantile of the current version's latencies on a route, and slowBeyond bins more, is
@@ -151,10 +155,14 @@
 	for route := range kept {
 		means[route] = kept[route].mean()
 	}
+	least := uint64(minProfile)
+	if total := s.answers(); total >= enoughAnswers {
+		least = fewProfile
+	}
 	b := &baseline{spread: make([]*densities, len(kept))}
 	residuals := make([]histogram, len(kept))
 	for _, p := range s.current {
-		if p.answers < minProfile {
+		if p.answers < least {
 			continue
 		}
 		speed := p.speed(means)
@@ -172,6 +180,14 @@
 	return b
 }
 
+// answers returns the number of answers of the current upstreams that are kept.
+func (s *slowTest) answers() (n uint64) {
+	for _, p := range s.current {
+		n += p.answers
+	}
+	return n
+}
+
 // speed returns the mean difference of the upstream's latencies from the means of the routes.
 func (p *currentProfile) speed(means []float64) int {
 	sum := 0.0
