rollout: fewer false reverts, requests in progress as evidence in the shift

Cause: windows of newest answers are many tests; a slow version in the shift was found only when its answers ended. Change: odds of windows are reduced by their number; the requests in progress are compared with those expected; Judging takes at most about 300 requests, so that more of the bound is left for the shift.

--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -28,6 +28,14 @@
 	return time.Duration(float64(lowestLatency) * math.Exp2(bin/binsPerDoubling))
 }
 
+// typical returns the duration within which half of the answers end.
+func (d *durations) typical() time.Duration {
+	if d.seen.total() == 0 {
+		return 0
+	}
+	return time.Duration(float64(lowestLatency) * math.Exp2(float64(d.seen.quantile(0.5))/binsPerDoubling))
+}
+
 const (
 	// markEvery is the time between two marks of the grants; maxMarks bounds them.
 	markEvery = 20 * time.Millisecond
@@ -81,3 +89,46 @@
 	within := r.marks.since(r.now-2*expected, r.granted)
 	return max(0, float64(r.targetInFlight)-float64(recent)), max(overdueLeast, overduePart*float64(within))
 }
+
+const (
+	// lagSlower and lagDeviations are by which factor and by how many standard deviations the
+	// requests in progress exceed those expected from the current version's durations if the
+	// version is suspected; lagRevert is the factor that reverts it.
+	lagSlower     = 1.35
+	lagRevert     = 1.6
+	lagDeviations = 5.0
+	// lagLeast is the number of answers of the current version from which durations are known.
+	lagLeast = 100
+)
+
+// lag reports whether more requests are in progress at the version than if it were as fast as the
+// current one. It shows a slow version before its answers end. It holds for all upstreams of the
+// version together only, since a few may be of the slow kind.
+func (r *Rollout) lag() (suspected, certain bool) {
+	if r.phase != Shifting || r.durations.seen.total() < lagLeast {
+		return false, false
+	}
+	expected, variance := r.durations.inProgress(r.marks, r.now, r.granted)
+	margin := lagDeviations * math.Sqrt(variance+1)
+	present := float64(r.targetInFlight)
+	return present > lagSlower*expected+margin, present > lagRevert*expected+margin
+}
+
+// inProgress returns how many of the marked grants are expected to be in progress.
+func (d *durations) inProgress(marks grantMarks, now time.Duration, granted uint64) (expected, variance float64) {
+	var longer [latencyBins + 1]float64 // share of the durations in or above each bin
+	total := float64(d.seen.total())
+	for bin := latencyBins - 1; bin >= 0; bin-- {
+		longer[bin] = longer[bin+1] + float64(d.seen[bin])/total
+	}
+	oldest := now - d.drain()
+	next := granted
+	for i := len(marks) - 1; i >= 0 && marks[i].at >= oldest; i-- {
+		n := float64(next - min(next, marks[i].before))
+		next = marks[i].before
+		part := longer[binOf(now-marks[i].at)]
+		expected += n * part
+		variance += n * part * (1 - part)
+	}
+	return expected, variance
+}
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -6,18 +6,20 @@
 )
 
 const (
-	// judgingPart is the part of the exposure bound that may be reserved in Judging. The rest is
-	// for a version that becomes bad in the shift, until its answers show it.
+	// judgingPart is the part of the exposure bound that may be reserved in Judging, and
+	// judgingMost the number of requests that suffice for it. The rest is for a version that
+	// becomes bad in the shift, until its answers show it.
 	judgingPart = 0.55
-	// rehearsalPart replaces it in the last rehearsal before the shift, in which all upstreams
-	// of the version are used, for versions that are bad under the full load only.
-	rehearsalPart = 0.75
-	rehearsal     = 400 * time.Millisecond
+	judgingMost = 300
+	// rehearsalPart is added in the last rehearsal before the shift, in which all upstreams of
+	// the version are used, for versions that are bad under the full load only. It is as long
+	// as two answers take, between rehearsalLeast and rehearsalMost.
+	rehearsalPart  = 0.2
+	rehearsalLeast = 400 * time.Millisecond
+	rehearsalMost  = 1500 * time.Millisecond
 	// firstPart is the part of ExposeSlack that may be used at the start; the rest follows evenly
 	// up to the shift, since some versions become bad later.
 	firstPart = 0.4
-	// upstreamShare is the part of the version's upstreams that Judging uses.
-	upstreamShare = 0.05
 	// busier is the factor by which an upstream is to be busier in Judging than the mean of all
 	// after the shift.
 	busier = 1.3
@@ -46,7 +48,8 @@
 
 // rehearsing reports whether the shift is near enough to use all upstreams of the version.
 func (r *Rollout) rehearsing() bool {
-	return r.elapsed(r.now) >= r.shiftAt()-rehearsal
+	length := min(max(2*r.durations.typical(), rehearsalLeast), rehearsalMost)
+	return r.elapsed(r.now) >= r.shiftAt()-length
 }
 
 // reservable returns how many requests the version may have been sent in Judging by now.
@@ -54,9 +57,9 @@
 	if r.phase != Judging || r.rec.Hold || r.next != 0 || r.up.Target == 0 {
 		return 0
 	}
-	part := judgingPart
+	part := r.judgingPart()
 	if r.rehearsing() || r.taken.Reserved > 0 {
-		part = rehearsalPart
+		part += rehearsalPart
 	}
 	progress := float64(r.elapsed(r.now)) / float64(max(r.shiftAt(), 1))
 	slack := r.bounds.ExposeSlack * (firstPart + (1-firstPart)*min(1, progress))
@@ -68,7 +71,13 @@
 	if r.rehearsing() {
 		return -1
 	}
-	return max(1, int(math.Round(upstreamShare*float64(r.up.Target))))
+	share := r.bounds.ExposeShare * r.judgingPart()
+	return min(max(1, int(math.Round(share*float64(r.up.Target)))), r.up.Target)
+}
+
+// judgingPart returns the part of the exposure bound for Judging.
+func (r *Rollout) judgingPart() float64 {
+	return min(judgingPart, judgingMost/max(r.bound(), 1))
 }
 
 // allowance returns how many requests may be granted to the version now, within the reservation
--- a/pkg/rollout/failures.go
+++ b/pkg/rollout/failures.go
@@ -98,12 +98,16 @@
 			r.ratios[i+1] = r.ratios[0]
 		}
 	}
-	r.failureOdds = math.Inf(-1)
-	for i := range r.ratios {
-		r.failureOdds = max(r.failureOdds, logMeanExp(r.ratios[i][:]))
+	r.failureOdds = logMeanExp(r.ratios[0][:])
+	for i, half := range recentHalves {
+		r.failureOdds = max(r.failureOdds, logMeanExp(r.ratios[i+1][:])-windowsPenalty(r.target.answers, half))
 	}
 }
 
+// windowsPenalty is what the odds of a window are reduced by, since each window is a further test
+// (Bonferroni).
+func windowsPenalty(answers, half uint64) float64 { return math.Log(1 + float64(answers/half)) }
+
 // evaluateAll returns the greatest logarithm of a likelihood ratio of all routes together, over
 // the windows, for a version that fails with the same added rate on each. Each route keeps its
 // own baseline.
@@ -116,7 +120,11 @@
 				sums[j] += ratio
 			}
 		}
-		highest = max(highest, logMeanExp(sums[:]))
+		odds := logMeanExp(sums[:])
+		if window > 0 {
+			odds -= windowsPenalty(e.target.answers, recentHalves[window-1])
+		}
+		highest = max(highest, odds)
 	}
 	return highest
 }
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -105,7 +105,8 @@
 // suspected reports whether something speaks against the version, if not enough to revert it.
 func (r *Rollout) suspected() bool {
 	requests, suspected := r.overdue()
-	return requests >= suspected || r.evidence.worst() > r.evidence.suspicion()
+	lags, _ := r.lag()
+	return lags || requests >= suspected || r.evidence.worst() > r.evidence.suspicion()
 }
 
 // inherited reports whether an earlier owner has gathered enough evidence that speaks for the
@@ -153,6 +154,7 @@
 		return false
 	}
 	overdue, suspected := r.overdue()
+	_, lags := r.lag()
 	bad, deviation := r.evidence.excess()
 	bad += float64(r.rec.Bad)
 	switch {
@@ -163,6 +165,8 @@
 		r.revert("bad answers: %s", r.evidence.describe())
 	case overdue >= overdueRevert*suspected:
 		r.revert("%.0f requests take longer than any at the current version; %s", overdue, r.evidence.describe())
+	case lags:
+		r.revert("%d requests in progress, more than at the speed of the current version; %s", r.targetInFlight, r.evidence.describe())
 	case r.crossesBound() && r.evidence.worst() > (r.evidence.suspicion()+r.evidence.limit())/2:
 		r.revert("exposure bound reached under suspicion: %s", r.evidence.describe())
 	}
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -16,7 +16,7 @@
 	// profiledPart the part of the kept ones with as many before latencies count. Slow upstreams
 	// have fewer answers, so that the first ones show only the fast.
 	minProfile   = 5
-	profiledPart = 0.75
+	profiledPart = 0.9
 	// With enoughAnswers of all of them, fewProfile answers of each suffice: a service may have
 	// many upstreams with few requests each.
 	enoughAnswers = 60
