--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -6,23 +6,28 @@
 )
 
 const (
-	// judgingPart is the part of the exposure bound that may be reserved in Judging. The rest is
-	// for a version that becomes bad in the shift, until its answers show it.
-	judgingPart = 0.6
-	// rehearsalPart replaces it in the last rehearsal before the shift, in which all upstreams
-	// of the version are used, for versions that are bad under the full load only.
-	rehearsalPart = 0.75
-	rehearsal     = 400 * time.Millisecond
+	// judgingPart is the part of the exposure bound that may be reserved in Judging, and
+	// judgingMost the number of requests that suffice for it. The rest is for a version that
+	// becomes bad in the shift, until its answers show it.
+	judgingPart = 0.55
+	judgingMost = 300
+	// rehearsalPart is added in the last rehearsal before the shift, in which all upstreams of
+	// the version are used, for versions that are bad under the full load only. It is as long
+	// as two answers take, between rehearsalLeast and rehearsalMost.
+	rehearsalPart  = 0.2
+	rehearsalLeast = 400 * time.Millisecond
+	rehearsalMost  = 1500 * time.Millisecond
 	// firstPart is the part of ExposeSlack that may be used at the start; the rest follows evenly
 	// up to the shift, since some versions become bad later.
 	firstPart = 0.4
-	// upstreamShare is the part of the version's upstreams that Judging uses.
-	upstreamShare = 0.12
+	// busier is the factor by which an upstream is to be busier in Judging than the mean of all
+	// after the shift.
+	busier = 1.3
 	// reserveEvery is the least time between two raises of the reservation.
 	reserveEvery = 250 * time.Millisecond
 	// groupWait is how long requests are held back to be granted together, so that an upstream
 	// of the version is at times as busy as it will be after the shift.
-	groupWait = time.Second
+	groupWait = 2 * time.Second
 )
 
 // exposure counts what the version gets.
@@ -43,7 +48,8 @@
 
 // rehearsing reports whether the shift is near enough to use all upstreams of the version.
 func (r *Rollout) rehearsing() bool {
-	return r.elapsed(r.now) >= r.shiftAt()-rehearsal
+	length := min(max(2*r.durations.typical(), rehearsalLeast), rehearsalMost)
+	return r.elapsed(r.now) >= r.shiftAt()-length
 }
 
 // reservable returns how many requests the version may have been sent in Judging by now.
@@ -51,9 +57,9 @@
 	if r.phase != Judging || r.rec.Hold || r.next != 0 || r.up.Target == 0 {
 		return 0
 	}
-	part := judgingPart
-	if r.rehearsing() {
-		part = rehearsalPart
+	part := r.judgingPart()
+	if r.rehearsing() || r.taken.Reserved > 0 {
+		part += rehearsalPart
 	}
 	progress := float64(r.elapsed(r.now)) / float64(max(r.shiftAt(), 1))
 	slack := r.bounds.ExposeSlack * (firstPart + (1-firstPart)*min(1, progress))
@@ -65,7 +71,13 @@
 	if r.rehearsing() {
 		return -1
 	}
-	return max(1, int(math.Round(upstreamShare*float64(r.up.Target))))
+	share := r.bounds.ExposeShare * r.judgingPart()
+	return min(max(1, int(math.Round(share*float64(r.up.Target)))), r.up.Target)
+}
+
+// judgingPart returns the part of the exposure bound for Judging.
+func (r *Rollout) judgingPart() float64 {
+	return min(judgingPart, judgingMost/max(r.bound(), 1))
 }
 
 // allowance returns how many requests may be granted to the version now, within the reservation
@@ -80,12 +92,17 @@
 		used = r.up.Target
 	}
 	slots := max(1, r.up.TargetSlots*used/r.up.Target)
-	if r.targetInFlight == 0 && left < slots && r.now-r.lastGrant < groupWait {
+	if r.targetInFlight == 0 && left < min(slots, r.expectedLoad()*used) && r.now-r.lastGrant < groupWait {
 		return 0
 	}
 	return max(0, min(left, slots-r.targetInFlight))
 }
 
+// expectedLoad returns how many requests each upstream of the version will have after the shift.
+func (r *Rollout) expectedLoad() int {
+	return int(math.Ceil(busier * float64(r.currentInFlight) / float64(r.up.Target)))
+}
+
 // crossesBound reports, once, that the requests of the version have reached the bound.
 func (r *Rollout) crossesBound() bool {
 	if r.crossed || float64(r.spent) < r.bound() {
