rollout: grant from the first second, count only unexplained bad answers

Cause: the first grants waited for a group, and the number of bad answers took the current version's rate for exact. Change: groups only where one upstream is more than the allowance keeps busy; the count subtracts three standard deviations of the expected number.

--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -25,9 +25,9 @@
 	busier = 1.3
 	// reserveEvery is the least time between two raises of the reservation.
 	reserveEvery = 250 * time.Millisecond
-	// groupWait is how long requests are held back to be granted together, so that an upstream
-	// of the version is at times as busy as it will be after the shift.
-	groupWait = 2 * time.Second
+	// groupWait is how long requests are held back to be granted together if one upstream is
+	// more than they keep busy, so that it is at times as busy as it will be after the shift.
+	groupWait = 1500 * time.Millisecond
 )
 
 // exposure counts what the version gets.
@@ -92,7 +92,7 @@
 		used = r.up.Target
 	}
 	slots := max(1, r.up.TargetSlots*used/r.up.Target)
-	if r.targetInFlight == 0 && left < min(slots, r.expectedLoad()*used) && r.now-r.lastGrant < groupWait {
+	if used == 1 && r.granted > 0 && r.targetInFlight == 0 && left < min(slots, r.expectedLoad()) && r.now-r.lastGrant < groupWait {
 		return 0
 	}
 	return max(0, min(left, slots-r.targetInFlight))
--- a/pkg/rollout/failures.go
+++ b/pkg/rollout/failures.go
@@ -129,30 +129,30 @@
 	return highest
 }
 
-// excess returns the number of failures and slow answers of the version beyond those that the
-// current version's rates explain, and the deviation in standard deviations.
-func (e *evidence) excess() (bad, deviation float64) {
-	var variance float64
+// excess returns the number of failures and slow answers of the version that the current version's
+// rates do not explain: beyond the expected number and explainedDeviations standard deviations.
+func (e *evidence) excess() float64 {
+	var bad, variance float64
 	for _, route := range e.routes {
-		n := float64(route.target.answers)
-		rate := (float64(route.current.failures) + 0.5) / (float64(route.current.answers) + 1)
+		n, baseline := float64(route.target.answers), float64(route.current.answers)
+		rate := (float64(route.current.failures) + 0.5) / (baseline + 1)
 		if route.current.answers == 0 {
 			rate = unknownRate
 		}
 		bad += float64(route.target.failures) - n*rate
-		variance += n * rate * (1 - rate)
+		// The rate is itself an estimate from the current version's answers.
+		variance += rate * (1 - rate) * n * (1 + n/(baseline+1))
 	}
 	if e.slowest() > e.suspicion() {
 		slow, slowVariance := e.slow.excess()
 		bad += slow
 		variance += slowVariance
 	}
-	if bad <= 0 {
-		return 0, 0
-	}
-	return bad, bad / math.Sqrt(variance+1)
+	return max(0, bad-explainedDeviations*math.Sqrt(variance))
 }
 
+const explainedDeviations = 3
+
 // unknownRate is the failure rate assumed of a current version without an answer, such as that
 // after a takeover in Shifting: some routes fail up to 0.15 of their requests in normal operation.
 const unknownRate = 0.2
--- a/pkg/rollout/orders_test.go
+++ b/pkg/rollout/orders_test.go
@@ -122,10 +122,10 @@
 func printFailure(t *testing.T, i int, r result) {
 	s := r.scenario
 	good := s.kind == kinds[0]
-	if good && r.phase == rollout.Completed && r.at <= s.within || !good && r.phase == rollout.Reverted && r.exposed <= r.bound {
+	if good && r.phase == rollout.Completed && r.at <= s.within || !good && r.phase == rollout.Reverted && r.exposed <= r.bound && r.lateness <= bounds.Rollback {
 		return
 	}
-	t.Logf("%d %s: %v at %v of %v, rate %.0f, %d upstreams of %d uneven %v, fails %.2f slow %.1f from %v, route %d in flight %d, routes %+v, lost %.1f killed %v store %v: %.0f of %.0f: %s",
-		i, s.kind.name, r.phase, r.at, s.within, s.rate, s.upstreams, s.slots, s.uneven, s.failRate, s.factor, s.badFrom, s.badRoute+1,
+	t.Logf("%d %s: %v at %v of %v, late %v, rate %.0f, %d upstreams of %d uneven %v, fails %.2f slow %.1f from %v, route %d in flight %d, routes %+v, lost %.1f killed %v store %v: %.0f of %.0f: %s",
+		i, s.kind.name, r.phase, r.at, s.within, r.lateness, s.rate, s.upstreams, s.slots, s.uneven, s.failRate, s.factor, s.badFrom, s.badRoute+1,
 		s.badInFlight, s.routes, s.loseResponses, s.killAt, s.storeDelay, r.exposed, r.bound, r.reason)
 }
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -23,10 +23,12 @@
 	// earliestShift is the part of the time to the deadline that is spent on the judgement, even
 	// if the shift then ends late.
 	earliestShift = 0.4
-	// countLimit is the number of bad answers beyond those explained by the current version's
-	// rates, and countDeviations their number of standard deviations, that revert in any case.
-	countLimit      = 50
-	countDeviations = 4.0
+	// countLimit is the number of bad answers beyond those that the current version's rates
+	// explain that reverts in any case.
+	countLimit = 50
+	// overdueAfter is the part of the time to the deadline before which overdue requests do not
+	// revert, since only short answers of the current version have been seen.
+	overdueAfter = 0.25
 	// unjudgedFactor is the multiple of the time to the deadline after which an order without
 	// enough evidence is reverted.
 	unjudgedFactor = 3
@@ -155,15 +157,15 @@
 	}
 	overdue, suspected := r.overdue()
 	_, lags := r.lag()
-	bad, deviation := r.evidence.excess()
-	bad += float64(r.rec.Bad)
+	bad := r.evidence.excess() + float64(r.rec.Bad)
+	early := float64(r.elapsed(r.now)) < overdueAfter*float64(r.order.Within)
 	switch {
-	case bad >= countLimit && (deviation >= countDeviations || float64(r.rec.Bad) >= countLimit):
+	case bad >= countLimit:
 		r.revert("%.0f bad answers beyond those of the current version; %s", bad, r.evidence.describe())
 	case r.forced:
 	case r.evidence.worst() >= r.evidence.limit():
 		r.revert("bad answers: %s", r.evidence.describe())
-	case overdue >= overdueRevert*suspected:
+	case overdue >= overdueRevert*suspected && !early:
 		r.revert("%.0f requests take longer than any at the current version; %s", overdue, r.evidence.describe())
 	case lags:
 		r.revert("%d requests in progress, more than at the speed of the current version; %s", r.targetInFlight, r.evidence.describe())
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -215,6 +215,9 @@
 	wake = func() {
 		if owner == m.owner {
 			m.step()
+			if dbg != nil && m.ownerUp {
+				dbg(m)
+			}
 			m.at(m.now+50*time.Millisecond, wake)
 		}
 	}
@@ -398,3 +401,5 @@
 	m.step()
 	m.dispatch()
 }
+
+var dbg func(*sim)
--- a/pkg/rollout/write.go
+++ b/pkg/rollout/write.go
@@ -38,10 +38,9 @@
 	if r.next != 0 && !r.rec.Hold {
 		phase = r.next
 	}
-	bad, _ := r.evidence.excess()
 	rec := Record{
 		Order: r.order.ID, Phase: phase, Hold: r.rec.Hold, Revision: r.stored.Revision,
-		Bad: r.rec.Bad + uint64(bad), Elapsed: r.elapsed(r.now),
+		Bad: r.rec.Bad + uint64(r.evidence.excess()), Elapsed: r.elapsed(r.now),
 		Reserved: max(r.stored.Reserved, r.spent), Served: r.stored.Served,
 	}
 	if r.stored.Order == r.order.ID {
@@ -121,8 +120,7 @@
 		r.rec.Hold = found.Hold
 	}
 	// The record may be this owner's own, of a write whose response was lost.
-	bad, _ := r.evidence.excess()
-	if own := uint64(bad); found.Bad > own {
+	if own := uint64(r.evidence.excess()); found.Bad > own {
 		r.rec.Bad = max(r.rec.Bad, found.Bad-own)
 	}
 	r.start = min(r.start, r.now-found.Elapsed)
