rollout: the age of an order counts from when it can have been given

Cause: the time of an order was counted from when its owner first read it, up to 0.4 s after it was given. Change: ingress states the time of the last listing without the order, at most 1 s before; node.RolloutOrder.Age passes it on, and rollout.New takes Record.Elapsed also if nothing of the order is stored.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -192,7 +192,7 @@
 	g.loop.Post(node.UseConfiguration{
 		TargetTTFT: ttft, TargetInterToken: interToken, PromptSlowdown: promptSlowdown,
 		Set: ingress.Objects(c.revision, config, used), Quotas: g.quotas(config),
-		Rollouts: rolloutOrders(*c.rollouts.Load())})
+		Rollouts: rolloutOrders(boottime.Now(), *c.rollouts.Load())})
 	c.current.Store(next)
 	g.closeConnectionsToRemoved(used)
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -82,10 +82,11 @@
 	}
 }
 
-// rolloutOrders returns the orders in force for the node.
-func rolloutOrders(all []ingress.ServiceRollout) (orders []node.RolloutOrder) {
+// rolloutOrders returns the orders in force for the node, at the given boot time.
+func rolloutOrders(now time.Duration, all []ingress.ServiceRollout) (orders []node.RolloutOrder) {
 	for _, r := range all {
-		orders = append(orders, node.RolloutOrder{Order: r.Order, Record: r.Record, Command: r.Command, Current: r.Current, Target: r.Target})
+		orders = append(orders, node.RolloutOrder{Order: r.Order, Record: r.Record, Command: r.Command,
+			Age: now - r.Since, Current: r.Current, Target: r.Target})
 	}
 	return orders
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -114,7 +114,7 @@
 	observe(time.Second)
 	g.writeRollout("s", rollout.Record{Order: 7})
 	require.Equal(t, "2", store.written.Version)
-	seen := (*g.config.rollouts.Load())[0].SeenAt
+	seen := (*g.config.rollouts.Load())[0].Since
 	require.Zero(t, longestOverdue(seen+9*time.Second, g.config.rollouts.Load()))
 	require.Equal(t, time.Second, longestOverdue(seen+11*time.Second, g.config.rollouts.Load()))
 	require.Len(t, g.config.state.Upstreams(), 2)
--- a/pkg/ingress/registry.go
+++ b/pkg/ingress/registry.go
@@ -90,6 +90,14 @@
 // newerThan reports whether the newest listing began after the given time.
 func (r *Registry) newerThan(started time.Duration) bool { return r.listed && started < r.listedAt }
 
+// newestListing returns when the newest listing began, or now if there is none.
+func (r *Registry) newestListing(now time.Duration) time.Duration {
+	if !r.listed {
+		return now
+	}
+	return r.listedAt
+}
+
 func (r *Registry) observeEntry(name string, u Upstream) (changed bool) {
 	known, ok := r.upstreams[name]
 	if !ok {
--- a/pkg/ingress/rollouts.go
+++ b/pkg/ingress/rollouts.go
@@ -88,8 +88,8 @@
 // ServiceRollout is an order with the names of the upstreams that it concerns.
 type ServiceRollout struct {
 	Rollout
-	// SeenAt is when this instance first read the order.
-	SeenAt time.Duration
+	// Since is the earliest time at which the order can have been given, as far as known.
+	Since time.Duration
 	// Target names the upstreams of the ordered version, and Current those of the versions
 	// that the service uses now; of a completed order, those that were replaced.
 	Current, Target []string
@@ -97,9 +97,9 @@
 
 // Overdue returns for how long an order has not been finished although its deadline has
 // passed; ok is false before that and for finished orders. The age of the order is the longer
-// of the time that this instance knows it and the stored one.
+// of the one known to this instance and the stored one.
 func (r *ServiceRollout) Overdue(now time.Duration) (d time.Duration, ok bool) {
-	age := now - r.SeenAt
+	age := now - r.Since
 	if r.Record.Order == r.Order.ID {
 		age = max(age, r.Record.Elapsed)
 	}
--- a/pkg/ingress/rollouts_test.go
+++ b/pkg/ingress/rollouts_test.go
@@ -104,13 +104,35 @@
 	require.Equal(t, []string{"u-3/1"}, orders[0].Target)
 	l.requireUsed(versioned("1", "2", "3"), one(orderTo(8, "3", rollout.Completed)), "3")
 	require.Equal(t, []string{"u-1/1", "u-2/1"}, l.state.Rollouts()[0].Current)
-	_, late := orders[0].Overdue(orders[0].SeenAt + 9*time.Second)
+	_, late := orders[0].Overdue(orders[0].Since + 9*time.Second)
 	require.False(t, late)
-	by, late := orders[0].Overdue(orders[0].SeenAt + 12*time.Second)
+	by, late := orders[0].Overdue(orders[0].Since + 12*time.Second)
 	require.True(t, late)
 	require.Equal(t, 2*time.Second, by)
 }
 
+// TestAgeOfAnOrder guards against an order that is completed after its deadline because it was
+// in the store for some time before it was read, and against one that is taken for old after an
+// outage of the store.
+func TestAgeOfAnOrder(t *testing.T) {
+	for _, c := range []struct{ before, read, since time.Duration }{
+		{0, 5 * time.Second, 5 * time.Second},
+		{4600 * time.Millisecond, 5 * time.Second, 4600 * time.Millisecond},
+		{time.Second, 60 * time.Second, 59 * time.Second},
+	} {
+		s := ingress.NewState()
+		s.ObserveConfig(0, config(1))
+		if c.before > 0 {
+			s.ObserveUpstreams(c.before, c.before, versioned("1"))
+		}
+		for i := range 2 {
+			at := c.read + time.Duration(i)*300*time.Millisecond
+			s.ObserveListing(at, at, ingress.Listing{Upstreams: versioned("1", "2"), Orders: one(orderTo(7, "2", rollout.Judging))})
+		}
+		require.Equal(t, c.since, s.Rollouts()[0].Since)
+	}
+}
+
 // TestRefusedOrder guards against requests to a version whose order can not be read, and
 // against a service without upstreams because of such an order.
 func TestRefusedOrder(t *testing.T) {
--- a/pkg/ingress/state.go
+++ b/pkg/ingress/state.go
@@ -86,9 +86,9 @@
 	if s.Registry.newerThan(started) {
 		return false
 	}
-	inUse := s.versionsInUse()
+	inUse, before := s.versionsInUse(), s.Registry.newestListing(now)
 	changed = s.Registry.Observe(started, now, s.listing.Upstreams)
-	s.versions.observe(now, &s.listing, inUse)
+	s.versions.observe(now, before, &s.listing, inUse)
 	orders := s.listing.Orders.digest()
 	changed = changed || orders != s.orders
 	s.orders = orders
--- a/pkg/ingress/versions.go
+++ b/pkg/ingress/versions.go
@@ -12,6 +12,10 @@
 	// maxExcluded bounds the versions of a service that are remembered as not to be used. One
 	// is added for each order that was not completed.
 	maxExcluded = 64
+	// maxUnseen bounds the time for which an order that is read for the first time can have
+	// been in the store: the store is read, or asked about at a peer, more often than that. After
+	// an outage of the store it may have been there for longer, or for no time at all.
+	maxUnseen = time.Second
 	// maxWithoutOrder bounds the services that are remembered although they have no order.
 	maxWithoutOrder = 256
 )
@@ -28,7 +32,7 @@
 	// rollout is the order in force, if ordered.
 	rollout Rollout
 	ordered bool
-	seenAt  time.Duration
+	since   time.Duration
 	// only is the version that a completed order left as the only one, if completed.
 	only      string
 	completed bool
@@ -44,13 +48,13 @@
 	changedAt time.Duration
 }
 
-// observe updates the versions from the orders of a listing. inUse holds for each service the
-// versions that were used before it.
-func (v *versions) observe(now time.Duration, l *Listing, inUse map[string]map[string]bool) {
+// observe updates the versions from the orders of a listing. before is the time of the listing
+// before it, from which inUse holds for each service the versions that were used.
+func (v *versions) observe(now, before time.Duration, l *Listing, inUse map[string]map[string]bool) {
 	listed := map[string]bool{}
 	for _, r := range l.Orders.Rollouts {
 		listed[r.Order.Service] = true
-		v.service(r.Order.Service).accept(now, r)
+		v.service(r.Order.Service).accept(now, max(before, now-maxUnseen), r)
 	}
 	for _, r := range l.Orders.Refused {
 		listed[r.Service] = true
@@ -89,8 +93,8 @@
 }
 
 // accept puts an order in force. A final phase that is known stays, unless the store has
-// another one.
-func (s *serviceVersions) accept(now time.Duration, r Rollout) {
+// another one. since is when an order that was not known can have been given.
+func (s *serviceVersions) accept(now, since time.Duration, r Rollout) {
 	s.changedAt, s.refused, s.kept = now, false, nil
 	if s.ordered && s.rollout.Order.ID == r.Order.ID {
 		if s.rollout.phase().Final() && !r.phase().Final() {
@@ -99,7 +103,7 @@
 		s.rollout = r
 	} else {
 		s.withdraw()
-		s.rollout, s.ordered, s.seenAt, s.proven = r, true, now, ""
+		s.rollout, s.ordered, s.since, s.proven = r, true, since, ""
 		s.excluded = slices.DeleteFunc(s.excluded, func(version string) bool { return version == r.Order.Version })
 	}
 	s.apply(r.phase())
@@ -224,7 +228,7 @@
 		if !s.ordered {
 			continue
 		}
-		r := ServiceRollout{Rollout: s.rollout, SeenAt: s.seenAt}
+		r := ServiceRollout{Rollout: s.rollout, Since: s.since}
 		for i := range upstreams {
 			u := &upstreams[i]
 			switch {
--- a/pkg/node/event.go
+++ b/pkg/node/event.go
@@ -248,6 +248,8 @@
 	Record rollout.Record
 	// Command is the operator's command on this order; 0 if there is none.
 	Command rollout.Command
+	// Age is the time since the order was given, as far as known.
+	Age time.Duration
 	// Current and Target name the service's upstreams of other versions and of the ordered one.
 	Current, Target []string
 }
--- a/pkg/node/rollout.go
+++ b/pkg/node/rollout.go
@@ -78,7 +78,7 @@
 // serviceRollout is the order of one service.
 type serviceRollout struct {
 	order rollout.Order
-	// seenAt is when the order was first seen here.
+	// seenAt is when the order was first seen here, less the age that it may have had then.
 	seenAt time.Duration
 	// record is the newest record known of the order, command the operator's newest command.
 	record  rollout.Record
@@ -125,7 +125,7 @@
 
 func (n *Node) newRollout(o *RolloutOrder) *serviceRollout {
 	n.rollouts.lastGroup++
-	s := &serviceRollout{order: o.Order, seenAt: n.now, group: n.rollouts.lastGroup}
+	s := &serviceRollout{order: o.Order, seenAt: n.now - o.Age, group: n.rollouts.lastGroup}
 	n.rollouts.byService[o.Order.Service] = s
 	return s
 }
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -103,9 +103,10 @@
 // startDeciding starts from the newest record known here.
 func (n *Node) startDeciding(s *serviceRollout) {
 	record := s.record
-	if record.Order == s.order.ID {
-		record.Elapsed = max(record.Elapsed, n.now-s.seenAt)
+	if record.Order != s.order.ID {
+		record = rollout.Record{Revision: record.Revision} // nothing of this order is stored
 	}
+	record.Elapsed = max(record.Elapsed, n.now-s.seenAt)
 	s.decider = rollout.New(n.cfg.Rollouts, s.order, record, n.now)
 	s.dirty = true
 	s.applyCommand(n.now)
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -54,7 +54,7 @@
 	// and Bad the number of bad answers beyond those that the current version's rates explain.
 	Reserved, Served, Bad uint64
 	// Elapsed is the time since the order was first seen. An instance that has seen the order
-	// for longer raises it before it calls New.
+	// for longer raises it before it calls New, also if nothing else of the order is stored.
 	Elapsed time.Duration
 	// Hold is set while an operator holds the order where it is.
 	Hold bool
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -165,6 +165,9 @@
 	r.stored = stored
 	if stored.Order != o.ID {
 		r.stored = Record{Revision: stored.Revision}
+		if stored.Order == 0 {
+			r.start = now - stored.Elapsed
+		}
 		return r
 	}
 	if stored.Phase != 0 {
