--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -11,7 +10,10 @@
 	// the deadline, and minRouteAnswers that for each route with more than routeShare of them.
 	minAnswers      = 10
 	minRouteAnswers = 3
-	routeShare      = 0.05
+	routeShare      = 0.2
+	// inheritedBad is the share of bad answers that the record of an earlier owner may show if no
+	// further evidence is needed.
+	inheritedBad = 0.05
 	// settle is how long all traffic stays at the version before the order is completed.
 	settle = 200 * time.Millisecond
 	// writeMargin is set aside for writes to the store, or writeMarginFactor times as long as
@@ -21,10 +23,12 @@
 	// earliestShift is the part of the time to the deadline that is spent on the judgement, even
 	// if the shift then ends late.
 	earliestShift = 0.4
-	// countLimit is the number of bad answers beyond those explained by the current version's
-	// rates, and countDeviations their number of standard deviations, that revert in any case.
-	countLimit      = 50
-	countDeviations = 4.0
+	// countLimit is the number of bad answers beyond those that the current version's rates
+	// explain that reverts in any case.
+	countLimit = 50
+	// overdueAfter is the part of the time to the deadline before which overdue requests do not
+	// revert, since only short answers of the current version have been seen.
+	overdueAfter = 0.25
 	// unjudgedFactor is the multiple of the time to the deadline after which an order without
 	// enough evidence is reverted.
 	unjudgedFactor = 3
@@ -34,8 +38,9 @@
 // revert. The threshold divides it by the number of tests (Bonferroni).
 const falseRevert = 0.01
 
-// suspicion is the likelihood ratio above which a version is not shifted or completed yet.
-var suspicion = math.Log(3)
+// suspicion is the likelihood ratio of one test above which a version is not shifted or completed
+// yet.
+const suspicion = 4
 
 // decide moves the order to its next phase if that is due.
 func (r *Rollout) decide() {
@@ -82,7 +87,7 @@
 		r.revert("no request arrived by which the version could be judged")
 	case r.proven(late) && elapsed >= r.shiftAt():
 		r.advance(Shifting, "%s", r.evidence.describe())
-	case late && answers >= minAnswers && r.evidence.worst() > suspicion:
+	case late && answers >= minAnswers && r.suspected():
 		r.revert("not proven by the deadline: %s", r.evidence.describe())
 	case elapsed >= unjudgedFactor*r.order.Within && r.failures == 0:
 		r.revert("cannot be judged: %s", r.evidence.describe())
@@ -93,19 +98,37 @@
 // deadline any answers suffice.
 func (r *Rollout) proven(late bool) bool {
 	answers := r.evidence.target.answers
-	if answers == 0 || r.evidence.worst() > suspicion {
+	if answers == 0 || r.suspected() {
 		return false
 	}
-	return late || answers >= minAnswers && r.evidence.coversRoutes()
+	return late || r.inherited() || answers >= minAnswers && r.evidence.coversRoutes()
+}
+
+// suspected reports whether something speaks against the version, if not enough to revert it.
+func (r *Rollout) suspected() bool {
+	requests, suspected := r.overdue()
+	lags, _ := r.lag()
+	return lags || requests >= suspected || r.evidence.worst() > r.evidence.suspicion()
+}
+
+// inherited reports whether an earlier owner has gathered enough evidence that speaks for the
+// version.
+func (r *Rollout) inherited() bool {
+	return r.taken.Reserved >= 2*minAnswers && float64(r.taken.Bad) <= inheritedBad*float64(r.taken.Reserved)
 }
 
 // shiftAt returns the time since the order at which the shift begins, so that the requests at
 // the current version end, and the writes are made, before the deadline. It is as late as that
 // permits, since some versions become bad only after some time.
 func (r *Rollout) shiftAt() time.Duration {
-	reserve := r.durations.drain() + settle + max(writeMargin, writeMarginFactor*r.writeTime)
 	earliest := time.Duration(earliestShift * float64(r.order.Within))
-	return max(r.order.Within-reserve, earliest)
+	return max(r.completeAt()-r.durations.drain()-settle, earliest)
+}
+
+// completeAt returns the time since the order from which it may be completed. Until then the
+// version is observed, even if nothing runs at the current version any more.
+func (r *Rollout) completeAt() time.Duration {
+	return r.order.Within - max(writeMargin, writeMarginFactor*r.writeTime)
 }
 
 func (r *Rollout) decideShifting() {
@@ -118,7 +141,10 @@
 	if r.now-r.phaseSince < settle {
 		return
 	}
-	if !r.forced && r.evidence.worst() > suspicion && r.elapsed(r.now) < r.order.Within {
+	if !r.forced && r.elapsed(r.now) < r.completeAt() {
+		return
+	}
+	if !r.forced && r.suspected() && r.elapsed(r.now) < r.order.Within+r.durations.drain() {
 		return
 	}
 	r.advance(Completed, "nothing runs at the current version; %s", r.evidence.describe())
@@ -129,16 +155,21 @@
 	if r.completing() {
 		return false
 	}
-	bad, deviation := r.evidence.excess()
-	bad += float64(r.rec.Bad)
-	limit := math.Log(float64(2*(len(r.evidence.routes)+1)) / falseRevert)
+	overdue, suspected := r.overdue()
+	_, lags := r.lag()
+	bad := r.evidence.excess() + float64(r.rec.Bad)
+	early := float64(r.elapsed(r.now)) < overdueAfter*float64(r.order.Within)
 	switch {
-	case bad >= countLimit && (deviation >= countDeviations || float64(r.rec.Bad) >= countLimit):
+	case bad >= countLimit:
 		r.revert("%.0f bad answers beyond those of the current version; %s", bad, r.evidence.describe())
 	case r.forced:
-	case r.evidence.worst() >= limit:
+	case r.evidence.worst() >= r.evidence.limit():
 		r.revert("bad answers: %s", r.evidence.describe())
-	case r.crossesBound() && r.evidence.worst() > suspicion:
+	case overdue >= overdueRevert*suspected && !early:
+		r.revert("%.0f requests take longer than any at the current version; %s", overdue, r.evidence.describe())
+	case lags:
+		r.revert("%d requests in progress, more than at the speed of the current version; %s", r.targetInFlight, r.evidence.describe())
+	case r.crossesBound() && r.evidence.worst() > (r.evidence.suspicion()+r.evidence.limit())/2:
 		r.revert("exposure bound reached under suspicion: %s", r.evidence.describe())
 	}
 	return r.phase == Reverted
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -147,12 +147,15 @@
 	storeState
 	exposure
 	evidence evidence
+	// taken is the record of the earlier owner, if there was one.
+	taken Record
 
 	up Upstreams
 	// seenCurrent is set once the service had an upstream of another version.
 	seenUpstreams, seenCurrent bool
 	currentInFlight            int
 	durations                  durations
+	marks                      grantMarks
 }
 
 // New returns the decision on an order of which stored is the newest known record. A record of
@@ -168,7 +171,7 @@
 		r.phase = stored.Phase
 	}
 	r.start = now - stored.Elapsed
-	r.rec = stored
+	r.rec, r.taken = stored, stored
 	r.spent = stored.Reserved
 	r.arrived = stored.Served
 	return r
@@ -202,6 +205,7 @@
 		r.currentInFlight++
 		return
 	}
+	r.marks.add(now, r.granted)
 	r.granted++
 	r.spent++
 	r.targetInFlight++
