--- a/internal/proctest/gateways_test.go
+++ b/internal/proctest/gateways_test.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -155,22 +157,46 @@
 	t.Helper()
 	waitFor(t, "the order to be "+want, func() bool {
 		state, _ := f.state()
+		require.Contains(t, []string{"", "running", want}, state, "%s", f.store.Status("rollouts", "shop"))
 		return state == want
 	})
 }
 
+var storeCallMetric = regexp.MustCompile(`citrongate_store_calls_total\{kind="(\w+)",status="ok"\} (\d+)`)
+
+// storeCalls returns the successful calls of a gateway to the store by kind; none if it does
+// not answer.
+func storeCalls(g *gatewayProcess) map[string]int {
+	calls := map[string]int{}
+	response, err := http.Get("http://" + g.admin + "/metrics")
+	if err != nil {
+		return calls
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	for _, m := range storeCallMetric.FindAllStringSubmatch(string(text), -1) {
+		calls[m[1]], _ = strconv.Atoi(m[2])
+	}
+	return calls
+}
+
+// allStoreCalls is storeCalls for all gateways together.
+func (f *gatewayFleet) allStoreCalls() map[string]int {
+	all := map[string]int{}
+	for _, g := range f.gateways {
+		for kind, n := range storeCalls(g) {
+			all[kind] += n
+		}
+	}
+	return all
+}
+
 // owner returns the gateway that writes the status of the order.
 func (f *gatewayFleet) owner(t *testing.T) (owner *gatewayProcess) {
 	t.Helper()
 	waitFor(t, "an owner", func() bool {
 		for _, g := range f.gateways {
-			response, err := http.Get("http://" + g.admin + "/metrics")
-			if err != nil {
-				continue
-			}
-			text, _ := io.ReadAll(response.Body)
-			response.Body.Close()
-			if strings.Contains(string(text), `kind="rollout_write"`) {
+			if storeCalls(g)["rollout_write"] > 0 {
 				owner = g
 			}
 		}
@@ -191,6 +217,7 @@
 type requestLoad struct {
 	client  *http.Client
 	stopped chan struct{}
+	end     func()
 	sent    sync.WaitGroup
 
 	mu sync.Mutex
@@ -205,6 +232,7 @@
 func startLoad(t *testing.T, f *gatewayFleet) *requestLoad {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64}
 	l := &requestLoad{client: &http.Client{Transport: transport, Timeout: waitLimit}, stopped: make(chan struct{}), ends: map[string]int{}}
+	l.end = sync.OnceFunc(func() { close(l.stopped) })
 	for _, g := range f.gateways {
 		l.targets = append(l.targets, g.caller)
 	}
@@ -223,6 +251,7 @@
 		}
 	}()
 	t.Cleanup(func() {
+		l.end()
 		<-done
 		l.sent.Wait()
 		transport.CloseIdleConnections()
@@ -280,7 +309,7 @@
 
 // stop ends the load and returns how the requests ended.
 func (l *requestLoad) stop() map[string]int {
-	close(l.stopped)
+	l.end()
 	time.Sleep(2 * requestInterval) // the last request is counted
 	l.sent.Wait()
 	l.mu.Lock()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -117,7 +117,7 @@
 func affectsRequests(line eventlog.Line) bool {
 	switch line.(type) {
 	case eventlog.InstanceStarted, eventlog.StopStarted, eventlog.ReadinessChanged, eventlog.LimitSharersChanged, eventlog.ConfigInForce,
-		eventlog.StoreLost, eventlog.StoreRegained, eventlog.InternalFault, eventlog.LinesDropped:
+		eventlog.StoreLost, eventlog.StoreRegained, eventlog.RolloutChanged, eventlog.InternalFault, eventlog.LinesDropped:
 		return true
 	}
 	return false
