node: rollouts under faults; silent instances are no evidence against a version

Cause: the decision now counts requests that are in progress for long. Requests that no instance in reach had reported could run at the old version when an order was completed. Change: an instance with requests at the version that is silent for 60 ms is pinged, and nothing is decided until it answers; from 300 ms on its requests are no evidence.

--- a/pkg/node/ledger.go
+++ b/pkg/node/ledger.go
@@ -25,6 +25,8 @@
 	postponed scheduler.ShedReason
 	// sentAt is about when the request was sent to its upstream; 0 if it waits.
 	sentAt time.Duration
+	// grantedHere is true if this instance granted the request, not an earlier owner.
+	grantedHere bool
 	// tokenReported is true once the first token was reported to the order of the upstream's
 	// service. endUnknown is true if the permit ends without a report of its entry. member is the part in an
 	// order of an upstream that left the pool.
@@ -117,7 +119,7 @@
 	entry := it.descriptor.ID.Entry
 	d := l.digests[entry]
 	d.hash ^= it.hash()
-	it.granted, it.upstream = true, upstream
+	it.granted, it.grantedHere, it.upstream = true, true, upstream
 	it.since, it.sentAt, it.auditAt = now, now, now+firstAuditAge
 	d.hash ^= it.hash()
 	l.digests[entry] = d
--- a/pkg/node/rollout_answers.go
+++ b/pkg/node/rollout_answers.go
@@ -65,6 +65,9 @@
 		s.decider.Arrived(n.now)
 	}
 	s.decider.Granted(n.now, m.target)
+	if m.target {
+		s.hold(it)
+	}
 	s.dirty = true
 }
 
@@ -103,6 +106,10 @@
 	}
 	s := m.rollout
 	s.dirty = true
+	excused := m.target && !s.unhold(it) && it.grantedHere
+	if excused && !it.failed(c) {
+		return
+	}
 	if returned || c.Outcome == scheduler.Unused && !it.endUnknown {
 		s.decider.Unused(n.now, m.target)
 		return
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -42,6 +42,8 @@
 	// announcedAt is when the end of the order was last told to all instances; 0 if it was not.
 	announcedAt time.Duration
 	census      census
+	// held holds the requests at the version by the instance that holds them.
+	held map[uint64]*heldAt
 }
 
 // census asks all live instances for their requests in flight, some of which this instance may
@@ -76,6 +78,9 @@
 	if !s.dirty && n.now < s.wake {
 		return false
 	}
+	if n.awaitsReports(s, h) {
+		return false
+	}
 	s.decider.SetUpstreams(n.now, n.countUpstreams(s, h))
 	plan := s.decider.Step(n.now)
 	s.dirty, s.wake = false, s.decider.NextWake(n.now)
@@ -158,10 +163,9 @@
 			u.Current, u.CurrentSlots = u.Current+1, u.CurrentSlots+slots
 		}
 	}
-	switch {
-	case u.CurrentInFlight > 0:
+	if u.CurrentInFlight > 0 {
 		s.census = census{}
-	case h.syncing, s.applied && !s.currentOpen && s.plan.Phase == rollout.Shifting && !n.allAnswered(s, h):
+	} else if s.applied && !s.currentOpen && s.plan.Phase == rollout.Shifting && !n.allAnswered(s, h) {
 		u.CurrentInFlight = 1
 	}
 	return u
