node, dispatch: tests of permits returned, of an owner that missed a revert, and of reports before a completion

Cause: changes of the code that these guard against passed all tests: returned permits counted as failures, an owner that is not told of a revert, a completion without the reports of all instances (the decision now completes later than the cut of the earlier test). Change: a test for each; the generated test of the dispatch table checks Release.Returned. After a pause, what was in flight says nothing about latencies.

--- a/pkg/dispatch/table_test.go
+++ b/pkg/dispatch/table_test.go
@@ -93,7 +93,9 @@
 		// was not used.
 		require.Equal(m.t, dispatch.ConnectRefused, e.Outcome, "permit %v for an upstream that takes no work", p)
 		require.False(m.t, used)
+		require.True(m.t, e.Returned, "permit %v", p)
 	} else {
+		require.Equal(m.t, used, !e.Returned, "permit %v", p)
 		require.Equal(m.t, used, e.Outcome != dispatch.Unused, "permit %v: used=%v but outcome %d", p, used, e.Outcome)
 	}
 	delete(m.open, p)
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -124,10 +124,18 @@
 }
 
 // restartDeciders gives up all decisions after a pause, in which another owner may have decided.
+// The pause would count as the latency of what was in flight.
 func (n *Node) restartDeciders() {
 	for _, s := range n.rollouts.byService {
 		s.stopDeciding()
 	}
+	for _, h := range n.pools.list {
+		for _, it := range h.ledger.items {
+			if it.granted {
+				it.sentAt, it.tokenReported = 0, true
+			}
+		}
+	}
 }
 
 // applyCommand passes the operator's newest command on.
--- a/pkg/node/rollout_faults_test.go
+++ b/pkg/node/rollout_faults_test.go
@@ -181,12 +181,12 @@
 		w := newRolloutWorld(t, seed, 4)
 		w.longest = time.Second
 		w.give(rolloutWithin)
-		w.playUntil(rolloutWithin, w.reached(rollout.Shifting))
+		w.play(rolloutWithin-1300*time.Millisecond, rolloutRate)
 		require.Equal(t, rollout.Shifting, w.record.Phase, w.describe())
 		owner := w.owner()
 		at := w.otherThan(owner)
 		w.cut[at] = true
-		w.play(1500*time.Millisecond, rolloutRate)
+		w.play(1600*time.Millisecond, rolloutRate)
 		delete(w.cut, at)
 		w.requireEnd("cut off")
 	}
@@ -199,7 +199,7 @@
 		w := newRolloutWorld(t, seed, 4)
 		w.longest = 2 * time.Second
 		w.give(rolloutWithin)
-		w.playUntil(rolloutWithin, w.reached(rollout.Shifting))
+		w.play(rolloutWithin-1300*time.Millisecond, rolloutRate)
 		require.Equal(t, rollout.Shifting, w.record.Phase, w.describe())
 		w.kill(w.owner())
 		at := w.live()[w.random.IntN(3)]
--- a/pkg/node/rollout_test.go
+++ b/pkg/node/rollout_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/rollout"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
 const rolloutWithin = 8 * time.Second
@@ -205,3 +206,52 @@
 	}
 	require.Equal(t, 2, here, "one instance decides that it waits and that it is reverted")
 }
+
+// TestOwnerThatMissedARevert guards against an owner that goes on granting a reverted version
+// because it missed the message and cannot read the store: an entry instance returns such a
+// permit and tells it.
+func TestOwnerThatMissedARevert(t *testing.T) {
+	w := newRolloutWorld(t, 1, 2)
+	w.give(rolloutWithin)
+	require.True(t, w.playUntil(rolloutWithin, w.reached(rollout.Judging)))
+	w.command = rollout.Revert
+	w.changes++
+	w.play(time.Second, rolloutRate)
+	require.Equal(t, rollout.Reverted, w.record.Phase)
+	var told []*pb.RolloutState
+	act := w.handle
+	w.handle = func(at string, action node.Action) bool {
+		if frame, ok := action.(node.SendFrame); ok && at == "a" && frame.Address == "b" {
+			for _, m := range frame.Frame.Messages {
+				if state := m.GetRolloutState(); state != nil {
+					told = append(told, state)
+				}
+			}
+		}
+		return act(at, action)
+	}
+	grant := &pb.Grant{Sequence: 1, Pool: uint64(w.nodes["a"].PoolSummaries()[0].Pool), Upstream: "t0", Attempt: 1, Address: "10.0.0.1:t0"}
+	w.step("a", node.FrameReceived{Frame: &pb.Frame{From: 2, Messages: []*pb.PeerMessage{{Body: &pb.PeerMessage_Grant{Grant: grant}}}}})
+	require.Len(t, told, 1)
+	require.Equal(t, pb.RolloutPhase_ROLLOUT_PHASE_REVERTED, told[0].Phase)
+	require.Equal(t, uint64(77), told[0].Order)
+}
+
+// TestReturnedPermitsAreNoFailures guards against a good version that is reverted because entry
+// instances, which have read sooner than the owner that its upstreams are gone, return permits.
+func TestReturnedPermitsAreNoFailures(t *testing.T) {
+	w := newRolloutWorld(t, 1, 4)
+	w.give(rolloutWithin)
+	require.True(t, w.playUntil(rolloutWithin, w.reached(rollout.Judging)))
+	w.play(time.Second, rolloutRate)
+	owner := w.owner()
+	listed := w.target
+	w.storeUnreachable[owner] = true
+	w.target = nil
+	w.changes++
+	w.play(time.Second, rolloutRate)
+	w.target = listed
+	w.changes++
+	delete(w.storeUnreachable, owner)
+	w.requireEnd("returned permits")
+}
--- a/pkg/node/rollout_world_test.go
+++ b/pkg/node/rollout_world_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/citrongate/citrongate/pkg/configstate"
+	"github.com/citrongate/citrongate/pkg/membership"
 	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/rollout"
 )
@@ -86,7 +87,7 @@
 	fiftiethBadAt, lastExposedAt time.Duration
 	sentAfterCompletion          int
 	// interrupted counts requests at the old version when the order was completed, without those
-	// of an instance that is cut off: the others take it for dead after a while.
+	// of an instance that is cut off and taken for dead by the others.
 	interrupted int
 	answered    int
 	// sentTo counts the requests to each version since the last order.
@@ -247,7 +248,7 @@
 	w.current = nil
 	for _, s := range slices.Clone(w.sends) {
 		if versionOf(s.upstream) != w.order.Version && s.due > w.now {
-			if !w.cut[s.at] {
+			if !w.takenForDead(s.at) {
 				w.interrupted++
 			}
 			w.finish(s, node.ResultBroken)
@@ -255,6 +256,21 @@
 	}
 }
 
+// takenForDead reports whether the owner takes an instance for dead that is cut off.
+func (w *rolloutWorld) takenForDead(at string) bool {
+	for _, other := range w.live() {
+		if other == at || w.cut[other] {
+			continue
+		}
+		for _, m := range w.nodes[other].Members() {
+			if m.PeerAddress == at && m.State == membership.Dead {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w *rolloutWorld) dispatched(at string, d node.Dispatch) {
 	target := w.order != nil && versionOf(d.Upstream) == w.order.Version
 	w.sentTo[versionOf(d.Upstream)]++
