rollout: latencies of many upstreams as a whole, more upstreams while undecided

Cause: in the shift most upstreams of a large service had no profile, and few used upstreams can not be told from slow ones. Change: upstreams without a profile are compared together; one more is used for each 20 answers while the latencies leave it open.

--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -20,6 +20,11 @@
 	// firstPart is the part of ExposeSlack that may be used at the start; the rest follows evenly
 	// up to the shift, since some versions become bad later.
 	firstPart = 0.4
+	// undecided is the logarithm of the likelihood ratio above which the latencies leave open
+	// whether the version is slow or its upstreams in use are of a slow kind. One more is then
+	// used for each answersPerUpstream answers.
+	undecided          = -2.0
+	answersPerUpstream = 20
 	// busier is the factor by which an upstream is to be busier in Judging than the mean of all
 	// after the shift.
 	busier = 1.3
@@ -72,12 +77,17 @@
 		return -1
 	}
 	share := r.bounds.ExposeShare * r.judgingPart()
-	return min(max(1, int(math.Round(share*float64(r.up.Target)))), r.up.Target)
+	upstreams := max(1, int(math.Round(share*float64(r.up.Target))))
+	if r.evidence.slow.allOdds > undecided {
+		upstreams += int(r.evidence.target.answers / answersPerUpstream)
+	}
+	return min(upstreams, r.up.Target)
 }
 
-// judgingPart returns the part of the exposure bound for Judging.
+// judgingPart returns the part of the exposure bound for Judging. What an earlier owner reserved
+// gave this one no evidence.
 func (r *Rollout) judgingPart() float64 {
-	return min(judgingPart, judgingMost/max(r.bound(), 1))
+	return min(judgingPart, (judgingMost+float64(r.taken.Reserved))/max(r.bound(), 1))
 }
 
 // allowance returns how many requests may be granted to the version now, within the reservation
--- a/pkg/rollout/orders_test.go
+++ b/pkg/rollout/orders_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -52,11 +53,14 @@
 	return results
 }
 
+// seenBad is the number of bad answers below which a version was bad in name only.
+const seenBad = 10
+
 // summary is one row of the table of results.
 type summary struct {
-	orders, inTime, completed, reverted, over, late int
-	worst                                           float64
-	after50                                         int
+	orders, inTime, completed, unseen, reverted, over, late int
+	worst                                                   float64
+	after50                                                 int
 }
 
 func summarize(results []result) map[string]*summary {
@@ -74,6 +78,9 @@
 				row.inTime++
 			}
 		}
+		if r.phase == rollout.Completed && r.bad < seenBad {
+			row.unseen++
+		}
 		if r.phase == rollout.Reverted {
 			row.reverted++
 		}
@@ -93,13 +100,13 @@
 
 func table(rows map[string]*summary) string {
 	var b strings.Builder
-	b.WriteString("| version | orders | completed in time | completed late | reverted | worst exposure / bound | above it | most requests after the 50th bad answer | later than the rollback time |\n")
-	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("| version | orders | completed in time | completed late | completed, fewer than 10 bad answers | reverted | worst exposure / bound | above it | most requests after the 50th bad answer | later than the rollback time |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, k := range kinds {
 		row := rows[k.name]
 		part := func(n int) string { return fmt.Sprintf("%.2f%%", 100*float64(n)/float64(row.orders)) }
-		fmt.Fprintf(&b, "| %s | %d | %s | %s | %s | %.2f | %s | %d | %d |\n", k.name, row.orders, part(row.inTime),
-			part(row.completed-row.inTime), part(row.reverted), row.worst, part(row.over), row.after50, row.late)
+		fmt.Fprintf(&b, "| %s | %d | %s | %s | %s | %s | %.2f | %s | %d | %d |\n", k.name, row.orders, part(row.inTime),
+			part(row.completed-row.inTime), part(row.unseen), part(row.reverted), row.worst, part(row.over), row.after50, row.late)
 	}
 	return b.String()
 }
@@ -110,6 +117,9 @@
 	results := simulate(*orders)
 	rows := summarize(results)
 	t.Log("\n" + table(rows))
+	t.Log("longest answers below a third of the time to the deadline\n" + table(summarize(slices.DeleteFunc(slices.Clone(results), func(r result) bool {
+		return r.scenario.longest() > r.scenario.within/3
+	}))))
 	for i, r := range results {
 		require.Zero(t, r.unreserved, "order %d", i)
 		require.Zero(t, r.interrupted, "order %d", i)
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -14,6 +14,8 @@
 	// inheritedBad is the share of bad answers that the record of an earlier owner may show if no
 	// further evidence is needed.
 	inheritedBad = 0.05
+	// inheritedFor is the time in which a new owner gathers evidence of its own.
+	inheritedFor = 2 * time.Second
 	// settle is how long all traffic stays at the version before the order is completed.
 	settle = 200 * time.Millisecond
 	// writeMargin is set aside for writes to the store, or writeMarginFactor times as long as
@@ -112,9 +114,9 @@
 }
 
 // inherited reports whether an earlier owner has gathered enough evidence that speaks for the
-// version.
+// version, and this one had no time to gather its own.
 func (r *Rollout) inherited() bool {
-	return r.taken.Reserved >= 2*minAnswers && float64(r.taken.Bad) <= inheritedBad*float64(r.taken.Reserved)
+	return r.now-r.created < inheritedFor && r.taken.Reserved >= 2*minAnswers && float64(r.taken.Bad) <= inheritedBad*float64(r.taken.Reserved)
 }
 
 // shiftAt returns the time since the order at which the shift begins, so that the requests at
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -133,8 +133,8 @@
 	bounds Bounds
 	order  Order
 	now    time.Duration
-	// start is when the order was first seen.
-	start time.Duration
+	// start is when the order was first seen, created when this owner took it on.
+	start, created time.Duration
 
 	// phase is in force. next is the phase that takes effect when its write is acknowledged,
 	// nextReason why it is to.
@@ -161,7 +161,7 @@
 // New returns the decision on an order of which stored is the newest known record. A record of
 // another order counts only for its Revision.
 func New(b Bounds, o Order, stored Record, now time.Duration) *Rollout {
-	r := &Rollout{bounds: b, order: o, now: now, start: now, phase: Waiting, phaseSince: now, evidence: newEvidence()}
+	r := &Rollout{bounds: b, order: o, now: now, start: now, created: now, phase: Waiting, phaseSince: now, evidence: newEvidence()}
 	r.stored = stored
 	if stored.Order != o.ID {
 		r.stored = Record{Revision: stored.Revision}
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -22,6 +22,10 @@
 	spread           float64 // deviation of the logarithm
 }
 
+// Every third upstream of an uneven service takes slowSpeed times the usual time, the others
+// fastSpeed times; a fully busy one takes busySlower times as long as an idle one.
+const fastSpeed, slowSpeed, busySlower = 0.68, 2.04, 1.3
+
 // scenario is one drawn order with its service.
 type scenario struct {
 	kind                  kind
@@ -77,6 +81,18 @@
 	return s
 }
 
+// longest returns how long the longest answers of the current version take.
+func (s scenario) longest() time.Duration {
+	longest := 0.0
+	for _, r := range s.routes {
+		longest = max(longest, r.first*math.Exp(2*r.spread)+r.total-r.first)
+	}
+	if s.uneven {
+		longest *= slowSpeed
+	}
+	return time.Duration(longest * busySlower * float64(time.Second))
+}
+
 // result is what became of a simulated order.
 type result struct {
 	scenario       scenario
@@ -84,6 +100,7 @@
 	at             time.Duration
 	reason         string
 	exposed, bound float64
+	bad            int           // bad answers
 	after50        int           // requests sent to the version after its 50th bad answer
 	lateness       time.Duration // from the 50th bad answer to the last request
 	unreserved     int           // grants beyond what was acknowledged as written
@@ -144,9 +161,9 @@
 	for i := range s.upstreams {
 		speed := 1.0
 		if s.uneven {
-			speed = 0.68
+			speed = fastSpeed
 			if i%3 == 2 {
-				speed = 2.04
+				speed = slowSpeed
 			}
 		}
 		m.current = append(m.current, &upstream{id: uint64(i + 1), speed: speed})
@@ -182,7 +199,7 @@
 			}
 		}
 	}
-	m.out.scenario = s
+	m.out.scenario, m.out.bad = s, m.badSeen
 	m.out.exposed = float64(m.sent)
 	m.out.bound = bounds.ExposeShare*float64(m.arrivedBy()) + bounds.ExposeSlack
 	return m.out
@@ -355,7 +372,7 @@
 	noise := math.Exp(r.spread * min(max(m.rng.NormFloat64(), -2), 2))
 	a := rollout.Answer{Target: u.target, Route: uint32(pick + 1), Upstream: u.id, Failed: m.rng.Float64() < r.baseline}
 	caused := false
-	speed := u.speed * noise * (1 + 0.3*float64(u.inFlight)/float64(m.slots))
+	speed := u.speed * noise * (1 + (busySlower-1)*float64(u.inFlight)/float64(m.slots))
 	if bad && m.kind.fails && m.rng.Float64() < m.failRate {
 		a.Failed, caused = true, true
 	}
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"math"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,9 @@
 	// many upstreams with few requests each.
 	enoughAnswers = 60
 	fewProfile    = 2
+	// minOthers is the number of target upstreams without a profile from which their answers are
+	// compared as a whole.
+	minOthers = 6
 	// maxShift bounds the differences in bins that are looked at: a factor of 256.
 	maxShift = 24
 	// slowQuantile of the current version's latencies on a route, and slowBeyond bins more, is
@@ -59,9 +63,14 @@
 	target  []*targetProfile
 	// all holds the latencies of either version by route.
 	all, targetAll []histogram
-	odds           []float64
-	allOdds        float64
-	changed        bool
+	// others holds the newest latencies of the target upstreams that have no profile, and
+	// otherSeen a bit for each by digest. Of many upstreams the speeds are mixed as those of the
+	// current version are.
+	others    targetProfile
+	otherSeen uint64
+	odds      []float64
+	allOdds   float64
+	changed   bool
 }
 
 // addRoute makes room for one more route.
@@ -79,6 +88,10 @@
 		if p := s.targetOf(a.Upstream); p != nil {
 			p.routes = grow(p.routes, route)
 			p.routes[route].add(bin)
+		} else {
+			s.otherSeen |= 1 << (digest(a.Upstream) % 64)
+			s.others.routes = grow(s.others.routes, route)
+			s.others.routes[route].add(bin)
 		}
 		return
 	}
@@ -136,11 +149,11 @@
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, upstream))
 }
 
-// baseline describes the current version: the speeds of its upstreams, and the spread of
-// latencies by route at speed 0.
+// baseline describes the current version: the speeds of its upstreams, the spread of latencies by
+// route at speed 0, and that over all its upstreams.
 type baseline struct {
-	speeds []int
-	spread []*densities
+	speeds        []int
+	spread, mixed []*densities
 }
 
 // baseline returns nil while too few current upstreams are known.
@@ -159,7 +172,7 @@
 	if total := s.answers(); total >= enoughAnswers {
 		least = fewProfile
 	}
-	b := &baseline{spread: make([]*densities, len(kept))}
+	b := &baseline{spread: make([]*densities, len(kept)), mixed: make([]*densities, len(kept))}
 	residuals := make([]histogram, len(kept))
 	for _, p := range s.current {
 		if p.answers < least {
@@ -176,6 +189,7 @@
 	}
 	for route := range residuals {
 		b.spread[route] = residuals[route].densities()
+		b.mixed[route] = kept[route].densities()
 	}
 	return b
 }
@@ -250,6 +264,9 @@
 	for _, p := range s.target {
 		p.compare(b, alone, &together)
 	}
+	if bits.OnesCount64(s.otherSeen) >= minOthers {
+		s.others.compare(&baseline{speeds: []int{0}, spread: b.mixed}, alone, &together)
+	}
 	for route := range alone {
 		s.odds[route] = logMeanExp(alone[route][:])
 	}
