--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -38,7 +38,7 @@
 
 // falseRevert is the stated share of good versions that the sequential tests of one order may
 // revert. The threshold divides it by the number of tests (Bonferroni).
-const falseRevert = 0.01
+const falseRevert = 0.02
 
 // suspicion is the likelihood ratio of one test above which a version is not shifted or completed
 // yet.
@@ -103,7 +103,10 @@
 	if answers == 0 || r.suspected() {
 		return false
 	}
-	return late || r.inherited() || answers >= minAnswers && r.evidence.coversRoutes()
+	if late || r.inherited() {
+		return true
+	}
+	return answers >= minAnswers && r.evidence.allFailureOdds < 0 && r.evidence.coversRoutes()
 }
 
 // suspected reports whether something speaks against the version, if not enough to revert it.
