--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -22,6 +21,10 @@
 	spread           float64 // deviation of the logarithm
 }
 
+// Every third upstream of an uneven service takes slowSpeed times the usual time, the others
+// fastSpeed times; a fully busy one takes busySlower times as long as an idle one.
+const fastSpeed, slowSpeed, busySlower = 0.68, 2.04, 1.3
+
 // scenario is one drawn order with its service.
 type scenario struct {
 	kind                  kind
@@ -77,6 +80,18 @@
 	return s
 }
 
+// longest returns how long the longest answers of the current version take.
+func (s scenario) longest() time.Duration {
+	longest := 0.0
+	for _, r := range s.routes {
+		longest = max(longest, r.first*math.Exp(2*r.spread)+r.total-r.first)
+	}
+	if s.uneven {
+		longest *= slowSpeed
+	}
+	return time.Duration(longest * busySlower * float64(time.Second))
+}
+
 // result is what became of a simulated order.
 type result struct {
 	scenario       scenario
@@ -84,29 +99,13 @@
 	at             time.Duration
 	reason         string
 	exposed, bound float64
+	bad            int           // bad answers
 	after50        int           // requests sent to the version after its 50th bad answer
 	lateness       time.Duration // from the 50th bad answer to the last request
 	unreserved     int           // grants beyond what was acknowledged as written
 	interrupted    int           // requests at the current version when Completed was written
 }
 
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type upstream struct {
 	id       uint64
 	target   bool
@@ -144,9 +143,9 @@
 	for i := range s.upstreams {
 		speed := 1.0
 		if s.uneven {
-			speed = 0.68
+			speed = fastSpeed
 			if i%3 == 2 {
-				speed = 2.04
+				speed = slowSpeed
 			}
 		}
 		m.current = append(m.current, &upstream{id: uint64(i + 1), speed: speed})
@@ -168,7 +167,7 @@
 	end := 2*s.within + 2*time.Second
 	m.plan.CurrentOpen = true
 	for len(m.events) > 0 {
-		e := heap.Pop(&m.events).(event)
+		e := m.events.next()
 		if m.now = e.at; m.now > end {
 			break
 		}
@@ -182,7 +181,7 @@
 			}
 		}
 	}
-	m.out.scenario = s
+	m.out.scenario, m.out.bad = s, m.badSeen
 	m.out.exposed = float64(m.sent)
 	m.out.bound = bounds.ExposeShare*float64(m.arrivedBy()) + bounds.ExposeSlack
 	return m.out
@@ -196,7 +195,7 @@
 	return m.arrived
 }
 
-func (m *sim) at(at time.Duration, do func()) { heap.Push(&m.events, event{at, do}) }
+func (m *sim) at(at time.Duration, do func()) { m.events.add(event{at, do}) }
 
 // own makes an owner from the store's record.
 func (m *sim) own(age time.Duration) {
@@ -215,9 +214,6 @@
 	wake = func() {
 		if owner == m.owner {
 			m.step()
-			if dbg != nil && m.ownerUp {
-				dbg(m)
-			}
 			m.at(m.now+50*time.Millisecond, wake)
 		}
 	}
@@ -355,7 +351,7 @@
 	noise := math.Exp(r.spread * min(max(m.rng.NormFloat64(), -2), 2))
 	a := rollout.Answer{Target: u.target, Route: uint32(pick + 1), Upstream: u.id, Failed: m.rng.Float64() < r.baseline}
 	caused := false
-	speed := u.speed * noise * (1 + 0.3*float64(u.inFlight)/float64(m.slots))
+	speed := u.speed * noise * (1 + (busySlower-1)*float64(u.inFlight)/float64(m.slots))
 	if bad && m.kind.fails && m.rng.Float64() < m.failRate {
 		a.Failed, caused = true, true
 	}
@@ -401,5 +397,3 @@
 	m.step()
 	m.dispatch()
 }
-
-var dbg func(*sim)
