node: the test of returned permits requires that some are, and that none counts as a failure

Cause: without the distinction the test passed, since the owner had reserved nothing to grant. Measured: it passes, and fails with 1 failure where Releases do not tell.

--- a/pkg/node/rollout_test.go
+++ b/pkg/node/rollout_test.go
@@ -237,8 +237,9 @@
 	require.Equal(t, uint64(77), told[0].Order)
 }
 
-// TestReturnedPermitsAreNoFailures guards against a good version that is reverted because entry
-// instances, which have read sooner than the owner that its upstreams are gone, return permits.
+// TestReturnedPermitsAreNoFailures guards against permits that count as failures of the version
+// because entry instances return them, which have read sooner than the owner that its upstreams
+// are gone.
 func TestReturnedPermitsAreNoFailures(t *testing.T) {
 	w := newRolloutWorld(t, 1, 4)
 	w.give(rolloutWithin)
@@ -246,12 +247,23 @@
 	w.play(time.Second, rolloutRate)
 	owner := w.owner()
 	listed := w.target
-	w.storeUnreachable[owner] = true
+	w.nextRead[owner] = w.now + 1100*time.Millisecond
 	w.target = nil
 	w.changes++
+	returned := 0
+	act := w.handle
+	w.handle = func(at string, action node.Action) bool {
+		if action == (node.Count{Name: "permits", Reason: "returned_unused"}) {
+			returned++
+		}
+		return act(at, action)
+	}
 	w.play(time.Second, rolloutRate)
+	require.Positive(t, returned)
+	for _, evidence := range w.nodes[owner].Rollouts()["s"].Evidence {
+		require.Zero(t, evidence.TargetFailures)
+	}
 	w.target = listed
 	w.changes++
-	delete(w.storeUnreachable, owner)
 	w.requireEnd("returned permits")
 }
