rollout: compare answers with the current version's at the same time

Cause: trouble of both versions at once looked like a bad version, since newest answers were compared with all earlier ones of the current version. Change: failures count against the current version's rate in the same quarter second, latencies relative to its newest mean; the baseline's precision counts each answer once.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -14,23 +14,14 @@
 	evaluateEvery = 50 * time.Millisecond
 )
 
-// counts are the answers of one version.
-type counts struct{ answers, failures uint64 }
-
-func (c *counts) add(failed bool) {
-	c.answers++
-	if failed {
-		c.failures++
-	}
-}
-
 // routeEvidence compares the failures of both versions on one route.
 type routeEvidence struct {
 	id              uint32
 	current, target counts
-	recent          [len(recentHalves)]recent
-	// ratios are of all answers, then of each recent window.
-	ratios      [len(recentHalves) + 1]failureRatios
+	// currentTimes and targetTimes hold the newest answers by time.
+	currentTimes, targetTimes timeSlices
+	// ratios are of all answers that are still told apart by time, then of each window.
+	ratios      [len(windowSizes) + 1]failureRatios
 	failureOdds float64
 	changed     bool
 }
@@ -63,21 +54,24 @@
 }
 
 // began counts the latency of an answer.
-func (e *evidence) began(a Answer) {
+func (e *evidence) began(now time.Duration, a Answer) {
 	if a.Latency > 0 && !a.Failed {
-		e.slow.add(e.route(a.Route), a)
+		e.slow.add(now, e.route(a.Route), a)
 	}
 }
 
 // ended counts an answer and its latency, if that was not counted before.
-func (e *evidence) ended(a Answer) {
-	e.began(a)
+func (e *evidence) ended(now time.Duration, a Answer) {
+	e.began(now, a)
 	route := e.routes[e.route(a.Route)]
 	if !a.Target {
 		route.current.add(a.Failed)
+		route.currentTimes.add(now, a.Failed)
 		return
 	}
-	route.addTarget(a.Failed)
+	route.changed = true
+	route.target.add(a.Failed)
+	route.targetTimes.add(now, a.Failed)
 	e.target.add(a.Failed)
 }
 
--- a/pkg/rollout/failures.go
+++ b/pkg/rollout/failures.go
@@ -6,10 +6,6 @@
 // that a bad version fails in addition.
 var addedRates = [...]float64{0.1, 0.2, 0.4, 0.8}
 
-// forgetAt bounds the answers of the current version that count: at this number all counts of
-// the current version are halved, so that its newer answers count more.
-const forgetAt = 20_000
-
 // rateGrid holds the failure rates that the current version may have, evenly spaced by odds, and
 // the logarithms of them and of their complements, for each added rate; the first is none.
 var rateGrid = newRateGrid()
@@ -35,13 +31,14 @@
 type failureRatios [len(addedRates)]float64
 
 // compare returns the likelihood ratios of answers, between the version having an added failure
-// rate and none, each as a mixture over the current version's rate. The ratio is a martingale if
+// rate and none, each as a mixture over the current version's rate, of which a number of its
+// answers is known. The ratio is a martingale if
 // the version is as good as the current one, so that it exceeds x at any time with a probability
 // of at most 1/x (Ville's inequality).
-func compare(current, target counts) (ratios failureRatios) {
+func compare(rate, answers float64, target counts) (ratios failureRatios) {
 	var logs [len(addedRates) + 1][len(rateGrid)]float64
 	fails, passes := float64(target.failures), float64(target.answers-target.failures)
-	currentFails, currentPasses := float64(current.failures), float64(current.answers-current.failures)
+	currentFails, currentPasses := rate*answers, (1-rate)*answers
 	for i := range rateGrid {
 		g := &rateGrid[i]
 		shared := currentFails*g.fail[0] + currentPasses*g.pass[0]
@@ -56,64 +53,59 @@
 	return ratios
 }
 
-// recentHalves are half the sizes of the windows of newest answers that are compared beside all
-// answers, so that a version that becomes bad is not judged by its earlier answers.
-var recentHalves = [...]uint64{15, 60, 240}
-
-// recent counts the newest answers, in two halves of which the older one is dropped when the
-// newer one is full.
-type recent struct{ newer, older counts }
-
-func (r *recent) add(failed bool, half uint64) {
-	if r.newer.answers == half {
-		r.older, r.newer = r.newer, counts{}
-	}
-	r.newer.add(failed)
-}
-
-func (r *recent) counts() counts {
-	return counts{r.newer.answers + r.older.answers, r.newer.failures + r.older.failures}
-}
-
-// addTarget counts an answer of the version.
-func (r *routeEvidence) addTarget(failed bool) {
-	r.changed = true
-	r.target.add(failed)
-	for i, half := range recentHalves {
-		r.recent[i].add(failed, half)
-	}
-}
+// windowSizes are the numbers of newest answers that are compared beside all answers, so that a
+// version that becomes bad is not judged by its earlier answers.
+var windowSizes = [...]uint64{30, 120, 480}
 
-// evaluate brings the odds of the route up to date.
+// evaluate brings the odds of the route up to date. Each answer counts against the rate of the
+// current version at its time: whatever troubles both speaks against neither.
 func (r *routeEvidence) evaluate() {
-	if r.current.answers >= forgetAt {
-		r.current.answers /= 2
-		r.current.failures /= 2
-	}
-	r.ratios[0] = compare(r.current, r.target)
-	for i := range recentHalves {
-		if newest := r.recent[i].counts(); newest.answers < r.target.answers {
-			r.ratios[i+1] = compare(r.current, newest)
-		} else {
-			r.ratios[i+1] = r.ratios[0]
+	var target counts
+	var expected, baseline float64
+	window := 0
+	usual := r.currentTimes.before(r.targetTimes.newest)
+	for number := r.targetTimes.newest; number > r.targetTimes.newest-sliceCount; number-- {
+		slice := r.targetTimes.at(number)
+		if slice.answers == 0 {
+			continue
+		}
+		// Each answer of the current version counts once for how exactly its rate is known.
+		baseline += float64(r.currentTimes.at(number).answers)
+		near := r.currentTimes.near(number)
+		if near.answers == 0 {
+			near = r.currentTimes.before(number)
+		}
+		target.answers += slice.answers
+		target.failures += slice.failures
+		expected += float64(slice.answers) * (float64(near.failures) + usualWeight*usual.rate()) / (float64(near.answers) + usualWeight)
+		for window < len(windowSizes) && target.answers >= windowSizes[window] {
+			r.ratios[window+1] = compare(expected/float64(target.answers), max(baseline, float64(usual.answers)), target)
+			window++
 		}
 	}
+	if target.answers == 0 {
+		return
+	}
+	r.ratios[0] = compare(expected/float64(target.answers), max(baseline, float64(usual.answers)), target)
 	r.failureOdds = logMeanExp(r.ratios[0][:])
-	for i, half := range recentHalves {
-		r.failureOdds = max(r.failureOdds, logMeanExp(r.ratios[i+1][:])-windowsPenalty(r.target.answers, half))
+	for i, size := range windowSizes {
+		if i >= window {
+			r.ratios[i+1] = r.ratios[0]
+		}
+		r.failureOdds = max(r.failureOdds, logMeanExp(r.ratios[i+1][:])-windowsPenalty(r.target.answers, size))
 	}
 }
 
 // windowsPenalty is what the odds of a window are reduced by, since each window is a further test
 // (Bonferroni).
-func windowsPenalty(answers, half uint64) float64 { return math.Log(1 + float64(answers/half)) }
+func windowsPenalty(answers, size uint64) float64 { return math.Log(1 + 2*float64(answers/size)) }
 
 // evaluateAll returns the greatest logarithm of a likelihood ratio of all routes together, over
 // the windows, for a version that fails with the same added rate on each. Each route keeps its
 // own baseline.
 func (e *evidence) evaluateAll() float64 {
 	highest := math.Inf(-1)
-	for window := range len(recentHalves) + 1 {
+	for window := range len(windowSizes) + 1 {
 		var sums failureRatios
 		for _, route := range e.routes {
 			for j, ratio := range route.ratios[window] {
@@ -122,7 +114,7 @@
 		}
 		odds := logMeanExp(sums[:])
 		if window > 0 {
-			odds -= windowsPenalty(e.target.answers, recentHalves[window-1])
+			odds -= windowsPenalty(e.target.answers, windowSizes[window-1])
 		}
 		highest = max(highest, odds)
 	}
@@ -153,10 +145,6 @@
 
 const explainedDeviations = 3
 
-// unknownRate is the failure rate assumed of a current version without an answer, such as that
-// after a takeover in Shifting: some routes fail up to 0.15 of their requests in normal operation.
-const unknownRate = 0.2
-
 func logMeanExp(x []float64) float64 { return logSumExp(x) - math.Log(float64(len(x))) }
 
 func logSumExp(x []float64) float64 {
--- a/pkg/rollout/orders_test.go
+++ b/pkg/rollout/orders_test.go
@@ -23,6 +23,7 @@
 
 var kinds = []kind{
 	{name: "good"},
+	{name: "good, trouble of both versions", trouble: true},
 	{name: "fails from the start", fails: true},
 	{name: "fails later", fails: true, later: true},
 	{name: "fails under load", fails: true, load: true},
@@ -84,7 +85,7 @@
 		if r.phase == rollout.Reverted {
 			row.reverted++
 		}
-		if share := r.exposed / r.bound; r.scenario.kind != kinds[0] {
+		if share := r.exposed / r.bound; !r.scenario.kind.good() {
 			row.worst = max(row.worst, share)
 			if share > 1 {
 				row.over++
@@ -147,7 +148,7 @@
 func TestBoundsOfAllKinds(t *testing.T) {
 	over, late := 0, 0
 	for i, r := range simulated() {
-		if r.scenario.kind != kinds[0] && r.exposed > r.bound {
+		if !r.scenario.kind.good() && r.exposed > r.bound {
 			over++
 			t.Logf("order %d, %s: %.0f requests, bound %.0f", i, r.scenario.kind.name, r.exposed, r.bound)
 		}
@@ -162,7 +163,7 @@
 
 func printFailure(t *testing.T, i int, r result) {
 	s := r.scenario
-	good := s.kind == kinds[0]
+	good := s.kind.good()
 	if good && r.phase == rollout.Completed && r.at <= s.within || !good && r.phase == rollout.Reverted && r.exposed <= r.bound && r.lateness <= bounds.Rollback {
 		return
 	}
--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -16,6 +16,9 @@
 	inheritedBad = 0.05
 	// inheritedFor is the time in which a new owner gathers evidence of its own.
 	inheritedFor = 2 * time.Second
+	// goneFor is how long the service has no upstream of the current version before all of the
+	// new one are used.
+	goneFor = 2 * time.Second
 	// settle is how long all traffic stays at the version before the order is completed.
 	settle = 200 * time.Millisecond
 	// writeMargin is set aside for writes to the store, or writeMarginFactor times as long as
@@ -38,7 +41,7 @@
 
 // falseRevert is the stated share of good versions that the sequential tests of one order may
 // revert. The threshold divides it by the number of tests (Bonferroni).
-const falseRevert = 0.02
+const falseRevert = 0.01
 
 // suspicion is the likelihood ratio of one test above which a version is not shifted or completed
 // yet.
@@ -83,6 +86,8 @@
 		r.advance(Completed, "all upstreams have the version already")
 	case r.forced:
 		r.advance(Shifting, "an operator demanded it")
+	case r.up.Target > 0 && r.currentGone > 0 && r.now-r.currentGone >= goneFor && !r.suspected():
+		r.advance(Shifting, "no upstream of the current version is left; %s", r.evidence.describe())
 	case late && r.up.Target == 0:
 		r.revert("no upstream of the version at the deadline")
 	case late && answers == 0 && r.arrived == 0:
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -154,8 +154,10 @@
 	// seenCurrent is set once the service had an upstream of another version.
 	seenUpstreams, seenCurrent bool
 	currentInFlight            int
-	durations                  durations
-	marks                      grantMarks
+	// currentGone is since when no upstream of the current version is left; 0 if there are.
+	currentGone time.Duration
+	durations   durations
+	marks       grantMarks
 }
 
 // New returns the decision on an order of which stored is the newest known record. A record of
@@ -169,6 +171,8 @@
 	}
 	if stored.Phase != 0 {
 		r.phase = stored.Phase
+		// The earlier owner would have completed the order if there were none.
+		r.seenCurrent = true
 	}
 	r.start = now - stored.Elapsed
 	r.rec, r.taken = stored, stored
@@ -187,6 +191,11 @@
 	r.seenUpstreams = true
 	r.seenCurrent = r.seenCurrent || u.Current > 0 || u.CurrentInFlight > 0
 	r.currentInFlight = u.CurrentInFlight
+	if u.Current > 0 || u.CurrentInFlight > 0 {
+		r.currentGone = 0
+	} else if r.currentGone == 0 {
+		r.currentGone = max(now, 1)
+	}
 }
 
 // Arrived counts a request of the service that was queued for the first time.
@@ -231,7 +240,7 @@
 // called with a Latency of 0.
 func (r *Rollout) FirstToken(now time.Duration, a Answer) {
 	r.now = now
-	r.evidence.began(a)
+	r.evidence.began(now, a)
 }
 
 // Ended reports how a request at either version ended.
@@ -243,7 +252,7 @@
 		r.currentInFlight = max(0, r.currentInFlight-1)
 		r.durations.add(max(a.Duration, a.Latency))
 	}
-	r.evidence.ended(a)
+	r.evidence.ended(now, a)
 }
 
 // Command carries out an operator's command. It has no effect in a final phase.
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -12,8 +12,12 @@
 type kind struct {
 	name                         string
 	fails, slow, later, load, on bool // on: on one route only
+	trouble                      bool // both versions fail or are slow for a time
 }
 
+// good reports whether the version is as good as the current one.
+func (k kind) good() bool { return !k.fails && !k.slow }
+
 // route is a request kind of a simulated service.
 type route struct {
 	weight, baseline float64
@@ -39,6 +43,9 @@
 	storeDelay            time.Duration
 	loseResponses         float64
 	killAt                time.Duration // 0: the owner lives
+	// An incident makes both versions fail or slow for a time.
+	incidentFrom, incidentTo     time.Duration
+	incidentFails, incidentSlows float64
 }
 
 func draw(rng *rand.Rand, k kind) scenario {
@@ -77,6 +84,16 @@
 	if rng.IntN(6) == 0 {
 		s.killAt = time.Duration(between(0.1, 1.1) * float64(s.within))
 	}
+	if k.trouble {
+		s.incidentFrom = time.Duration(between(0.1, 0.7) * float64(s.within))
+		s.incidentTo = s.incidentFrom + time.Duration(between(0.5, 2)*float64(time.Second))
+		s.incidentSlows = 1
+		if rng.IntN(2) == 0 {
+			s.incidentFails = between(0.1, 0.5)
+		} else {
+			s.incidentSlows = between(1.5, 3)
+		}
+	}
 	return s
 }
 
@@ -350,8 +367,12 @@
 	bad := u.target && m.bad(u, pick)
 	noise := math.Exp(r.spread * min(max(m.rng.NormFloat64(), -2), 2))
 	a := rollout.Answer{Target: u.target, Route: uint32(pick + 1), Upstream: u.id, Failed: m.rng.Float64() < r.baseline}
-	caused := false
+	caused, incident := false, m.now >= m.incidentFrom && m.now < m.incidentTo
 	speed := u.speed * noise * (1 + (busySlower-1)*float64(u.inFlight)/float64(m.slots))
+	if incident {
+		speed *= m.incidentSlows
+		a.Failed = a.Failed || m.rng.Float64() < m.incidentFails
+	}
 	if bad && m.kind.fails && m.rng.Float64() < m.failRate {
 		a.Failed, caused = true, true
 	}
@@ -375,7 +396,7 @@
 
 func (m *sim) bad(u *upstream, pick int) bool {
 	switch k := m.kind; {
-	case !k.fails && !k.slow, k.later && m.now < m.badFrom, k.load && u.inFlight < m.badInFlight, k.on && pick != m.badRoute:
+	case k.good(), k.later && m.now < m.badFrom, k.load && u.inFlight < m.badInFlight, k.on && pick != m.badRoute:
 		return false
 	}
 	return true
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -43,7 +44,18 @@
 type currentProfile struct {
 	upstream, digest uint64
 	answers          uint64
-	routes           []histogram
+	// newer and older hold the answers by age; the older ones are dropped from time to time.
+	newer, older []histogram
+}
+
+// sum returns the answers by route.
+func (p *currentProfile) sum() []histogram {
+	sum := slices.Clone(p.newer)
+	for route := range p.older {
+		sum = grow(sum, route)
+		sum[route].addShifted(&p.older[route], 0)
+	}
+	return sum
 }
 
 // targetProfile holds the newest latencies of one upstream of the new version by route.
@@ -61,13 +73,18 @@
 type slowTest struct {
 	current []*currentProfile
 	target  []*targetProfile
-	// all holds the latencies of either version by route.
+	usual   []usual
+	// all holds the latencies of either version by route. All histograms are relative to the
+	// usual latency at the time of each answer.
 	all, targetAll []histogram
 	// others holds the newest latencies of the target upstreams that have no profile, and
 	// otherSeen a bit for each by digest. Of many upstreams the speeds are mixed as those of the
 	// current version are.
 	others    targetProfile
 	otherSeen uint64
+	// sinceAged is the number of the current version's answers since agedAt.
+	sinceAged int
+	agedAt    time.Duration
 	odds      []float64
 	allOdds   float64
 	changed   bool
@@ -76,12 +93,65 @@
 // addRoute makes room for one more route.
 func (s *slowTest) addRoute() {
 	s.odds = append(s.odds, 0)
+	s.usual = append(s.usual, usual{})
 	s.all = append(s.all, histogram{})
 	s.targetAll = append(s.targetAll, histogram{})
 }
 
-func (s *slowTest) add(route int, a Answer) {
-	bin := binOf(a.Latency)
+// ageAfter and ageAnswers are the time and the number of answers of the current version after
+// which older ones are dropped, so that the comparison is with those at about the same time.
+const (
+	ageAfter   = 2 * time.Second
+	ageAnswers = 100
+)
+
+const (
+	// usualAnswers is the number of the current version's answers over which its usual latency
+	// on a route is averaged, and leastUsual that from which it is known.
+	usualAnswers = 30
+	leastUsual   = 5
+	// usualBin stands for the usual latency in the histograms.
+	usualBin = latencyBins / 2
+)
+
+// usual is the mean bin of the newest latencies of the current version on a route.
+type usual struct {
+	answers int
+	mean    float64
+}
+
+// relative returns the bin of a latency relative to the usual one at this time, so that what slows
+// both versions speaks against neither.
+func (s *slowTest) relative(route int, a Answer) (bin int, known bool) {
+	u := &s.usual[route]
+	bin = binOf(a.Latency)
+	if !a.Target {
+		u.answers++
+		u.mean += (float64(bin) - u.mean) / float64(min(u.answers, usualAnswers))
+	}
+	return clampBin(usualBin + bin - int(math.Round(u.mean))), u.answers >= leastUsual
+}
+
+// age drops the older half of the current version's answers.
+func (s *slowTest) age(now time.Duration) {
+	if now-s.agedAt < ageAfter || s.sinceAged < ageAnswers {
+		return
+	}
+	s.agedAt, s.sinceAged = now, 0
+	for _, p := range s.current {
+		p.older, p.newer = p.newer, nil
+		p.answers = 0
+		for route := range p.older {
+			p.answers += p.older[route].total()
+		}
+	}
+}
+
+func (s *slowTest) add(now time.Duration, route int, a Answer) {
+	bin, known := s.relative(route, a)
+	if !known {
+		return
+	}
 	s.changed = true
 	if a.Target {
 		s.targetAll[route][bin]++
@@ -96,10 +166,12 @@
 		return
 	}
 	s.all[route][bin]++
+	s.age(now)
 	if p := s.currentOf(a.Upstream); p != nil {
-		p.routes = grow(p.routes, route)
-		p.routes[route][bin]++
+		p.newer = grow(p.newer, route)
+		p.newer[route][bin]++
 		p.answers++
+		s.sinceAged++
 	}
 }
 
@@ -159,9 +231,11 @@
 // baseline returns nil while too few current upstreams are known.
 func (s *slowTest) baseline() *baseline {
 	kept := make([]histogram, len(s.odds))
-	for _, p := range s.current {
-		for route := range p.routes {
-			kept[route].addShifted(&p.routes[route], 0)
+	sums := make([][]histogram, len(s.current))
+	for i, p := range s.current {
+		sums[i] = p.sum()
+		for route := range sums[i] {
+			kept[route].addShifted(&sums[i][route], 0)
 		}
 	}
 	means := make([]float64, len(kept))
@@ -174,14 +248,14 @@
 	}
 	b := &baseline{spread: make([]*densities, len(kept)), mixed: make([]*densities, len(kept))}
 	residuals := make([]histogram, len(kept))
-	for _, p := range s.current {
+	for i, p := range s.current {
 		if p.answers < least {
 			continue
 		}
-		speed := p.speed(means)
+		speed := speedOf(sums[i], means)
 		b.speeds = append(b.speeds, speed)
-		for route := range p.routes {
-			residuals[route].addShifted(&p.routes[route], -speed)
+		for route := range sums[i] {
+			residuals[route].addShifted(&sums[i][route], -speed)
 		}
 	}
 	if len(b.speeds) == 0 || float64(len(b.speeds)) < profiledPart*float64(len(s.current)) {
@@ -202,15 +276,15 @@
 	return n
 }
 
-// speed returns the mean difference of the upstream's latencies from the means of the routes.
-func (p *currentProfile) speed(means []float64) int {
-	sum := 0.0
-	for route := range p.routes {
-		if n := float64(p.routes[route].total()); n > 0 {
-			sum += n * (p.routes[route].mean() - means[route])
-		}
+// speedOf returns the mean difference of an upstream's latencies from the means of the routes.
+func speedOf(routes []histogram, means []float64) int {
+	sum, answers := 0.0, 0.0
+	for route := range routes {
+		n := float64(routes[route].total())
+		sum += n * (routes[route].mean() - means[route])
+		answers += n
 	}
-	return int(math.Round(sum / float64(p.answers)))
+	return int(math.Round(sum / max(answers, 1)))
 }
 
 // likelihoods are the logarithms of the likelihood of an upstream's answers on one route, by its
