rollout: sliding windows of newest answers count as more tests

Cause: a good version was reverted for one window of 30 among thousands. Change: the odds of a window are reduced by the number of windows that slide over the answers.

--- a/pkg/rollout/failures.go
+++ b/pkg/rollout/failures.go
@@ -97,8 +97,12 @@
 }
 
 // windowsPenalty is what the odds of a window are reduced by, since each window is a further test
-// (Bonferroni).
-func windowsPenalty(answers, size uint64) float64 { return math.Log(1 + 2*float64(answers/size)) }
+// (Bonferroni). The windows slide; windowsEach stands for the different ones within one length.
+func windowsPenalty(answers, size uint64) float64 {
+	return math.Log(1 + windowsEach*float64(answers)/float64(size))
+}
+
+const windowsEach = 10
 
 // evaluateAll returns the greatest logarithm of a likelihood ratio of all routes together, over
 // the windows, for a version that fails with the same added rate on each. Each route keeps its
