rollout: few answers suffice after the deadline only if no more can come

Cause: one answer after a store outage that lasted to the deadline started the shift; in a shift of more than 16 s the baseline was forgotten.

--- a/pkg/rollout/phase.go
+++ b/pkg/rollout/phase.go
@@ -102,13 +102,14 @@
 }
 
 // proven reports whether the version's answers suffice and do not speak against it. After the
-// deadline any answers suffice.
+// deadline fewer suffice if no more can come within the bound.
 func (r *Rollout) proven(late bool) bool {
 	answers := r.evidence.target.answers
 	if answers == 0 || r.suspected() {
 		return false
 	}
-	if late || r.inherited() {
+	exhausted := r.targetInFlight == 0 && r.reservable() <= r.spent
+	if r.inherited() || late && (answers >= minAnswers || exhausted) {
 		return true
 	}
 	return answers >= minAnswers && r.evidence.allFailureOdds < 0 && r.evidence.coversRoutes()
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -49,9 +49,10 @@
 	// Order is Order.ID.
 	Order uint64
 	Phase Phase
-	// Reserved is the number of requests that may have been sent to the version before the
-	// shift, Served the number of requests of the service counted when Reserved was last raised,
-	// and Bad the number of bad answers beyond those that the current version's rates explain.
+	// Reserved is the number of requests that may have been sent to the version, which is not
+	// limited in Shifting and Completed. Served is the number of requests of the service counted
+	// when Reserved was last raised, and Bad the number of bad answers beyond those that the
+	// current version's rates explain.
 	Reserved, Served, Bad uint64
 	// Elapsed is the time since the order was first seen. An instance that has seen the order
 	// for longer raises it before it calls New.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -19,6 +19,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Order is an operator's order to move the traffic of a service to another version.
@@ -30,6 +32,19 @@
 	ID uint64
 }
 
+// Check returns why an order can not be served, which is then refused.
+func (o Order) Check() error {
+	switch {
+	case o.Service == "":
+		return errorx.IllegalArgument.New("the order names no service: set spec.service")
+	case o.Version == "":
+		return errorx.IllegalArgument.New("the order names no version: set spec.to")
+	case o.Within <= 0:
+		return errorx.IllegalArgument.New("the order has no time: set spec.overS to a positive number of seconds")
+	}
+	return nil
+}
+
 // Bounds limits what a version that is not proven may get. Zero ExposeShare and ExposeSlack turn
 // rollouts off.
 type Bounds struct {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -336,6 +336,29 @@
 	})
 }
 
+// TestCheck guards against an order that can not be served and is taken for one without time.
+func TestCheck(t *testing.T) {
+	require.NoError(t, order.Check())
+	require.ErrorContains(t, rollout.Order{Version: "2", Within: s}.Check(), "spec.service")
+	require.ErrorContains(t, rollout.Order{Service: "s", Within: s}.Check(), "spec.to")
+	require.ErrorContains(t, rollout.Order{Service: "s", Version: "2"}.Check(), "spec.overS")
+}
+
+// TestCurrentGone guards against a service without any upstream that may be used, while one of
+// the version is there.
+func TestCurrentGone(t *testing.T) {
+	d := drive(t, rollout.Record{}, both)
+	d.run(s, false)
+	d.r.SetUpstreams(d.now, rollout.Upstreams{Target: 3, TargetSlots: 12})
+	d.run(s, false)
+	require.Equal(t, rollout.Judging, d.plan.Phase, "they may come back")
+	d.run(1100*ms, false)
+	d.require(rollout.Shifting, "no upstream of the current version is left")
+
+	d = drive(t, d.store, rollout.Upstreams{Target: 3, TargetSlots: 12})
+	require.Equal(t, rollout.Shifting, d.plan.Phase)
+}
+
 // TestManyRoutes guards against memory that grows with the number of routes and upstreams.
 func TestManyRoutes(t *testing.T) {
 	d := drive(t, rollout.Record{}, both)
--- a/pkg/rollout/timeslices.go
+++ b/pkg/rollout/timeslices.go
@@ -74,6 +74,7 @@
 // before returns the counts of the newest slices up to one, leastBaseline answers if there are
 // as many.
 func (s *timeSlices) before(number int64) (sum counts) {
+	number = min(number, s.newest)
 	for at := number; at > number-sliceCount && sum.answers < leastBaseline; at-- {
 		sum.addAll(s.at(at))
 	}
