--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -19,6 +19,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Order is an operator's order to move the traffic of a service to another version.
@@ -30,6 +32,19 @@
 	ID uint64
 }
 
+// Check returns why an order can not be served, which is then refused.
+func (o Order) Check() error {
+	switch {
+	case o.Service == "":
+		return errorx.IllegalArgument.New("the order names no service: set spec.service")
+	case o.Version == "":
+		return errorx.IllegalArgument.New("the order names no version: set spec.to")
+	case o.Within <= 0:
+		return errorx.IllegalArgument.New("the order has no time: set spec.overS to a positive number of seconds")
+	}
+	return nil
+}
+
 // Bounds limits what a version that is not proven may get. Zero ExposeShare and ExposeSlack turn
 // rollouts off.
 type Bounds struct {
@@ -154,8 +169,10 @@
 	// seenCurrent is set once the service had an upstream of another version.
 	seenUpstreams, seenCurrent bool
 	currentInFlight            int
-	durations                  durations
-	marks                      grantMarks
+	// currentGone is since when no upstream of the current version is left; 0 if there are.
+	currentGone time.Duration
+	durations   durations
+	marks       grantMarks
 }
 
 // New returns the decision on an order of which stored is the newest known record. A record of
@@ -172,6 +189,8 @@
 	}
 	if stored.Phase != 0 {
 		r.phase = stored.Phase
+		// The earlier owner would have completed the order if there were none.
+		r.seenCurrent = true
 	}
 	r.start = now - stored.Elapsed
 	r.rec, r.taken = stored, stored
@@ -190,6 +209,11 @@
 	r.seenUpstreams = true
 	r.seenCurrent = r.seenCurrent || u.Current > 0 || u.CurrentInFlight > 0
 	r.currentInFlight = u.CurrentInFlight
+	if u.Current > 0 || u.CurrentInFlight > 0 {
+		r.currentGone = 0
+	} else if r.currentGone == 0 {
+		r.currentGone = max(now, 1)
+	}
 }
 
 // Arrived counts a request of the service that was queued for the first time.
@@ -234,7 +258,7 @@
 // called with a Latency of 0.
 func (r *Rollout) FirstToken(now time.Duration, a Answer) {
 	r.now = now
-	r.evidence.began(a)
+	r.evidence.began(now, a)
 }
 
 // Ended reports how a request at either version ended.
@@ -246,7 +270,7 @@
 		r.currentInFlight = max(0, r.currentInFlight-1)
 		r.durations.add(max(a.Duration, a.Latency))
 	}
-	r.evidence.ended(a)
+	r.evidence.ended(now, a)
 }
 
 // Command carries out an operator's command. It has no effect in a final phase.
