--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -224,6 +224,10 @@
 	record.Bad, record.Phase = 60, rollout.Judging
 	drive(t, record, both).require(rollout.Reverted, "60 bad answers")
 
+	d = drive(t, rollout.Record{Order: order.ID, Elapsed: 9 * s}, rollout.Upstreams{Current: 3})
+	d.run(1100*ms, false)
+	d.require(rollout.Reverted, "no upstream of the version by the deadline")
+
 	record.Order++
 	d = drive(t, record, both)
 	d.require(rollout.Judging, "")
--- a/pkg/rollout/slow.go
+++ b/pkg/rollout/slow.go
@@ -355,9 +355,12 @@
 		routes[route] = p.routes[route].likelihoods(b.spread[route])
 	}
 	good := make([]float64, len(b.speeds))
-	for c, speed := range b.speeds {
-		for route := range routes {
-			good[c] += routes[route].good(speed)
+	goodOn := make([][]float64, len(routes)) // by route and speed
+	for route := range routes {
+		goodOn[route] = make([]float64, len(b.speeds))
+		for c, speed := range b.speeds {
+			goodOn[route][c] = routes[route].good(speed)
+			good[c] += goodOn[route][c]
 		}
 	}
 	none := logSumExp(good)
@@ -372,7 +375,7 @@
 		together[i] += logSumExp(slow) - none
 		for route := range routes {
 			for c, speed := range b.speeds {
-				slow[c] = good[c] - routes[route].good(speed) + routes[route].at(speed+shift)
+				slow[c] = good[c] - goodOn[route][c] + routes[route].at(speed+shift)
 			}
 			alone[route][i] += logSumExp(slow) - none
 		}
