--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -99,8 +99,16 @@
 	lagDeviations = 5.0
 	// lagLeast is the number of answers of the current version from which durations are known.
 	lagLeast = 100
+	// lagEvery is the least time between two comparisons, which look at all marks.
+	lagEvery = 10 * time.Millisecond
 )
 
+// lagState is the result of the newest comparison.
+type lagState struct {
+	lagAt                    time.Duration
+	lagSuspected, lagCertain bool
+}
+
 // lag reports whether more requests are in progress at the version than if it were as fast as the
 // current one. It shows a slow version before its answers end. It holds for all upstreams of the
 // version together only, since a few may be of the slow kind.
@@ -108,10 +116,16 @@
 	if r.phase != Shifting || r.durations.seen.total() < lagLeast {
 		return false, false
 	}
+	if r.lagAt > 0 && r.now-r.lagAt < lagEvery {
+		return r.lagSuspected, r.lagCertain
+	}
+	r.lagAt = r.now
 	expected, variance := r.durations.inProgress(r.marks, r.now, r.granted)
 	margin := lagDeviations * math.Sqrt(variance+1)
 	present := float64(r.targetInFlight)
-	return present > lagSlower*expected+margin, present > lagRevert*expected+margin
+	r.lagSuspected = present > lagSlower*expected+margin
+	r.lagCertain = present > lagRevert*expected+margin
+	return r.lagSuspected, r.lagCertain
 }
 
 // inProgress returns how many of the marked grants are expected to be in progress.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -173,6 +173,7 @@
 	currentGone time.Duration
 	durations   durations
 	marks       grantMarks
+	lagState
 }
 
 // New returns the decision on an order of which stored is the newest known record. A record of
