proctest, standin: no race at the end of a load, times apart from runs

Change: the load waits for its sender first; Outcome holds the time and the failure, Run is as before.

--- a/internal/proctest/gateways_test.go
+++ b/internal/proctest/gateways_test.go
@@ -205,10 +205,10 @@
 	return owner
 }
 
-// runs returns the requests that servers ran, in order of arrival at each.
-func runs(servers []*versionServer) (all []standin.Run) {
+// outcomes returns those of the requests that servers ran, in order of arrival at each.
+func outcomes(servers []*versionServer) (all []standin.Outcome) {
 	for _, s := range servers {
-		all = append(all, s.Runs()...)
+		all = append(all, s.Outcomes()...)
 	}
 	return all
 }
@@ -217,8 +217,9 @@
 type requestLoad struct {
 	client  *http.Client
 	stopped chan struct{}
-	end     func()
-	sent    sync.WaitGroup
+	// end stops the load and waits for the end of its requests.
+	end  func()
+	sent sync.WaitGroup
 
 	mu sync.Mutex
 	// targets are the addresses of gateways that get requests.
@@ -232,11 +233,15 @@
 func startLoad(t *testing.T, f *gatewayFleet) *requestLoad {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64}
 	l := &requestLoad{client: &http.Client{Transport: transport, Timeout: waitLimit}, stopped: make(chan struct{}), ends: map[string]int{}}
-	l.end = sync.OnceFunc(func() { close(l.stopped) })
+	done := make(chan struct{})
+	l.end = sync.OnceFunc(func() {
+		close(l.stopped)
+		<-done
+		l.sent.Wait()
+	})
 	for _, g := range f.gateways {
 		l.targets = append(l.targets, g.caller)
 	}
-	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		ticker := time.NewTicker(requestInterval)
@@ -252,8 +257,6 @@
 	}()
 	t.Cleanup(func() {
 		l.end()
-		<-done
-		l.sent.Wait()
 		transport.CloseIdleConnections()
 	})
 	return l
@@ -310,8 +313,6 @@
 // stop ends the load and returns how the requests ended.
 func (l *requestLoad) stop() map[string]int {
 	l.end()
-	time.Sleep(2 * requestInterval) // the last request is counted
-	l.sent.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.ends
--- a/internal/proctest/rollout_test.go
+++ b/internal/proctest/rollout_test.go
@@ -19,8 +19,8 @@
 func (f *gatewayFleet) requireExposure(t *testing.T, l *requestLoad, ordered time.Time) {
 	t.Helper()
 	const rollback, badAnswers = 5 * time.Second, 50
-	exposed := runs(f.new)
-	slices.SortFunc(exposed, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	exposed := outcomes(f.new)
+	slices.SortFunc(exposed, func(a, b standin.Outcome) int { return a.At.Compare(b.At) })
 	all := l.between(ordered, ordered.Add(orderSeconds*time.Second))
 	var bad []time.Time
 	for _, r := range exposed {
@@ -58,7 +58,7 @@
 	ends := l.stop()
 	t.Logf("requests by end: %v", ends)
 	require.Equal(t, l.started, ends["200 OK"], "lost, cut or refused: %v", ends)
-	for _, r := range runs(f.old) {
+	for _, r := range outcomes(f.old) {
 		require.False(t, r.At.After(completed), "a request at the old version after the completion")
 	}
 	require.Less(t, completed.Sub(ordered), orderSeconds*time.Second+waitLimit)
@@ -95,7 +95,7 @@
 			f.order(t, failing)
 			waitFor(t, "the order to be judged", func() bool {
 				_, phase := f.state()
-				return phase == "judging" && len(runs(f.new)) > 10
+				return phase == "judging" && len(outcomes(f.new)) > 10
 			})
 			owner := f.owner(t)
 			owner.signal(t, syscall.SIGKILL)
