node: finished orders cost nothing, a generated test of events on orders, plainer names

Cause: finished orders stay in the store, so that each step of a node looked at one for each service. Change: only orders whose end is not stored are looked at. A generated test sends late, repeated and unknown events on orders while upstreams come and go.

--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -149,7 +149,7 @@
 func (n *Node) onGrant(from uint64, m *pb.Grant) {
 	n.view.Answered(n.now, from)
 	n.learnAddress(m.Upstream, m.Address)
-	n.correctOwner(from, m.Upstream)
+	n.notifyOwner(from, m.Upstream)
 	n.table.Grant(n.now, decisionFrom(from, m.Pool, m.Sequence, m.Attempt), n.permitFor(m.Upstream))
 }
 
@@ -212,7 +212,7 @@
 		n.onSubmit(from, submit)
 	}
 	n.dropUnmentioned(h, from, mentioned)
-	n.censusAnswered(h, from)
+	n.inFlightReported(h, from)
 	n.markReported(h, from)
 }
 
--- a/pkg/node/rollout.go
+++ b/pkg/node/rollout.go
@@ -20,11 +20,11 @@
 // completed.
 
 const (
-	// maxEndsTold bounds the ends of orders that other instances told of and that this one has
+	// maxUnreadEnds bounds the ends of orders that other instances told of and that this one has
 	// not read yet; further ones are read from the store.
-	maxEndsTold = 256
-	// maxBarredVersions bounds the versions that are kept out of use after their order is gone.
-	maxBarredVersions = 1024
+	maxUnreadEnds = 256
+	// maxDisabledVersions bounds the versions that are kept out of use after their order is gone.
+	maxDisabledVersions = 1024
 	// endedRepeatInterval is the time between messages on the end of an order, until it is stored.
 	endedRepeatInterval = time.Second
 )
@@ -38,8 +38,8 @@
 // serviceVersion is a version of a service.
 type serviceVersion struct{ service, version string }
 
-// barredVersion is a version whose order was withdrawn or replaced before it was completed.
-type barredVersion struct {
+// disabledVersion is a version whose order was withdrawn or replaced before it was completed.
+type disabledVersion struct {
 	serviceVersion
 	// proven is true if it had all new requests already. Other instances may have completed it
 	// before the order was withdrawn, so that it is used where no other version is left.
@@ -49,15 +49,18 @@
 // rolloutSet holds the orders that this instance knows.
 type rolloutSet struct {
 	byService map[string]*serviceRollout
-	// services lists the keys of byService in order.
-	services []string
-	// members holds the part of each upstream that an order names; barred holds the upstreams
+	// services lists the keys of byService in order, unfinished those of orders whose end is not
+	// stored or not reported yet, as of the last time that changed was set. Finished orders stay
+	// in the store, so that there may be one for each service.
+	services, unfinished []string
+	changed              bool
+	// members holds the part of each upstream that an order names; disabled holds the upstreams
 	// of versions that no order names any more.
-	members        map[string]rolloutMember
-	barred         map[string]bool
-	barredVersions []barredVersion
-	// told holds the ends of orders that were told before they were read, by service.
-	told map[string]orderEnd
+	members          map[string]rolloutMember
+	disabled         map[string]bool
+	disabledVersions []disabledVersion
+	// unreadEnds holds the ends of orders that were told before they were read, by service.
+	unreadEnds map[string]orderEnd
 	// lastGroup is the last group of upstreams that was given to an order.
 	lastGroup uint32
 }
@@ -93,7 +96,7 @@
 }
 
 func newRolloutSet() rolloutSet {
-	return rolloutSet{byService: map[string]*serviceRollout{}, members: map[string]rolloutMember{}, told: map[string]orderEnd{}}
+	return rolloutSet{byService: map[string]*serviceRollout{}, members: map[string]rolloutMember{}, unreadEnds: map[string]orderEnd{}}
 }
 
 // useRollouts takes over the orders that were read together with a configuration set.
@@ -120,6 +123,7 @@
 		}
 	}
 	n.rollouts.services = slices.Sorted(maps.Keys(n.rollouts.byService))
+	n.rollouts.changed = true
 	n.rollouts.assignMembers(set)
 }
 
@@ -146,15 +150,15 @@
 	if o.Record.Order == s.order.ID && (s.decider == nil || o.Record.Phase.Final()) {
 		n.learnPhase(s, o.Record.Phase)
 	}
-	if end, known := n.rollouts.told[s.order.Service]; known && end.order == s.order.ID {
-		delete(n.rollouts.told, s.order.Service)
+	if end, known := n.rollouts.unreadEnds[s.order.Service]; known && end.order == s.order.ID {
+		delete(n.rollouts.unreadEnds, s.order.Service)
 		n.learnEnd(s, end.phase)
 	}
 }
 
-// assignMembers finds out which upstreams orders name, and which have a barred version.
+// assignMembers finds out which upstreams orders name, and which have a disabled version.
 func (r *rolloutSet) assignMembers(set *configstate.Set) {
-	r.members, r.barred = map[string]rolloutMember{}, nil
+	r.members, r.disabled = map[string]rolloutMember{}, nil
 	for _, service := range r.services {
 		s := r.byService[service]
 		for _, name := range s.current {
@@ -163,11 +167,11 @@
 		for _, name := range s.target {
 			r.members[name] = rolloutMember{rollout: s, target: true}
 		}
-		r.barredVersions = slices.DeleteFunc(r.barredVersions, func(b barredVersion) bool {
+		r.disabledVersions = slices.DeleteFunc(r.disabledVersions, func(b disabledVersion) bool {
 			return b.serviceVersion == serviceVersion{service, s.order.Version}
 		})
 	}
-	for _, b := range r.barredVersions {
+	for _, b := range r.disabledVersions {
 		var names []string
 		others := 0
 		for name, object := range set.Upstreams {
@@ -183,10 +187,10 @@
 			continue
 		}
 		for _, name := range names {
-			if r.barred == nil {
-				r.barred = map[string]bool{}
+			if r.disabled == nil {
+				r.disabled = map[string]bool{}
 			}
-			r.barred[name] = true
+			r.disabled[name] = true
 		}
 	}
 }
@@ -199,10 +203,10 @@
 	}
 	if s.phase != rollout.Completed {
 		r := &n.rollouts
-		r.barredVersions = append(r.barredVersions, barredVersion{
+		r.disabledVersions = append(r.disabledVersions, disabledVersion{
 			serviceVersion{s.order.Service, s.order.Version}, s.phase == rollout.Shifting})
-		if len(r.barredVersions) > maxBarredVersions {
-			r.barredVersions = r.barredVersions[1:]
+		if len(r.disabledVersions) > maxDisabledVersions {
+			r.disabledVersions = r.disabledVersions[1:]
 		}
 	}
 	if !s.phase.Final() {
@@ -225,6 +229,7 @@
 	case phase == rollout.Completed:
 		// It is told only after the store has it.
 		s.record.Order, s.record.Phase = s.order.ID, phase
+		n.rollouts.changed = true
 		s.stopDeciding()
 	case phase != rollout.Reverted:
 		return
@@ -238,6 +243,7 @@
 // changePhase puts a phase in force and reports it.
 func (n *Node) changePhase(s *serviceRollout, phase rollout.Phase, reason string, here bool) {
 	s.phase = phase
+	n.rollouts.changed = true
 	n.count("rollouts", phase.String())
 	change := RolloutChanged{Service: s.order.Service, Order: s.order.ID, Phase: phase, Reason: reason, Here: here}
 	if s.decider != nil {
@@ -250,10 +256,10 @@
 // announceEnd tells all live instances how an order ended.
 func (n *Node) announceEnd(s *serviceRollout) {
 	s.announcedAt = n.now
-	n.view.EachLive(func(m membership.Member) { n.tellEnd(m.Incarnation, s) })
+	n.view.EachLive(func(m membership.Member) { n.sendEnd(m.Incarnation, s) })
 }
 
-func (n *Node) tellEnd(to uint64, s *serviceRollout) {
+func (n *Node) sendEnd(to uint64, s *serviceRollout) {
 	phase := pb.RolloutPhase_ROLLOUT_PHASE_REVERTED
 	if s.phase == rollout.Completed {
 		phase = pb.RolloutPhase_ROLLOUT_PHASE_COMPLETED
@@ -277,25 +283,25 @@
 		n.learnEnd(s, end.phase)
 		return
 	}
-	if _, known := n.rollouts.told[m.Service]; n.cfg.Rollouts.Enabled() && (known || len(n.rollouts.told) < maxEndsTold) {
-		n.rollouts.told[m.Service] = end
+	if _, known := n.rollouts.unreadEnds[m.Service]; n.cfg.Rollouts.Enabled() && (known || len(n.rollouts.unreadEnds) < maxUnreadEnds) {
+		n.rollouts.unreadEnds[m.Service] = end
 	}
 }
 
 // rolloutForbids reports whether an upstream must get no request from any instance.
 func (n *Node) rolloutForbids(upstream string) bool {
-	if n.rollouts.barred[upstream] {
+	if n.rollouts.disabled[upstream] {
 		return true
 	}
 	m := n.rollouts.members[upstream]
 	return m.rollout != nil && (m.rollout.phase == rollout.Reverted && m.target || m.rollout.phase == rollout.Completed && !m.target)
 }
 
-// correctOwner tells an owner that granted an upstream which must not be used how its order
+// notifyOwner tells an owner that granted an upstream which must not be used how its order
 // ended. It may have missed the message and be unable to read the store.
-func (n *Node) correctOwner(owner uint64, upstream string) {
+func (n *Node) notifyOwner(owner uint64, upstream string) {
 	if m := n.rollouts.members[upstream]; m.rollout != nil && n.rolloutForbids(upstream) {
-		n.tellEnd(owner, m.rollout)
+		n.sendEnd(owner, m.rollout)
 	}
 }
 
--- a/pkg/node/rollout_answers.go
+++ b/pkg/node/rollout_answers.go
@@ -106,8 +106,8 @@
 	}
 	s := m.rollout
 	s.dirty = true
-	excused := m.target && !s.unhold(it) && it.grantedHere
-	if excused && !it.failed(c) {
+	discounted := m.target && !s.release(it) && it.grantedHere
+	if discounted && !it.failed(c) {
 		return
 	}
 	if returned || c.Outcome == scheduler.Unused && !it.endUnknown {
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// censusRepeat is the time after which an instance that has not answered is asked again.
-	censusRepeat = 400 * time.Millisecond
+	// reportRepeat is the time after which an instance that has not answered is asked again.
+	reportRepeat = 400 * time.Millisecond
 	// defaultSlots is taken for upstreams without a configured concurrency.
 	defaultSlots = 8
 )
@@ -40,16 +40,16 @@
 	// lastWriteFailed is true if the newest write may be in effect although it failed.
 	lastWriteFailed bool
 	// announcedAt is when the end of the order was last told to all instances; 0 if it was not.
-	announcedAt time.Duration
-	census      census
+	announcedAt   time.Duration
+	inFlightCheck inFlightCheck
 	// held holds the requests at the version by the instance that holds them.
-	held map[uint64]*heldAt
+	held map[uint64]*heldRequests
 }
 
-// census asks all live instances for their requests in flight, some of which this instance may
-// not know of: they were granted by another owner or by a local pool.
-type census struct {
-	// awaited holds the instances that have not answered; startedAt is 0 if there was no census
+// inFlightCheck asks all live instances for their requests in flight, some of which this
+// instance may not know of: they were granted by another owner or by a local pool.
+type inFlightCheck struct {
+	// awaited holds the instances that have not answered; startedAt is 0 if there was no check
 	// since a request was in flight at the current version.
 	awaited            map[uint64]bool
 	startedAt, askedAt time.Duration
@@ -57,17 +57,31 @@
 
 // stepRollouts carries out the plans that are due, and reports whether pools must decide again.
 func (n *Node) stepRollouts() (changed bool) {
-	for _, service := range n.rollouts.services {
-		changed = n.stepRollout(n.rollouts.byService[service]) || changed
+	r := &n.rollouts
+	if r.changed {
+		r.changed = false
+		r.unfinished = slices.DeleteFunc(slices.Clone(r.services), func(service string) bool {
+			s := r.byService[service]
+			return s.stored() && s.decider == nil
+		})
+	}
+	for _, service := range r.unfinished {
+		changed = n.stepRollout(r.byService[service]) || changed
 	}
 	return changed
 }
 
+// stored reports whether the store is known to hold the end of the order.
+func (s *serviceRollout) stored() bool {
+	return s.phase == rollout.Completed || s.record.Order == s.order.ID && s.record.Phase.Final()
+}
+
 func (n *Node) stepRollout(s *serviceRollout) (changed bool) {
 	h, decides := n.decidesOn(s)
 	if !decides {
 		if s.decider != nil {
 			s.stopDeciding()
+			n.rollouts.changed = true
 			n.refreshRolloutPools(s)
 		}
 		return false
@@ -90,8 +104,7 @@
 // decidesOn reports whether this instance decides on an order: it owns the service's pool or,
 // for a service without upstreams, ranks first for its name. h is nil without a pool.
 func (n *Node) decidesOn(s *serviceRollout) (h *hostedPool, decides bool) {
-	stored := s.phase == rollout.Completed || s.record.Order == s.order.ID && s.record.Phase.Final()
-	if n.set == nil || !n.view.Trusted() || stored && !(s.decider != nil && s.dirty) {
+	if n.set == nil || !n.view.Trusted() || s.stored() && !(s.decider != nil && s.dirty) {
 		return nil, false
 	}
 	for _, names := range [][]string{s.current, s.target} {
@@ -172,8 +185,8 @@
 		}
 	}
 	if u.CurrentInFlight > 0 {
-		s.census = census{}
-	} else if s.applied && !s.currentOpen && s.plan.Phase == rollout.Shifting && !n.allAnswered(s, h) {
+		s.inFlightCheck = inFlightCheck{}
+	} else if s.applied && !s.currentOpen && s.plan.Phase == rollout.Shifting && !n.allReported(s, h) {
 		u.CurrentInFlight = 1
 	}
 	return u
@@ -181,7 +194,7 @@
 
 // accepts reports whether an upstream takes requests as far as an order is not concerned.
 func (n *Node) accepts(upstream string) bool {
-	return !n.view.UpstreamLeaving(upstream) && !n.rollouts.barred[upstream]
+	return !n.view.UpstreamLeaving(upstream) && !n.rollouts.disabled[upstream]
 }
 
 func (n *Node) countAccepting(upstreams []string) (count int) {
@@ -193,38 +206,38 @@
 	return count
 }
 
-// allAnswered reports whether all live instances have said, since the current version was closed
+// allReported reports whether all live instances have said, since the current version was closed
 // and the last request known to be in flight there ended, what they have in flight.
-func (n *Node) allAnswered(s *serviceRollout, h *hostedPool) bool {
-	c := &s.census
+func (n *Node) allReported(s *serviceRollout, h *hostedPool) bool {
+	c := &s.inFlightCheck
 	if c.startedAt == 0 {
-		*c = census{awaited: map[uint64]bool{}, startedAt: n.now, askedAt: n.now}
+		*c = inFlightCheck{awaited: map[uint64]bool{}, startedAt: n.now, askedAt: n.now}
 		n.view.EachLive(func(m membership.Member) { c.awaited[m.Incarnation] = true })
-		n.askAwaited(c, h)
+		n.requestReports(c, h)
 	}
 	for entry := range c.awaited {
 		if m, known := n.view.Find(entry); !known || m.State == membership.Dead {
 			delete(c.awaited, entry)
 		}
 	}
-	if len(c.awaited) > 0 && n.now-c.askedAt >= censusRepeat {
+	if len(c.awaited) > 0 && n.now-c.askedAt >= reportRepeat {
 		c.askedAt = n.now
-		n.askAwaited(c, h)
+		n.requestReports(c, h)
 	}
 	return len(c.awaited) == 0
 }
 
-func (n *Node) askAwaited(c *census, h *hostedPool) {
+func (n *Node) requestReports(c *inFlightCheck, h *hostedPool) {
 	for _, entry := range slices.Sorted(maps.Keys(c.awaited)) {
 		n.requestSync(h, entry)
 	}
 }
 
-// censusAnswered records that an instance has reported its requests in a pool.
-func (n *Node) censusAnswered(h *hostedPool, entry uint64) {
+// inFlightReported records that an instance has reported its requests in a pool.
+func (n *Node) inFlightReported(h *hostedPool, entry uint64) {
 	for _, s := range h.rollouts {
-		if s.census.awaited[entry] {
-			delete(s.census.awaited, entry)
+		if s.inFlightCheck.awaited[entry] {
+			delete(s.inFlightCheck.awaited, entry)
 			s.dirty = true
 		}
 	}
--- a/pkg/node/rollout_faults_test.go
+++ b/pkg/node/rollout_faults_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/citrongate/citrongate/pkg/node"
 	"github.com/citrongate/citrongate/pkg/rollout"
+	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
 var rolloutSeeds = flag.Int("rollout.seeds", 1, "seeds for each fault in each phase")
@@ -233,3 +235,35 @@
 		require.Equal(t, rollout.Reverted, w.record.Phase)
 	}
 }
+
+// TestAnyRolloutEvents guards against a panic, and against requests to a version beyond what was
+// reserved, when events on orders come late, repeated, for orders that are not known, and with
+// upstreams that come and go.
+func TestAnyRolloutEvents(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newRolloutWorld(t, seed, 3)
+		w.give(rolloutWithin)
+		listed := w.target
+		for range 200 {
+			at := w.cluster.order[w.random.IntN(3)]
+			switch w.random.IntN(6) {
+			case 0:
+				record := rollout.Record{Order: 76 + w.random.Uint64N(3), Phase: rollout.Phase(w.random.IntN(4)), Reserved: w.random.Uint64N(9), Revision: w.random.Uint64N(w.rev + 1)}
+				w.step(at, node.RolloutWritten{Service: []string{"s", "other"}[w.random.IntN(2)],
+					Result: rollout.WriteResult{Outcome: rollout.Failed, Record: record}})
+			case 1:
+				state := &pb.RolloutState{Service: []string{"s", "other"}[w.random.IntN(2)], Order: 78 + w.random.Uint64N(3), Phase: pb.RolloutPhase(w.random.IntN(4))}
+				w.step(at, node.FrameReceived{Frame: &pb.Frame{From: w.random.Uint64N(5), Messages: []*pb.PeerMessage{{Body: &pb.PeerMessage_RolloutState{RolloutState: state}}}}})
+			case 2:
+				w.target = listed[:w.random.IntN(len(listed)+1)]
+				w.changes++
+			case 3:
+				w.step(at, node.UpstreamLeaves{Upstream: listed[w.random.IntN(len(listed))], Incarnation: "1"})
+			case 4:
+				w.lost = []float64{0, 0.5, 1}[w.random.IntN(3)]
+			}
+			w.tick(rolloutRate)
+		}
+		w.check(fmt.Sprintf("seed %d", seed))
+	}
+}
--- a/pkg/node/rollout_silence.go
+++ b/pkg/node/rollout_silence.go
@@ -16,18 +16,18 @@
 // other instances reverted good versions for that reason.
 
 const (
-	// doubtAfter is the silence of an instance with requests at a version after which it is
+	// pingAfter is the silence of an instance with requests at a version after which it is
 	// pinged, and nothing is decided until it answers. An answer needs a few milliseconds.
-	doubtAfter = 60 * time.Millisecond
+	pingAfter = 60 * time.Millisecond
 	// silentAfter is the silence after which its requests in progress are no evidence any more.
 	silentAfter = 300 * time.Millisecond
-	// doubtPingInterval is the time between two pings of a silent instance. They cost at most
+	// silentPingInterval is the time between two pings of a silent instance. They cost at most
 	// ten small messages a second for each instance with requests at the version.
-	doubtPingInterval = 100 * time.Millisecond
+	silentPingInterval = 100 * time.Millisecond
 )
 
-// heldAt counts the requests at a version that an instance holds, as its owner knows.
-type heldAt struct {
+// heldRequests counts the requests at a version that an instance holds, as its owner knows.
+type heldRequests struct {
 	requests map[scheduler.GlobalID]*item
 	pingedAt time.Duration
 }
@@ -37,17 +37,17 @@
 	id := it.descriptor.ID
 	held := s.held[id.Entry]
 	if held == nil {
-		held = &heldAt{requests: map[scheduler.GlobalID]*item{}}
+		held = &heldRequests{requests: map[scheduler.GlobalID]*item{}}
 		if s.held == nil {
-			s.held = map[uint64]*heldAt{}
+			s.held = map[uint64]*heldRequests{}
 		}
 		s.held[id.Entry] = held
 	}
 	held.requests[id] = it
 }
 
-// unhold records that a request at the version has ended, and reports whether it still counted.
-func (s *serviceRollout) unhold(it *item) bool {
+// release records that a request at the version has ended, and reports whether it still counted.
+func (s *serviceRollout) release(it *item) bool {
 	held := s.held[it.descriptor.ID.Entry]
 	if held == nil || held.requests[it.descriptor.ID] != it {
 		return false
@@ -70,14 +70,14 @@
 		held := s.held[entry]
 		heard, _ := n.view.LastHeard(entry)
 		switch silence := n.now - heard; {
-		case silence < doubtAfter:
+		case silence < pingAfter:
 			continue
 		case silence >= silentAfter:
-			n.excuse(s, h, held)
+			n.discount(s, h, held)
 			continue
 		}
 		awaits = true
-		if n.now-held.pingedAt >= doubtPingInterval {
+		if n.now-held.pingedAt >= silentPingInterval {
 			held.pingedAt = n.now
 			n.view.Ping(entry)
 		}
@@ -85,12 +85,12 @@
 	return awaits
 }
 
-// excuse ends the requests of a silent instance for the evidence. Failures that it reports later
+// discount ends the requests of a silent instance for the evidence. Failures that it reports later
 // still count.
-func (n *Node) excuse(s *serviceRollout, h *hostedPool, held *heldAt) {
+func (n *Node) discount(s *serviceRollout, h *hostedPool, held *heldRequests) {
 	for _, id := range slices.SortedFunc(maps.Keys(held.requests), bySequence) {
 		it := held.requests[id]
-		s.unhold(it)
+		s.release(it)
 		s.decider.Ended(n.now, h.rolloutAnswer(it, rolloutMember{s, true}))
 	}
 }
