node: a test of rollouts of engines

Cause: the tests had plain services only, whose latency is that of the end. Change: streams of a good and of a slow version.

--- a/pkg/node/rollout_test.go
+++ b/pkg/node/rollout_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// TestStreams guards against the latency of streams that is taken from their end in place of their
+// first token, so that a slow version is found late.
+func TestStreams(t *testing.T) {
+	for _, slow := range []time.Duration{0, 4 * answerTime} {
+		w := newRolloutWorld(t, 1, 3)
+		w.streams, w.slow = true, slow
+		w.changes++
+		w.play(2*time.Second, rolloutRate)
+		w.give(12 * time.Second)
+		require.True(t, w.playUntil(13*time.Second, w.reached(rollout.Completed)), "%s", w.describe())
+		w.check("streams")
+		require.Greater(t, w.sent, 50)
+		if slow == 0 {
+			require.Equal(t, rollout.Completed, w.record.Phase, "%s", w.describe())
+			continue
+		}
+		require.Equal(t, rollout.Reverted, w.record.Phase, "%s", w.describe())
+		require.Less(t, w.record.Elapsed, streamTime, "found before any stream ended: %s", w.describe())
+	}
+}
+
 // TestWithoutAnOrderNothingChanges guards against other decisions and messages where rollouts are
 // turned on and there is no order.
 func TestWithoutAnOrderNothingChanges(t *testing.T) {
--- a/pkg/node/rollout_world_test.go
+++ b/pkg/node/rollout_world_test.go
@@ -22,6 +22,7 @@
 	// rolloutRate is the number of requests per second to all instances.
 	rolloutRate  = 300
 	answerTime   = 60 * time.Millisecond
+	streamTime   = 1500 * time.Millisecond
 	storeLatency = 15 * time.Millisecond
 	// readEvery is the time between an instance's reads of the store.
 	readEvery = 300 * time.Millisecond
@@ -36,6 +37,8 @@
 	target   bool
 	due      time.Duration
 	failed   bool
+	// firstAt is when the first token of a stream comes; 0 if it came, or of another answer.
+	firstAt time.Duration
 }
 
 // delayed is something that happens at a time.
@@ -73,6 +76,9 @@
 	// failing and slow make the version bad from badFrom on.
 	failing float64
 	slow    time.Duration
+	// streams makes the upstreams engines, whose first token comes after answerTime and whose
+	// answers take streamTime more.
+	streams bool
 	// longest is how long answers of the old version take at most; answerTime if it is shorter.
 	longest time.Duration
 	badFrom time.Duration
@@ -162,6 +168,10 @@
 	set := serviceSet(revision, append(slices.Clone(w.current), w.target...)...)
 	for name, object := range set.Upstreams {
 		object.Meta.Labels["version"] = versionOf(name)
+		if spec := object.GetUpstream(); w.streams {
+			spec.Type, spec.Models, spec.FixedLimit = "engine", []string{"m"}, true
+			set.Kinds["k"].GetRequestKind().ModelCall = true
+		}
 	}
 	return set
 }
@@ -299,6 +309,9 @@
 		s.due += w.slow
 		s.failed = w.random.Float64() < w.failing
 	}
+	if w.streams {
+		s.firstAt, s.due = s.due, s.due+streamTime
+	}
 	w.sends = append(w.sends, s)
 }
 
@@ -330,6 +343,10 @@
 // tick moves the world by one tick, with requests at a rate per second.
 func (w *rolloutWorld) tick(rate float64) {
 	for _, s := range slices.Clone(w.sends) {
+		if s.firstAt > 0 && w.now >= s.firstAt && !w.stopped[s.at] && w.nodes[s.at] == s.node {
+			s.firstAt = 0
+			w.step(s.at, node.UpstreamFirstToken{ID: s.id})
+		}
 		if w.now >= s.due && !w.stopped[s.at] && slices.Contains(w.sends, s) {
 			result := node.ResultComplete
 			if s.failed {
@@ -357,6 +374,9 @@
 			w.nextID++
 			s := submission(w.nextID)
 			s.Remaining, s.MaxSends = 2*time.Second, 1
+			if w.streams {
+				s.Model, s.PromptTokens, s.MaxOutputTokens, s.Remaining = "m", 100, 20, 10*time.Second
+			}
 			w.step(live[w.random.IntN(len(live))], s)
 		}
 	}
