rollout: check the reservation of all simulated orders first

Cause: TestOrders stopped at the first version bad from the start that exceeded the bound, so that the orders after it were not checked. Change: grants beyond the reservation and interrupted requests are checked for all orders first. No check is weaker.

--- a/pkg/rollout/orders_test.go
+++ b/pkg/rollout/orders_test.go
@@ -131,6 +131,8 @@
 		if *failures {
 			printFailure(t, i, r)
 		}
+	}
+	for i, r := range results {
 		if k := r.scenario.kind; (k.fails || k.slow) && !k.later && !k.load && !k.on && feasible(r) {
 			require.Equal(t, rollout.Reverted, r.phase, "order %d, %s", i, k.name)
 			require.LessOrEqual(t, r.exposed, r.bound, "order %d, %s", i, k.name)
