--- a/pkg/dispatch/effect.go
+++ b/pkg/dispatch/effect.go
@@ -39,6 +39,8 @@
 	// Slots and HoldOff are as in Record.
 	Slots   scheduler.SlotReport
 	HoldOff time.Duration
+	// Returned is true if the permit was returned without a dispatch, whatever Outcome.
+	Returned bool
 }
 
 // FirstToken reports the first token to the holder that granted the permit.
