gateway: orders for rollouts are not read with each change of the upstreams

Cause: every listing of the upstreams was followed by one of the orders, so that with rollouts enabled each change of the upstreams cost every instance two calls to the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,8 @@
 	// services whose order could not be read last.
 	commands      atomic.Pointer[map[string]ingress.RolloutCommand]
 	refusedOrders atomic.Pointer[map[string]bool]
+	// orders decides which listings read the orders, and holds those read last.
+	orders orderReads
 
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/citrongate/citrongate/internal/boottime"
@@ -35,6 +36,10 @@
 	if err != nil || !g.rollouts.Enabled() {
 		return l, err
 	}
+	if !g.orders.due(l.Upstreams) {
+		l.Orders = g.orders.last()
+		return l, nil
+	}
 	l.Orders, faults, err = g.store.Rollouts(ctx)
 	g.countStoreCall("rollouts", err)
 	if err != nil {
@@ -44,9 +49,34 @@
 	if l.Orders.Unfinished() {
 		g.readCommands(ctx, &l.Orders)
 	}
+	g.orders.read(l)
 	return l, nil
 }
 
+// orderReads is ingress.OrderReads for concurrent use.
+type orderReads struct {
+	mu    sync.Mutex
+	reads ingress.OrderReads
+}
+
+func (o *orderReads) due(upstreams []ingress.Upstream) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reads.Due(boottime.Now(), upstreams)
+}
+
+func (o *orderReads) read(l ingress.Listing) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads.Read(boottime.Now(), l.Upstreams, l.Orders)
+}
+
+func (o *orderReads) last() ingress.Orders {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reads.Orders()
+}
+
 // readCommands adds the operators' commands to orders. Without an answer, the commands read
 // before hold.
 func (g *Gateway) readCommands(ctx context.Context, orders *ingress.Orders) {
