httpfront, forward, gateway: hold answers of slow callers, bound request bytes

Cause: the relay reads an upstream at its caller's speed, so that an answer which nobody reads keeps the upstream's slot; and nothing bounds the request bodies that one upstream has to hold. The permit is released when the exchange is complete; the handler stays until the rest was sent, up to the deadline. Bodies of known length above 16 KiB go past nbhttp's buffer of 64 KiB, which was counted nowhere. Bodies sent to one upstream and not answered are bounded (x/sync/semaphore); a request waits 250 ms for room and then counts as turned away. Settings answer_buffer_mb and upstream_request_mb with a check at start, log lines, counters and gauges.

--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -390,6 +390,7 @@
 // All holds one empty line of each type.
 var All = []Line{
 	RequestSent{}, SendFailed{}, RequestAnswered{}, RequestRefused{}, MalformedRequest{}, UpstreamLeaves{}, UpstreamHoldsOff{}, CallerDisconnected{}, OrderSent{},
+	AnswerHeldBack{}, AnswerAborted{}, RequestHeldBack{},
 	InstanceStarted{}, StopStarted{}, StopFinished{}, SettingsReloaded{}, InvalidSettings{}, ReadinessChanged{}, LimitSharersChanged{}, ConfigInForce{}, TableInForce{},
 	StoreLost{}, StoreRegained{}, EntriesUnused{}, NotAnnounced{}, QuotaInForce{}, PoolState{}, PromptPartChanged{}, PromptPartNotWritten{}, InternalFault{}, LinesDropped{},
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -62,6 +62,8 @@
 	options Options
 	dialer  net.Dialer
 
+	requestBytes requestBytes
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
@@ -72,6 +74,8 @@
 		options: options,
 		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1, Control: setUnackedLimit},
 		idle:    map[string][]*conn{},
+
+		requestBytes: requestBytes{limit: options.MaxRequestBytes, byAddress: map[string]*requestRoom{}},
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -60,6 +60,11 @@
 	Events uint32
 	// Unsent is true if no byte of the request was written to a connection.
 	Unsent bool
+	// UpstreamFull is true if the request was not sent since the upstream has not answered
+	// others with as many bytes as it may be sent at the same time. HoldOff is then how long no
+	// further request should be sent to it.
+	UpstreamFull bool
+	HoldOff      time.Duration
 	// Detail describes what happened, for the log.
 	Detail string
 }
@@ -217,14 +222,41 @@
 	// bound.
 	MaxHeadBytes, MaxEventBytes int
 	MaxBodyBytes                int64
+	// MaxRequestBytes bounds the bodies that one upstream was sent and has not answered; 0
+	// means no bound. RequestWaits, if set, is called when a request waits for this reason.
+	MaxRequestBytes int64
+	RequestWaits    func(request *Request)
 }
 
 // Exchange carries out one exchange. ctx must end when the caller disconnects or at the
 // deadline.
 func (c *Client) Exchange(ctx context.Context, request *Request, relay *CallerAnswer) Result {
 	relay.Load, relay.LoadInvalid = LoadReport{}, false
+	release, err := c.requestBytes.acquire(ctx, request.Address, len(request.Body), func() {
+		if c.options.RequestWaits != nil {
+			c.options.RequestWaits(request)
+		}
+	})
+	if err != nil {
+		return noRoomResult(ctx, relay)
+	}
+	defer release()
 	x := exchange{client: c, ctx: ctx, request: request, relay: relay, eventsBefore: relay.events}
 	result := x.run()
 	result.Events = relay.events
 	return result
 }
+
+// noRoomResult is the result of a request for which its upstream had no room.
+func noRoomResult(ctx context.Context, relay *CallerAnswer) Result {
+	result := Result{Status: NotRun, Events: relay.events, Unsent: true, UpstreamFull: true, HoldOff: requestRoomWait,
+		Detail: "the upstream has not answered requests with upstream_request_mb of bodies"}
+	switch ctx.Err() {
+	case nil:
+	case context.Canceled:
+		result.Status, result.UpstreamFull = Canceled, false
+	default:
+		result.Status, result.UpstreamFull = Expired, false
+	}
+	return result
+}
--- a/internal/gateway/ages.go
+++ b/internal/gateway/ages.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/citrongate/citrongate/internal/boottime"
+	"github.com/citrongate/citrongate/internal/eventlog"
+	"github.com/citrongate/citrongate/internal/forward"
 )
 
 // registerAgeMetrics registers the metrics for the age of the configuration and
@@ -21,3 +24,21 @@
 		return boottime.Now() - at, at > 0
 	})
 }
+
+// registerByteMetrics registers the metrics for the bytes held for callers and at upstreams.
+func (g *Gateway) registerByteMetrics() error {
+	err := g.metrics.ObserveBytes("citrongate_unanswered_requests", "Bodies of requests that upstreams were sent and have not answered.", g.upstreams.RequestBytes)
+	if g.answers == nil {
+		return err
+	}
+	return errors.Join(err,
+		g.metrics.ObserveBytes("citrongate_answer_buffer_held", "Bytes held or reserved for callers that read slowly.", g.answers.Held),
+		g.metrics.ObserveBytes("citrongate_answer_buffer_limit", "Bound on the bytes held for callers that read slowly.", g.answers.Limit),
+		g.metrics.ObserveCount("citrongate_answer_buffer_waiting", "Answers whose upstream waits for room in the answer buffer.", g.answers.Waiting))
+}
+
+// logRequestHeldBack logs that a request waits since its upstream has too many bytes to answer.
+func (g *Gateway) logRequestHeldBack(request *forward.Request) {
+	g.metrics.Count("upstream_request_bytes", "held_back")
+	g.log.Write(eventlog.RequestHeldBack{RequestID: request.ID, Address: request.Address, Body: len(request.Body)})
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,6 +59,7 @@
 	c := &call{admittedRequest: j, g: g, w: w, id: id, mailbox: g.mailboxes.Add(id)}
 	defer g.mailboxes.Remove(id)
 	c.relay.Sink = &sink{g: g, w: w, request: j.http}
+	c.holdAnswer()
 	c.relay.Progress = c
 	now := boottime.Now()
 	if now >= j.deadline {
@@ -195,13 +196,18 @@
 	c.sends++
 	c.logSent(d, left)
 	result := c.g.upstreams.Exchange(limited, c.request(d, left-sendMargin), &c.relay)
-	endAbort()
 	c.mailbox.EndExchange()
-	c.execution.Add(result.Ran())
-	if c.relay.LoadInvalid {
-		c.g.metrics.Count("load_reports", "invalid")
+	if result.Status == forward.Complete {
+		c.execution.Add(result.Ran())
+		c.countSend(d, result)
+		c.reportDone(result)
+		c.finishAnswer(ctx, limited, d, result)
+		endAbort()
+		return true
 	}
-	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
+	endAbort()
+	c.execution.Add(result.Ran())
+	c.countSend(d, result)
 	if result.Status == forward.NotSent {
 		c.logSendFailed(d, result)
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
@@ -212,19 +218,10 @@
 		c.logCallerDisconnected(d.Upstream)
 		return true
 	}
-	outcome := nodeResult(result)
-	if outcome == node.ResultComplete && c.route.Kind != ingress.Stream {
-		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id, SlowdownPercent: c.relay.Load.SlowdownPercent})
-	}
-	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events,
-		SlowdownPercent: c.relay.Load.SlowdownPercent, NoRepeat: !c.relay.Continuable()})
-	if result.Status == forward.Complete {
-		if result.Events > 0 {
-			c.g.metrics.LongestPause(c.longestGap)
-		}
-		c.logAnswered(d, result)
-		return true
+	if result.UpstreamFull {
+		c.g.loop.Post(node.UpstreamHoldsOff{ID: c.id, Upstream: d.Upstream, For: result.HoldOff})
 	}
+	c.reportDone(result)
 	c.logSendFailed(d, result)
 	if result.Status == forward.Expired && result.Unsent {
 		// The node can not tell that nothing was sent; its refusal comes too late.
@@ -234,6 +231,24 @@
 	return false
 }
 
+// countSend counts the outcome of a send.
+func (c *call) countSend(d node.Dispatch, result forward.Result) {
+	if c.relay.LoadInvalid {
+		c.g.metrics.Count("load_reports", "invalid")
+	}
+	c.g.metrics.Send(ingress.IDOf(d.Upstream), result.Status.String())
+}
+
+// reportDone reports the end of an exchange to the node, which frees the upstream's slot.
+func (c *call) reportDone(result forward.Result) {
+	outcome := nodeResult(result)
+	if outcome == node.ResultComplete && c.route.Kind != ingress.Stream {
+		c.g.loop.Post(node.UpstreamFirstToken{ID: c.id, SlowdownPercent: c.relay.Load.SlowdownPercent})
+	}
+	c.g.loop.Post(node.UpstreamDone{ID: c.id, Result: outcome, OutputTokens: result.Events,
+		SlowdownPercent: c.relay.Load.SlowdownPercent, NoRepeat: !c.relay.Continuable()})
+}
+
 // abortAtEnd closes the caller's connection once ctx ends, if a part of the answer was
 // relayed by then: a caller that reads slowly must not keep the request beyond its
 // deadline. After the returned function, nothing uses the connection any more.
@@ -304,45 +319,3 @@
 	c.reportedAt = now
 	c.g.loop.Post(node.UpstreamTokens{ID: c.id, Total: total})
 }
-
-// sink writes an upstream's answer to the caller's connection.
-type sink struct {
-	g       *Gateway
-	w       http.ResponseWriter
-	request *http.Request
-	// pieces writes a body whose length is not known; nil otherwise.
-	pieces *httpfront.PieceWriter
-	// bodyless is true if the answer ends with its head.
-	bodyless bool
-}
-
-// Start writes status and headers to the caller.
-func (s *sink) Start(code int, header http.Header, length int64) error {
-	out := s.w.Header()
-	for name, values := range s.g.codec.CallerHeader(header) {
-		out[name] = values
-	}
-	if s.g.leaving.Load() {
-		out["Connection"] = []string{"close"}
-	}
-	s.bodyless = !httpfront.WriteHead(s.w, s.request, code, length)
-	if length < 0 && !s.bodyless {
-		pieces := httpfront.NewPieceWriter(s.w, s.request)
-		s.pieces = &pieces
-	}
-	return nil
-}
-
-// Write sends bytes to the caller, at once if the length is unknown.
-func (s *sink) Write(p []byte) error {
-	if s.bodyless {
-		return nil
-	}
-	if s.pieces != nil {
-		return s.pieces.Write(p)
-	}
-	if _, err := s.w.Write(p); err != nil {
-		return err
-	}
-	return httpfront.WriteFailure(s.w)
-}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -67,8 +67,10 @@
 	return gatewayWith(t, granting{address: address}, route, limit)
 }
 
-// gatewayWith is gatewayOf with a node that decides where requests are sent.
-func gatewayWith(t *testing.T, machine nodeloop.Machine, route *ingress.Route, limit time.Duration) (front string, ended chan time.Duration) {
+// gatewayWith is gatewayOf with a node that decides where requests are sent. configure, if any,
+// changes the server's configuration.
+func gatewayWith(t *testing.T, machine nodeloop.Machine, route *ingress.Route, limit time.Duration,
+	configure ...func(*httpfront.ServerConfig)) (front string, ended chan time.Duration) {
 	metrics, err := telemetry.NewMetrics()
 	require.NoError(t, err)
 	t.Cleanup(func() { metrics.Close(context.Background()) })
@@ -80,25 +82,38 @@
 	running, stop := context.WithCancel(context.Background())
 	go g.loop.Run(running)
 	t.Cleanup(func() { stop(); <-g.loop.Stopped() })
-	ended = make(chan time.Duration, 10)
+	ended = make(chan time.Duration, 10_000)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		now := boottime.Now()
 		g.serveAdmitted(w, &admittedRequest{
 			head: RequestHead{ID: "a"}, http: r, snapshot: &snapshot{table: ingress.NewTable(&ingress.Config{})},
-			route: route, arrived: now, deadline: now + limit,
+			organisation: organisationOf(r), route: route, arrived: now, deadline: now + limit,
 		})
 		ended <- boottime.Now() - now
 	})
-	server, err := httpfront.NewServer(httpfront.ServerConfig{
+	config := httpfront.ServerConfig{
 		Address: "127.0.0.1:0", MaxBodyBytes: 4096, MaxHeaderBytes: 4096, MaxConnections: 10, MaxBufferedBytes: 1 << 20,
 		ReadTimeout: time.Minute, Handler: handler, InputErrorBody: httpfront.BadInputBody, Log: zerolog.Nop(),
-	})
+	}
+	for _, change := range configure {
+		change(&config)
+	}
+	g.answers = config.AnswerBuffer
+	server, err := httpfront.NewServer(config)
 	require.NoError(t, err)
 	require.NoError(t, server.Start())
 	t.Cleanup(server.Stop)
 	return server.Address(), ended
 }
 
+// organisationOf is the organisation that a request of a test names, or nil.
+func organisationOf(r *http.Request) *ingress.Organisation {
+	if name := r.Header.Get("Org"); name != "" {
+		return &ingress.Organisation{Name: name}
+	}
+	return nil
+}
+
 // TestEndlessAnswerEnds guards against an answer without end that outlasts its
 // request's deadline, or that looks complete: both to a caller that reads it and to
 // one that does not, which blocks the write to its connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -83,6 +84,8 @@
 	peers     *peer.Endpoint
 	upstreams *forward.Client
 	servers   []*httpfront.Server
+	// answers holds what callers have not read of answers; nil if it is turned off.
+	answers *httpfront.AnswerBuffer
 
 	config configState
 	// bounds are the bounds from the settings, read once so that requests need not
@@ -139,9 +142,13 @@
 	g.upstreams = forward.NewClient(forward.Options{
 		DialTimeout: dialTimeout, MaxIdle: maxIdleConnections, ReadHead: codec.ReadAnswerHead,
 		MaxHeadBytes: int(limits.GetMaxAnswerHeaderBytes()), MaxEventBytes: int(limits.GetMaxEventBytes()),
-		MaxBodyBytes: int64(limits.GetMaxAnswerBytes()),
+		MaxBodyBytes: int64(limits.GetMaxAnswerBytes()), MaxRequestBytes: int64(limits.GetUpstreamRequestMb() * bytesPerMB),
+		RequestWaits: g.logRequestHeldBack,
 	})
-	if err := g.registerAgeMetrics(); err != nil {
+	if limit := settings.AnswerBufferMB(limits) * bytesPerMB; limit > 0 {
+		g.answers = httpfront.NewAnswerBuffer(int64(limit))
+	}
+	if err := errors.Join(g.registerAgeMetrics(), g.registerByteMetrics()); err != nil {
 		stop()
 		return nil, err
 	}
@@ -236,12 +243,13 @@
 		MaxBufferedBytes: int64(memory * bodyFraction),
 		MaxConnections:   g.maxConnections(), ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Handler: callers{g}, InputErrorBody: httpfront.RefusedInput{Count: g.metrics.Count, Log: g.log}.Body, Log: g.log.Logger(),
+		AnswerBuffer: g.answers,
 	}
 	if err := g.addServer(config); err != nil {
 		return err
 	}
 	config.MaxBodyBytes, config.MaxBufferedBytes = maxInternalBytes, maxInternalBytes*16
-	config.Handler = internalCalls{g}
+	config.Handler, config.AnswerBuffer = internalCalls{g}, nil
 	for _, address := range distinct(s.GetListen().GetReady(), s.GetListen().GetDiscovery(), s.GetListen().GetAdmin()) {
 		config.Address = address
 		if err := g.addServer(config); err != nil {
--- a/internal/httpfront/connection.go
+++ b/internal/httpfront/connection.go
@@ -23,11 +23,16 @@
 	server *Server
 	nbConn *nbhttp.Conn
 	proc   *processor
+	// out is the TCP connection, below TLS if that is used.
+	out *callerConn
 
 	// failed is true once a write has failed or the connection was aborted.
 	failed atomic.Bool
 	// correction, if set, is applied to the bytes of the answer in progress.
 	correction atomic.Pointer[headCorrection]
+	// bodyBegun is true once WriteBody has sent the head of the answer in progress, whose
+	// handler alone uses it.
+	bodyBegun bool
 
 	mu sync.Mutex
 	// queue holds the handlers of requests that were received and wait their turn.
@@ -61,10 +66,12 @@
 }
 
 func newConnection(s *Server, nbConn *nbhttp.Conn) *connection {
-	c := &connection{Conn: nbConn.Conn, server: s, nbConn: nbConn, awaitingRequest: true}
+	c := &connection{server: s, nbConn: nbConn, awaitingRequest: true}
+	c.out = newCallerConn(nbConn.Conn, s.config.AnswerBuffer, c.abort)
+	c.Conn = c.out
 	c.handlersDone.L, c.roomInQueue.L = &c.mu, &c.mu
 	if s.tls != nil {
-		c.Conn = tls.Server(nbConn.Conn, s.tls)
+		c.Conn = tls.Server(c.out, s.tls)
 	}
 	return c
 }
@@ -113,11 +120,25 @@
 	}
 }
 
+// abort closes the connection at once. What is held of an answer is discarded.
+func (c *connection) abort() {
+	c.failed.Store(true)
+	_ = c.out.Close()
+}
+
+// closeNow closes the connection without waiting for what is held.
+func (c *connection) closeNow() {
+	if c.out.holds() {
+		_ = c.out.Close() // the closing alert of TLS would wait behind what is held
+	}
+	_ = c.Conn.Close()
+}
+
 // closeAndWait closes the connection and waits until no handler uses it. nbhttp
 // frees the buffers of an answer when Read has returned an error; a handler that
 // still writes to them would write into another caller's answer.
 func (c *connection) closeAndWait() {
-	_ = c.Conn.Close()
+	c.closeNow()
 	c.markDisconnected()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,8 +171,8 @@
 	c.mu.Unlock()
 }
 
-// Write blocks while the caller reads slowly and closes the connection if it is
-// not done after stallTimeout. It never returns an error, because nbhttp (1.6.8)
+// Write hands bytes to callerConn, which holds them or blocks while the caller reads
+// slowly, and closes the connection if one piece is not written after stallTimeout. It never returns an error, because nbhttp (1.6.8)
 // then frees the buffer of the answer twice; the handler learns of the failure
 // from writeFailure.
 func (c *connection) Write(p []byte) (int, error) {
@@ -171,11 +192,7 @@
 	if len(p) == 0 {
 		return
 	}
-	err := c.Conn.SetWriteDeadline(time.Now().Add(stallTimeout))
-	if err == nil {
-		_, err = c.Conn.Write(p)
-	}
-	if err != nil {
+	if _, err := c.Conn.Write(p); err != nil {
 		c.failed.Store(true)
 		_ = c.Conn.Close()
 	}
--- a/internal/httpfront/head.go
+++ b/internal/httpfront/head.go
@@ -14,9 +14,11 @@
 func (h exactAnswers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c := connectionOf(w); c != nil {
 		c.correction.Store(nil)
+		c.bodyBegun = false
 		if r.Method == http.MethodHead {
 			c.correction.Store(&headCorrection{bodyless: true})
 		}
+		defer c.out.end()
 	}
 	h.Handler.ServeHTTP(w, r)
 }
@@ -39,8 +41,13 @@
 	if http.StatusText(status) == "" {
 		known, correction.status = http.StatusOK, status
 	}
-	if c := connectionOf(w); c != nil && correction != (headCorrection{}) {
-		c.correction.Store(&correction)
+	if c := connectionOf(w); c != nil {
+		if correction != (headCorrection{}) {
+			c.correction.Store(&correction)
+		}
+		if length >= 0 && !correction.bodyless {
+			c.out.expect(length)
+		}
 	}
 	w.WriteHeader(known)
 	return !correction.bodyless
--- a/internal/httpfront/relay.go
+++ b/internal/httpfront/relay.go
@@ -20,11 +20,47 @@
 // complete.
 func Abort(w http.ResponseWriter) {
 	if c := connectionOf(w); c != nil {
-		c.failed.Store(true)
-		_ = c.Conn.Close() // nothing is sent on the connection any more
+		c.abort() // nothing is sent on the connection any more
 	}
 }
 
+// HoldAnswer lets the server hold the part of the answer that its caller has not read yet, if it
+// has an answer buffer. It is called before the answer is written.
+func HoldAnswer(w http.ResponseWriter, answer HeldAnswer) {
+	if c := connectionOf(w); c != nil && c.server.config.AnswerBuffer != nil {
+		c.out.begin(&answer)
+	}
+}
+
+// WriteBody writes the next piece of a body whose length WriteHead was given, without the buffer
+// in which nbhttp would collect 64 KiB. The head is sent with the first byte, as nbhttp frames it.
+func WriteBody(w http.ResponseWriter, p []byte) error {
+	c := connectionOf(w)
+	if c == nil || len(p) == 0 {
+		_, err := w.Write(p)
+		return err
+	}
+	if !c.bodyBegun {
+		c.bodyBegun = true
+		if _, err := w.Write(p[:1]); err != nil {
+			return err
+		}
+		w.(http.Flusher).Flush()
+		p = p[1:]
+	}
+	_, _ = c.Write(p) // never returns an error
+	return c.writeFailure()
+}
+
+// WaitSent waits until what is held of the answer has been handed to the kernel. It returns an
+// error if the connection failed or was aborted before.
+func WaitSent(w http.ResponseWriter) error {
+	if c := connectionOf(w); c != nil {
+		return c.out.flush()
+	}
+	return nil
+}
+
 // WriteFailure returns an error once a write to the caller's connection has failed.
 func WriteFailure(w http.ResponseWriter) error {
 	if c := connectionOf(w); c != nil {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -5,17 +5,21 @@
 package httpfront
 
 import (
+	"context"
 	"crypto/tls"
+	"errors"
 	"math"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -59,6 +63,12 @@
 	// 75 s.
 	IdleTimeout time.Duration
 	Handler     http.Handler
+	// AnswerBuffer holds what callers have not read of the answers for which HoldAnswer was
+	// called; nil holds nothing, so that handlers wait for their callers.
+	AnswerBuffer *AnswerBuffer
+	// SendBufferBytes is the size of the kernel's send buffer of a connection; 0 leaves it to
+	// the kernel, which lets it grow to some megabytes.
+	SendBufferBytes int
 	// InputErrorBody returns the body of the error response to input that was refused.
 	InputErrorBody func(InputError) []byte
 	// Log receives the panics of handlers.
@@ -139,13 +149,26 @@
 // Call it before the start of any server: nbio 1.6.8 hangs in Start if it cannot
 // listen, and in Stop soon after Start.
 func (s *Server) Listen() error {
-	listener, err := net.Listen("tcp", s.config.Address)
+	listener, err := s.listenConfig().Listen(context.Background(), "tcp", s.config.Address)
 	if err == nil {
 		s.listener = listener
 	}
 	return err
 }
 
+// listenConfig sets the options of the listening socket, which connections inherit.
+func (s *Server) listenConfig() *net.ListenConfig {
+	if s.config.SendBufferBytes == 0 {
+		return &net.ListenConfig{}
+	}
+	return &net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, s.config.SendBufferBytes)
+		})
+		return errors.Join(controlErr, err)
+	}}
+}
+
 // Start serves until Stop. It listens first if Listen was not called.
 func (s *Server) Start() error {
 	if s.listener == nil {
@@ -192,7 +215,7 @@
 		s.engine.Stop()
 	}()
 	s.conns.Range(func(c, _ any) bool {
-		_ = c.(*connection).Conn.Close()
+		c.(*connection).closeNow()
 		return true
 	})
 	select {
--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -50,6 +50,7 @@
 			Remedy: "add a line " + key + " = ADDRESS below [listen]",
 		})
 	}
+	problems = append(problems, checkAnswerBuffer(gateway)...)
 	if apply, revoke := Duration(gateway.GetConfigApply()), Duration(gateway.GetRevocation()); apply > 0 && revoke > 0 && revoke < apply {
 		problems = append(problems, Problem{
 			Section: "gateway", Key: "revocation", Value: gateway.GetRevocation(), What: "less than config_apply",
@@ -59,6 +60,35 @@
 	return problems
 }
 
+const (
+	// answerBufferFraction is the fraction of memory_mb that answer_buffer_mb is by default, and
+	// maxAnswerBufferFraction the largest allowed: request bodies may take 0.25 of the memory,
+	// the process itself some 20 MB, and the garbage collector needs room beside them.
+	answerBufferFraction    = 0.2
+	maxAnswerBufferFraction = 0.4
+)
+
+// AnswerBufferMB is the memory for answers that callers have not read, in MiB.
+func AnswerBufferMB(gateway *pb.GatewaySettings) float64 {
+	if gateway == nil || gateway.AnswerBufferMb == nil {
+		return gateway.GetMemoryMb() * answerBufferFraction
+	}
+	return gateway.GetAnswerBufferMb()
+}
+
+// checkAnswerBuffer requires that answers that are not read leave memory for everything else.
+func checkAnswerBuffer(gateway *pb.GatewaySettings) []Problem {
+	limit := gateway.GetMemoryMb() * maxAnswerBufferFraction
+	if gateway.GetMemoryMb() == 0 || gateway.GetAnswerBufferMb() <= limit {
+		return nil
+	}
+	return []Problem{{
+		Section: "gateway", Key: "answer_buffer_mb", Value: fmt.Sprint(gateway.GetAnswerBufferMb()),
+		What:    fmt.Sprintf("more than %v of memory_mb", maxAnswerBufferFraction),
+		Allowed: fmt.Sprintf("at most %.4g with memory_mb = %v", limit, gateway.GetMemoryMb()), Remedy: "lower it, or remove the line to use the default",
+	}}
+}
+
 // checkBufferedBodies requires that the limit on all buffered bodies admits one
 // body of the maximum size.
 func checkBufferedBodies(limits *pb.LimitSettings) []Problem {
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -18,7 +18,7 @@
 Rules across settings: tls_certificate and tls_key are given together and must belong together;
 certificate, key and authority of [peer] are given together, and are required unless the peer address is a
 loopback address; caller and admin differ; dead_after is at least twice ping_interval;
-max_buffered_bytes is at least max_body_bytes.
+max_buffered_bytes is at least max_body_bytes; answer_buffer_mb is at most 0.4 of memory_mb.
 `
 
 // WriteReference writes the settings reference as Markdown.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -200,3 +200,18 @@
 	require.ErrorContains(t, err, "discovery")
 	require.ErrorContains(t, err, "revocation")
 }
+
+// TestAnswerBufferSetting guards against a buffer that leaves the process no memory, and against one
+// that cannot be turned off since 0 is taken for the default.
+func TestAnswerBufferSetting(t *testing.T) {
+	const text = minimalSettings + "[gateway]\nmemory_mb = 200\n%s\n"
+	for line, want := range map[string]float64{"": 40, "answer_buffer_mb = 0": 0, "answer_buffer_mb = 80": 80} {
+		s, err := Parse("test", fmt.Appendf(nil, text, line))
+		require.NoError(t, err)
+		require.InDelta(t, want, AnswerBufferMB(s.GetGateway()), 1e-9)
+		require.Empty(t, checkAnswerBuffer(s.GetGateway()))
+	}
+	_, err := Parse("test", fmt.Appendf(nil, text, "answer_buffer_mb = 81\nmode = on"))
+	require.ErrorContains(t, err, "at most 80 with memory_mb = 200")
+	require.ErrorContains(t, err, "lower it")
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -294,5 +294,25 @@
 	return err
 }
 
+// ObserveBytes registers a gauge in bytes whose value is read at each scrape.
+func (m *Metrics) ObserveBytes(name, description string, read func() int64) error {
+	_, err := m.provider.Meter("citrongate").Int64ObservableGauge(name, metric.WithUnit("By"), metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// ObserveCount registers a gauge that counts things and is read at each scrape.
+func (m *Metrics) ObserveCount(name, description string, read func() int64) error {
+	_, err := m.provider.Meter("citrongate").Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
 // SetGauges replaces the snapshot that the gauges export.
 func (m *Metrics) SetGauges(g *Gauges) { m.gauges.Store(g) }
