httpfront: room that a caller who caught up does not need is given back

Cause: an answer of known length reserves its whole rest when it lags. A caller that lagged once and then read as fast as the answer arrived kept that room until the end of its answer, at the expense of others. Change: bytes that the kernel takes at once are taken off the reservation.

--- a/internal/httpfront/answerbuffer.go
+++ b/internal/httpfront/answerbuffer.go
@@ -55,6 +55,11 @@
 	b.change(func() { account.Sent(boottime.Now(), bytes) })
 }
 
+// giveBack frees reserved bytes that are not needed.
+func (b *AnswerBuffer) giveBack(account *answerbuffer.Account, bytes int64) {
+	b.change(func() { account.Return(bytes) })
+}
+
 // stopWaiting withdraws a refused reservation after bytes were written without one.
 func (b *AnswerBuffer) stopWaiting(account *answerbuffer.Account, written int64) {
 	b.change(func() {
--- a/internal/httpfront/callerconn.go
+++ b/internal/httpfront/callerconn.go
@@ -177,13 +177,21 @@
 	return len(p), nil
 }
 
-// countWritten takes bytes of the answer off those that its handler has not written.
+// countWritten takes bytes of the answer off those that its handler has not written, and gives
+// back what was reserved for them if the kernel took them at once.
 func (c *callerConn) countWritten(n int) {
 	c.mu.Lock()
 	if c.unwritten >= 0 {
 		c.unwritten = max(0, c.unwritten-int64(n))
 	}
+	account, unused := c.account, c.reserved-c.unwritten
+	if account == nil || c.unwritten < 0 || unused <= 0 {
+		c.mu.Unlock()
+		return
+	}
+	c.reserved = c.unwritten
 	c.mu.Unlock()
+	c.buffer.giveBack(account, unused)
 }
 
 // writeAtOnce writes what the kernel takes without waiting.
--- a/internal/httpfront/callerconn_test.go
+++ b/internal/httpfront/callerconn_test.go
@@ -221,3 +221,33 @@
 	c.end()
 	require.NoError(t, c.Close())
 }
+
+// TestCaughtUpCallerNeedsNoRoom guards against room that stays reserved for the rest of an answer
+// whose caller lagged once and then reads as fast as the answer arrives.
+func TestCaughtUpCallerNeedsNoRoom(t *testing.T) {
+	const length, first, piece = 32 << 20, 16 << 20, 1 << 10
+	read := make(chan struct{})
+	address := testserver.Listen(t, func(c net.Conn) {
+		<-read
+		_, _ = io.Copy(io.Discard, c)
+	})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	buffer := NewAnswerBuffer(length * 4)
+	c := newCallerConn(conn, buffer, func() {})
+	c.begin(&HeldAnswer{Organisation: "o"})
+	c.expect(length)
+	_, err = c.Write(make([]byte, first))
+	require.NoError(t, err)
+	require.Greater(t, buffer.Held(), int64(length-first))
+	close(read)
+	require.NoError(t, c.flush())
+	require.EqualValues(t, length-first, buffer.Held())
+	_, err = c.Write(make([]byte, piece))
+	require.NoError(t, err)
+	require.NoError(t, c.flush())
+	require.EqualValues(t, length-first-piece, buffer.Held())
+	c.end()
+	require.Zero(t, buffer.Held())
+	require.NoError(t, c.Close())
+}
