scheduler: the owner schedules the return of refused callers

Cause: more than half of the callers that returned after Retry-After were refused again, and they were served no more often than those that returned early. Retry-After followed the queue alone, and nothing recognised a caller that kept to it. Change: the pool books the return of requests shed as Overload or Expired in slots of 50 ms, within 4 s and a third of the time to the deadline. A request of the tier, kind, organisation and deadline of a booking that arrives in its slot passes the newcomers of its flow and is not refused for their wait. Tags, shares and tier order are as before. Bookings take 0.05 of the capacity that higher tiers leave; callers for which there is no room return spread over the time that they can use. Tests: the naive model checks the new order in a flow (a retry before newcomers, first in, first out among each) and that only a flow that was told to return claims; it retries refused requests now. Without sheds the decisions are the same and the schedule is not allocated.

--- a/pkg/scheduler/fairness.go
+++ b/pkg/scheduler/fairness.go
@@ -90,7 +90,9 @@
 	waiting  int
 	inFlight int
 	cost     int64
-	queues   []*orgQueue
+	// retryCost is the part of cost that claimed a booking.
+	retryCost int64
+	queues    []*orgQueue
 	// idleNext and idleListed link the flow into Pool.idleOrgs.
 	idleNext   *orgFlow
 	idleListed bool
--- a/pkg/scheduler/pool.go
+++ b/pkg/scheduler/pool.go
@@ -57,6 +57,7 @@
 	quarantined     int
 	// holdsUntil is when the last hold of an upstream ends.
 	holdsUntil time.Duration
+	retries    retrySchedule
 
 	freeRequests   freeList[request]
 	freeKindStates freeList[limitState[*kindQueue]]
@@ -88,6 +89,7 @@
 		targetFraction:   1,
 		requiredFraction: 1,
 		hints:            newHintTable(config.Seed),
+		retries:          newRetrySchedule(),
 		requests:         newTable[GlobalID, request](hashID),
 		kindStates:       newTable[uint32, limitState[*kindQueue]](hashUint32),
 		orgStates:        newTable[uint32, limitState[*orgQueue]](hashUint32),
@@ -201,11 +203,14 @@
 
 // HalveLimitsUntil halves all limits until the given time. A new owner does so until
 // the entries have reported their requests in flight; a call with until not
-// after now ends it.
+// after now ends it. Retries are booked with caution for one horizon of the
+// schedule after the start.
 func (p *Pool) HalveLimitsUntil(now, until time.Duration) {
 	p.cautiousUntil = until
 	if until <= now {
 		p.cautiousUntil = 0
+	} else {
+		p.retries.cautiousUntil = now + retryHorizon
 	}
 	p.refreshAllFree()
 }
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -34,6 +34,7 @@
 	grantedAt       time.Duration
 	started         bool  // the first token was reported
 	probe           bool  // sent to a quarantined upstream
+	retry           bool  // claimed a booking
 	adopted         bool  // granted and charged by an earlier owner
 	prefillAhead    int64 // prompt tokens waiting at the upstream when granted, including its own
 	prefill         int64 // its own prompt tokens counted in upstream.pendingPrefill
@@ -78,13 +79,14 @@
 func (q *kindQueue) setPosition(i int) { q.position = i }
 
 // orgQueue holds the waiting requests of one organisation in one kindQueue,
-// first in, first out.
+// first in, first out; retries that claimed a booking precede the others.
 type orgQueue struct {
 	flow       *orgFlow
 	kind       *kindQueue
 	position   int
 	parked     bool
 	head, tail *request
+	lastRetry  *request
 }
 
 func (q *orgQueue) setPosition(i int) { q.position = i }
@@ -108,14 +110,7 @@
 	queue := p.orgQueueFor(flow, r.Class)
 	r.state, r.orgFlow, r.orgQueue = stateWaiting, flow, queue
 	flow.startWaiting(t, r.cost)
-
-	r.previous, r.next = queue.tail, nil
-	if queue.tail != nil {
-		queue.tail.next = r
-	} else {
-		queue.head = r
-	}
-	queue.tail = r
+	queue.insert(r)
 	p.appendToClassQueue(t, r)
 	p.waiting++
 	p.nextTie++
@@ -125,6 +120,47 @@
 	}
 }
 
+// insert puts a request at its place: retries after the other retries, newcomers last.
+func (q *orgQueue) insert(r *request) {
+	r.previous = q.tail
+	if r.retry {
+		r.previous, q.lastRetry = q.lastRetry, r
+		q.flow.retryCost += r.cost
+	}
+	r.next = nil
+	if r.previous != nil {
+		r.next, r.previous.next = r.previous.next, r
+	} else {
+		r.next, q.head = q.head, r
+	}
+	if r.next != nil {
+		r.next.previous = r
+	} else {
+		q.tail = r
+	}
+}
+
+// remove takes a request out of the queue.
+func (q *orgQueue) remove(r *request) {
+	if r.retry {
+		q.flow.retryCost -= r.cost
+	}
+	if q.lastRetry == r {
+		q.lastRetry = r.previous
+	}
+	if r.previous != nil {
+		r.previous.next = r.next
+	} else {
+		q.head = r.next
+	}
+	if r.next != nil {
+		r.next.previous = r.previous
+	} else {
+		q.tail = r.previous
+	}
+	r.previous, r.next, r.orgQueue = nil, nil, nil
+}
+
 func (p *Pool) appendToClassQueue(t *tierState, r *request) {
 	q := &t.classQueues[r.Class]
 	r.classPrev, r.classNext = q.tail, nil
@@ -168,17 +204,7 @@
 // listIfIdle for its flow or make the request in flight.
 func (p *Pool) dequeue(r *request) {
 	queue := r.orgQueue
-	if r.previous != nil {
-		r.previous.next = r.next
-	} else {
-		queue.head = r.next
-	}
-	if r.next != nil {
-		r.next.previous = r.previous
-	} else {
-		queue.tail = r.previous
-	}
-	r.previous, r.next, r.orgQueue = nil, nil, nil
+	queue.remove(r)
 	t := &p.tiers[r.Tier]
 	p.removeFromClassQueue(t, r)
 	p.waiting--
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -66,7 +66,8 @@
 		p.reportHeldOff(now, d)
 		return
 	}
-	wait := p.expectedWait(now, &d, c)
+	retry := p.retries.claim(now, &d)
+	wait := p.expectedWait(now, &d, c, false)
 	margin := time.Duration(serviceMargin * float64(loaded))
 	if d.Tier == 0 {
 		margin = Never // the top tier does not queue in lasting overload
@@ -76,13 +77,16 @@
 		// StartBy says how long a wait is useful, so all of that time is allowed.
 		allowed = latestStart - now
 	}
+	if retry && wait > allowed {
+		wait = p.expectedWait(now, &d, c, true)
+	}
 	if wait > allowed || p.higherTierJustShed(now, &d, c) ||
 		p.waiting >= p.config.MaxQueue && !p.evictForAdmission(now, d) {
 		p.notAdmitted = append(p.notAdmitted, refusal{d, wait})
 		return
 	}
 	r := p.newRequest(now, d)
-	r.latestStart = latestStart
+	r.latestStart, r.retry = latestStart, retry
 	r.anyUpstreamFrom = now + time.Duration(float64(latestStart-now)*selectiveFraction)
 	p.tiers[d.Tier].classQueues[d.Class].arrivals.add(now, float64(r.cost))
 	p.enqueue(r)
@@ -120,25 +124,29 @@
 
 // expectedWait estimates how long a new request would wait: the queued work
 // that is served before it, divided by the capacity of its class that higher
-// tiers leave unused.
-func (p *Pool) expectedWait(now time.Duration, d *Descriptor, c *class) time.Duration {
-	ahead := p.workAhead(d, c)
+// tiers leave unused. A retry does not wait for the newcomers of its flow.
+func (p *Pool) expectedWait(now time.Duration, d *Descriptor, c *class, retry bool) time.Duration {
+	ahead := p.workAhead(d, c, retry)
 	if ahead == 0 {
 		return 0
 	}
+	return time.Duration(ahead / p.remainingCapacity(now, d.Tier, c) * float64(time.Second))
+}
+
+// remainingCapacity returns the cost per second of a class that higher tiers leave unused.
+func (p *Pool) remainingCapacity(now time.Duration, below uint8, c *class) float64 {
 	remaining := c.capacity
-	for tier := range int(d.Tier) {
+	for tier := range int(below) {
 		for _, o := range c.overlaps {
 			remaining -= o.fraction * p.tiers[tier].classQueues[o.class].arrivals.perSecond(now)
 		}
 	}
-	remaining = max(remaining, c.capacity*minCapacityFraction, 1)
-	return time.Duration(ahead / remaining * float64(time.Second))
+	return max(remaining, c.capacity*minCapacityFraction, 1)
 }
 
 // workAhead returns the queued cost that is served before a new request: all
 // of the higher tiers, and of its own tier what fair queueing serves first.
-func (p *Pool) workAhead(d *Descriptor, c *class) float64 {
+func (p *Pool) workAhead(d *Descriptor, c *class, retry bool) float64 {
 	var higher, same int64
 	for _, o := range c.overlaps {
 		for tier := range int(d.Tier) {
@@ -149,13 +157,13 @@
 	if same == 0 {
 		return float64(higher)
 	}
-	return float64(higher) + min(float64(same), p.fairWorkAhead(d))
+	return float64(higher) + min(float64(same), p.fairWorkAhead(d, retry))
 }
 
 // fairWorkAhead returns the cost that fair queueing serves in the tier before a
 // new request of a flow: the flow's own queue, and as much for each competing
 // flow by weight, as far as these have work.
-func (p *Pool) fairWorkAhead(d *Descriptor) float64 {
+func (p *Pool) fairWorkAhead(d *Descriptor, retry bool) float64 {
 	t := &p.tiers[d.Tier]
 	kindWeight, kindWaits := weightOf(p.knownKindLimit(d.Kind)), false
 	kind := p.kindFlows.get(kindKey{d.Tier, d.Kind})
@@ -163,7 +171,7 @@
 	if kind != nil {
 		kindWaits = kind.waiting > 0
 		kindDebt = max(0, float64(kind.tag-t.virtual)) / tagUnit * kindWeight
-		kindAhead = p.orgWorkAhead(d, kind)
+		kindAhead = p.orgWorkAhead(d, kind, retry)
 	}
 	competing := t.weight
 	if kindWaits {
@@ -173,7 +181,7 @@
 }
 
 // orgWorkAhead returns the cost that is served before a new request within its kind.
-func (p *Pool) orgWorkAhead(d *Descriptor, kind *kindFlow) float64 {
+func (p *Pool) orgWorkAhead(d *Descriptor, kind *kindFlow, retry bool) float64 {
 	org := p.orgFlows.get(orgKey{d.Tier, d.Kind, d.Org})
 	if org == nil {
 		return 0
@@ -184,6 +192,9 @@
 		competing -= org.weight
 	}
 	own := float64(org.cost)
+	if retry {
+		own = float64(org.retryCost)
+	}
 	return min(float64(kind.cost), own+max(0, competing)*(own+debt)/org.weight)
 }
 
@@ -281,7 +292,8 @@
 		p.shedLowerTiers(now, p.notAdmitted[i].Tier, p.notAdmitted[i].Class)
 	}
 	for i := range p.notAdmitted {
-		p.reportShed(p.notAdmitted[i].Descriptor, Overload, p.notAdmitted[i].wait)
+		refused := &p.notAdmitted[i]
+		p.reportShed(refused.Descriptor, Overload, p.bookRetry(now, &refused.Descriptor, refused.wait, 0))
 	}
 	p.notAdmitted = p.notAdmitted[:0]
 }
@@ -305,10 +317,10 @@
 	return r.orgFlow.state.blockedSince(r.submittedAt) || r.orgFlow.kind.state.blockedSince(r.submittedAt)
 }
 
-// retryAfter estimates when a request like the shed one could be admitted: when
-// the work that is now ahead of it is done.
+// retryAfter estimates when a request like the shed one could be admitted, not before
+// the work that is now ahead of it is done, and books its return.
 func (p *Pool) retryAfter(now time.Duration, d *Descriptor) time.Duration {
-	return max(shedRetryAfter, p.expectedWait(now, d, &p.classes[d.Class]))
+	return p.bookRetry(now, d, p.expectedWait(now, d, &p.classes[d.Class], false), shedRetryAfter)
 }
 
 // shedWaiting removes a waiting request and reports the shed.
--- a/pkg/scheduler/topology.go
+++ b/pkg/scheduler/topology.go
@@ -73,6 +73,7 @@
 	p.refreshAllFree()
 	p.updateCapacities(now)
 	p.requeue(moved, t.Remap)
+	p.retries.remap(t.Remap, len(t.Classes))
 }
 
 func findUpstream(list []*upstream, name string) *upstream {
@@ -147,22 +148,28 @@
 
 func (p *Pool) requeue(moved []*request, remap []int32) {
 	for _, r := range moved {
-		index := int64(r.Class)
-		if remap != nil {
-			index = -1
-			if int(r.Class) < len(remap) {
-				index = int64(remap[r.Class])
-			}
-		}
-		if index < 0 || index >= int64(len(p.classes)) || !p.classes[index].usable {
+		class, known := remapClass(r.Class, remap, len(p.classes))
+		if !known || !p.classes[class].usable {
 			p.shedWaiting(r, NoUpstream, 0)
 			continue
 		}
-		r.Class = uint32(index)
+		r.Class = class
 		p.enqueue(r)
 	}
 }
 
+// remapClass returns the new number of a class, and whether it still exists.
+func remapClass(class uint32, remap []int32, classes int) (uint32, bool) {
+	index := int64(class)
+	if remap != nil {
+		index = -1
+		if int(class) < len(remap) {
+			index = int64(remap[class])
+		}
+	}
+	return uint32(max(index, 0)), index >= 0 && index < int64(classes)
+}
+
 // refreshLimits reads the limits and weights of all known flows again.
 func (p *Pool) refreshLimits(now time.Duration) {
 	p.eachKindState(func(s *limitState[*kindQueue]) {
