--- a/pkg/scheduler/retries_load_test.go
+++ b/pkg/scheduler/retries_load_test.go
@@ -36,6 +36,7 @@
 	slots     uint32
 	engines   int
 	plain     bool
+	impatient bool // the callers of organisation 0 return early, no others do
 	burst     bool // 1.5 times the capacity for 3 s of every 6 s, else throughout
 	length    time.Duration
 }
@@ -136,6 +137,9 @@
 		for ; rate > 0; rate-- {
 			if r.random.Float64() < rate {
 				c := &loadCaller{kind: i, org: r.pickOrg(), early: r.random.Float64() < r.early, at: r.now}
+				if r.impatient {
+					c.early = c.org == 0
+				}
 				r.callers = append(r.callers, c)
 				r.send(c)
 			}
@@ -317,6 +321,7 @@
 			t.Logf("%s, bursts %v: before %.4f, after %.4f", name, burst, before, after)
 			require.Less(t, after.obeying, after.early, name)
 			require.Less(t, after.obeying, bound*before.obeying, name)
+			require.Greater(t, before.obeying-after.obeying, before.early-after.early, name)
 			require.Less(t, after.all, before.all+0.01, name)
 			require.Greater(t, after.inTime, 0.93*before.inTime, name)
 			require.Less(t, after.idle, 0.005, name)
@@ -327,6 +332,18 @@
 	}
 }
 
+// TestImpatientOrganisation guards against an organisation that gains work, or takes it
+// from others, since its callers return early.
+func TestImpatientOrganisation(t *testing.T) {
+	l := streamLoad(true)
+	l.impatient = true
+	before, after := sumOf(l, withoutSchedule), sumOf(l, nil)
+	t.Logf("before %.4f, after %.4f", before, after)
+	require.Less(t, after.orgs[0], 1.02*before.orgs[0])
+	require.Greater(t, after.orgs[1], 0.98*before.orgs[1])
+	require.Greater(t, after.orgs[2], 0.98*before.orgs[2])
+}
+
 // TestNoShedsNoSchedule guards against a schedule that costs or changes anything while
 // nothing is shed, and against decisions that differ for the same events.
 func TestNoShedsNoSchedule(t *testing.T) {
