rollout: use a tenth of the upstreams just before the shift

Cause: in the last time before the shift all upstreams of the version were used. The requests that the exposure bound permits then leave each of them less busy than after the shift, so versions that are bad under load did not show it before all traffic was at them.

Change: at least a tenth of the upstreams is used in that time. All are used only while the latencies leave open whether the version is slow.

--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -11,12 +11,15 @@
 	// becomes bad in the shift, until its answers show it.
 	judgingPart = 0.55
 	judgingMost = 300
-	// rehearsalPart is added in the last rehearsal before the shift, in which all upstreams of
+	// rehearsalPart is added in the last rehearsal before the shift, in which more upstreams of
 	// the version are used, for versions that are bad under the full load only. It is as long
 	// as two answers take, between rehearsalLeast and rehearsalMost.
 	rehearsalPart  = 0.2
 	rehearsalLeast = 400 * time.Millisecond
 	rehearsalMost  = 1500 * time.Millisecond
+	// rehearsalUpstreams is the part of the upstreams of the version that the rehearsal uses at
+	// least. The bound does not keep all of them as busy as after the shift.
+	rehearsalUpstreams = 0.1
 	// firstPart is the part of ExposeSlack that may be used at the start; the rest follows evenly
 	// up to the shift, since some versions become bad later.
 	firstPart = 0.4
@@ -73,12 +76,16 @@
 
 // judgingUpstreams returns how many upstreams of the version Judging uses.
 func (r *Rollout) judgingUpstreams() int {
-	if r.rehearsing() {
-		return -1
-	}
+	undecidedSlow := r.evidence.slow.allOdds > undecided
 	share := r.bounds.ExposeShare * r.judgingPart()
 	upstreams := max(1, int(math.Round(share*float64(r.up.Target))))
-	if r.evidence.slow.allOdds > undecided {
+	if r.rehearsing() {
+		if undecidedSlow {
+			return -1
+		}
+		upstreams = max(upstreams, int(math.Ceil(rehearsalUpstreams*float64(r.up.Target))))
+	}
+	if undecidedSlow {
 		upstreams += int(r.evidence.target.answers / answersPerUpstream)
 	}
 	return min(upstreams, r.up.Target)
