--- a/cmd/citrongate/rollout.go
+++ b/cmd/citrongate/rollout.go
@@ -35,13 +35,15 @@
   citrongate rollout status checkout --store 10.0.0.9:2379
   citrongate rollout revert checkout --store 10.0.0.9:2379`,
 		Action: func(_ context.Context, _ *cli.Command) error {
-			return newUsageError("rollout requires the subcommand status, hold, resume, complete or revert; remedy: citrongate rollout --help shows examples")
+			return newUsageError("rollout requires the subcommand status, hold, resume, complete or revert; " +
+				"remedy: citrongate rollout --help shows examples")
 		},
 		Commands: []*cli.Command{
 			rolloutStatusCommand(),
 			interveneCommand("hold", rollout.Hold, "keep the order where it is; bad answers still revert it"),
 			interveneCommand("resume", rollout.Resume, "end a hold"),
-			interveneCommand("complete", rollout.Complete, "move all traffic to the version without waiting for the judgement"),
+			interveneCommand("complete", rollout.Complete,
+				"move all traffic to the version without waiting for the judgement"),
 			interveneCommand("revert", rollout.Revert, "take the version out of use"),
 		},
 	}
@@ -49,7 +51,10 @@
 
 func storeFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: flagStore, Required: true, Sources: cli.EnvVars("CITRONGATE_STORE"), Usage: "`ADDRESS` of the platform's store"},
+		&cli.StringFlag{
+			Name: flagStore, Required: true, Sources: cli.EnvVars("CITRONGATE_STORE"),
+			Usage: "`ADDRESS` of the platform's store",
+		},
 		&cli.DurationFlag{Name: flagTimeout, Value: 15 * time.Second, Usage: "time limit of the command"},
 	}
 }
@@ -66,7 +71,10 @@
   citrongate rollout status checkout --store 10.0.0.9:2379 -c entry.ini`,
 		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` of a gateway"},
-			&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: "table", Usage: "`FORMAT` of the output: json or table", Validator: checkOutput},
+			&cli.StringFlag{
+				Name: flagOutput, Aliases: []string{"o"}, Value: "table",
+				Usage: "`FORMAT` of the output: json or table", Validator: checkOutput,
+			},
 		}, storeFlags()...),
 		Action: runRolloutStatus,
 	}
@@ -100,6 +108,7 @@
 	return store, order, nil
 }
 
+// runIntervene stores a command on the order that is in the store now. A finished order is an error.
 func runIntervene(ctx context.Context, command *cli.Command, c rollout.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, command.Duration(flagTimeout))
 	defer cancel()
@@ -116,7 +125,8 @@
 	if err != nil {
 		return orderStoreError(err, service)
 	}
-	fmt.Fprintf(writer(command), "%s of %s to %s is stored; citrongate rollout status shows when it is carried out\n", command.Name, service, order.Order.Version)
+	fmt.Fprintf(writer(command), "%s of %s to %s is stored; citrongate rollout status shows when it is carried out\n",
+		command.Name, service, order.Order.Version)
 	return nil
 }
 
@@ -168,6 +178,7 @@
 	return printRollout(command, &view)
 }
 
+// newRolloutView describes an order; gateway is nil if no settings are known.
 func newRolloutView(order *ingress.Rollout, gateway *pb.GatewaySettings) rolloutView {
 	stored := storedRecord(order)
 	view := rolloutView{
--- a/internal/forward/requestbytes.go
+++ b/internal/forward/requestbytes.go
@@ -33,7 +33,9 @@
 // acquire takes room for a body at an upstream and returns a function that gives it back. A body
 // larger than the bound takes all of it. It fails after requestRoomWait or when ctx ends; waits
 // is called if there is no room at once.
-func (b *requestBytes) acquire(ctx context.Context, address string, body int, waits func()) (release func(), err error) {
+func (b *requestBytes) acquire(
+	ctx context.Context, address string, body int, waits func(),
+) (release func(), err error) {
 	if body == 0 || b.limit <= 0 {
 		b.total.Add(int64(body))
 		return func() { b.total.Add(-int64(body)) }, nil
@@ -56,6 +58,7 @@
 	}, nil
 }
 
+// enter returns the room at an upstream, which stays until the matching leave.
 func (b *requestBytes) enter(address string) *requestRoom {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,11 +64,13 @@
 	c.relay.Progress = c
 	now := boottime.Now()
 	if now >= j.deadline {
-		c.endWithRefusal(answer.Refusal{Code: "infeasible_deadline", Ran: answer.RanNo, Reason: "the deadline has passed", Remedy: "send a later deadline"})
+		c.endWithRefusal(answer.Refusal{Code: "infeasible_deadline", Ran: answer.RanNo,
+			Reason: "the deadline has passed", Remedy: "send a later deadline"})
 		return
 	}
 	if !g.loop.Post(j.submission(id, now)) {
-		c.endWithRefusal(answer.Refusal{Code: "draining", Ran: answer.RanNo, Reason: "this instance has stopped", Remedy: "retry at another instance"})
+		c.endWithRefusal(answer.Refusal{Code: "draining", Ran: answer.RanNo,
+			Reason: "this instance has stopped", Remedy: "retry at another instance"})
 		return
 	}
 	c.serve(ctx)
@@ -209,6 +211,12 @@
 	endAbort()
 	c.execution.Add(result.Ran())
 	c.countSend(d, result)
+	return c.endIncomplete(ctx, d, result)
+}
+
+// endIncomplete reports a send that brought no complete answer to the node. It returns true if
+// the request has ended.
+func (c *call) endIncomplete(ctx context.Context, d node.Dispatch, result forward.Result) bool {
 	if result.Status == forward.NotSent {
 		c.logSendFailed(d, result)
 		c.g.loop.Post(node.DispatchFailed{ID: c.id})
@@ -285,7 +293,8 @@
 	return &forward.Request{
 		Address: d.Address, Method: c.http.Method, URI: c.http.RequestURI, Host: c.http.Host,
 		Header: c.g.codec.UpstreamHeader(c.http.Header, send), Body: c.body, ID: c.head.ID,
-		Repeatable: c.route.Repeatable(), WithholdFailure: c.route.Repeatable() && c.route.MaxSends > 1, Stream: c.route.Kind == ingress.Stream,
+		Repeatable: c.route.Repeatable(), WithholdFailure: c.route.Repeatable() && c.route.MaxSends > 1,
+		Stream:         c.route.Kind == ingress.Stream,
 		NumberedEvents: c.route.NumberedEvents,
 	}
 }
@@ -298,7 +307,8 @@
 	}
 	if head.HoldOff > 0 {
 		c.g.metrics.Count("upstream_answers", "hold_off")
-		c.g.log.Write(eventlog.UpstreamHoldsOff{RequestID: c.head.ID, Upstream: c.upstream, ForMs: eventlog.Milliseconds(head.HoldOff)})
+		c.g.log.Write(eventlog.UpstreamHoldsOff{RequestID: c.head.ID, Upstream: c.upstream,
+			ForMs: eventlog.Milliseconds(head.HoldOff)})
 		c.g.loop.Post(node.UpstreamHoldsOff{ID: c.id, Upstream: c.upstream, For: head.HoldOff})
 	}
 	if !head.Leaving {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -77,8 +77,8 @@
 	return o.reads.Orders()
 }
 
-// readCommands adds the operators' commands to orders. Without an answer, the commands read
-// before hold.
+// readCommands adds the operators' commands to orders. If they can not be read,
+// those of the last successful read stay in force.
 func (g *Gateway) readCommands(ctx context.Context, orders *ingress.Orders) {
 	commands, faults, err := g.store.RolloutCommands(ctx, true)
 	g.countStoreCall("rollout_commands", err)
@@ -156,7 +156,10 @@
 	g.loop.Post(node.RolloutWritten{Service: service, Result: result})
 }
 
-var writeOutcomes = map[rollout.WriteOutcome]string{rollout.Acknowledged: "acknowledged", rollout.Conflict: "conflict", rollout.Failed: "failed"}
+// writeOutcomes are the label values of the rollout_writes metric.
+var writeOutcomes = map[rollout.WriteOutcome]string{
+	rollout.Acknowledged: "acknowledged", rollout.Conflict: "conflict", rollout.Failed: "failed",
+}
 
 // logRollout logs a change of an order's phase. An instance that does not decide on the order
 // takes its version and time from its own listing.
@@ -179,13 +182,16 @@
 func rolloutLine(a node.RolloutChanged) eventlog.RolloutChanged {
 	s := &a.Status
 	line := eventlog.RolloutChanged{
-		Service: a.Service, Version: s.Order.Version, Order: strconv.FormatUint(a.Order, 16), Phase: a.Phase.String(), Reason: a.Reason, Here: a.Here,
+		Service: a.Service, Version: s.Order.Version, Order: strconv.FormatUint(a.Order, 16),
+		Phase: a.Phase.String(), Reason: a.Reason, Here: a.Here,
 		ElapsedMs: eventlog.Milliseconds(s.Elapsed), WithinMs: eventlog.Milliseconds(s.Order.Within),
-		Granted: s.Granted, Reserved: s.Record.Reserved, Arrived: s.Arrived, Bad: s.Record.Bad, Waits: s.Waits, Unjudged: s.Unjudged,
+		Granted: s.Granted, Reserved: s.Record.Reserved, Arrived: s.Arrived, Bad: s.Record.Bad,
+		Waits: s.Waits, Unjudged: s.Unjudged,
 	}
 	for _, e := range s.Evidence {
 		if e.All {
-			line.Answers, line.Failures, line.Compared, line.ComparedFailures = e.TargetAnswers, e.TargetFailures, e.CurrentAnswers, e.CurrentFailures
+			line.Answers, line.Failures = e.TargetAnswers, e.TargetFailures
+			line.Compared, line.ComparedFailures = e.CurrentAnswers, e.CurrentFailures
 			line.FailureOdds, line.SlowOdds = e.FailureOdds, e.SlowOdds
 		}
 	}
@@ -197,13 +203,15 @@
 	if !g.rollouts.Enabled() {
 		return nil
 	}
-	return g.metrics.Observe("citrongate_rollout_overdue", "Longest time since the deadline of an order that is not finished; 0 if there is none.",
+	return g.metrics.Observe("citrongate_rollout_overdue",
+		"Longest time since the deadline of an order that is not finished; 0 if there is none.",
 		func() (time.Duration, bool) {
 			all := g.config.rollouts.Load()
 			return longestOverdue(boottime.Now(), all), all != nil
 		})
 }
 
+// longestOverdue returns the longest time by which an order in force is overdue; 0 if none is.
 func longestOverdue(now time.Duration, all *[]ingress.ServiceRollout) (longest time.Duration) {
 	if all == nil {
 		return 0
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -42,7 +42,8 @@
 	case ctx.Err() == nil && limited.Err() != nil:
 		c.g.metrics.Count("answer_buffer", "unread_at_deadline")
 		c.logRefused(c.execution.Restrict(answer.Refusal{Code: "deadline_exceeded", Ran: answer.RanYes,
-			Reason: "the deadline passed before the caller had read the answer", Remedy: "read faster or send a later deadline"}), 0)
+			Reason: "the deadline passed before the caller had read the answer",
+			Remedy: "read faster or send a later deadline"}), 0)
 	default:
 		c.logCallerDisconnected("")
 	}
--- a/internal/httpfront/answerbuffer.go
+++ b/internal/httpfront/answerbuffer.go
@@ -12,7 +12,7 @@
 // a server, within the bound of answerbuffer.Buffer. It is safe for concurrent use.
 type AnswerBuffer struct {
 	limit int64
-	// held and waiting are copies of the account's figures, for metrics.
+	// held and waiting are copies of the sums in accounts, for metrics.
 	held, waiting atomic.Int64
 
 	mu       sync.Mutex
--- a/internal/httpfront/callerconn.go
+++ b/internal/httpfront/callerconn.go
@@ -39,10 +39,10 @@
 	// writing serialises Write; attempt is the state of the current attempt.
 	writing sync.Mutex
 	attempt struct {
-		run  func(fd uintptr) bool
-		p    []byte
-		n    int
-		errs error
+		run func(fd uintptr) bool
+		p   []byte
+		n   int
+		err error
 	}
 
 	mu sync.Mutex
@@ -72,6 +72,8 @@
 	onFailure func()
 }
 
+// newCallerConn wraps a connection. Without a buffer, or if conn gives no access to its descriptor,
+// every write waits for the caller.
 func newCallerConn(conn net.Conn, buffer *AnswerBuffer, onFailure func()) *callerConn {
 	c := &callerConn{Conn: conn, buffer: buffer, onFailure: onFailure}
 	c.changed.L = &c.mu
@@ -89,7 +91,7 @@
 	c.answer, c.unwritten = answer, -1
 }
 
-// expect tells the length of the answer's body.
+// expect sets the length of the answer's body.
 func (c *callerConn) expect(length int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,10 +198,10 @@
 
 // writeAtOnce writes what the kernel takes without waiting.
 func (c *callerConn) writeAtOnce(p []byte) (int, error) {
-	c.attempt.p, c.attempt.n, c.attempt.errs = p, 0, nil
+	c.attempt.p, c.attempt.n, c.attempt.err = p, 0, nil
 	err := c.raw.Write(c.attempt.run)
 	c.attempt.p = nil
-	return c.attempt.n, errors.Join(err, c.attempt.errs)
+	return c.attempt.n, errors.Join(err, c.attempt.err)
 }
 
 // attemptWrite is the attempt of writeAtOnce on the descriptor. It returns true, since it does not
@@ -213,7 +215,7 @@
 			continue
 		case err == unix.EAGAIN:
 		case err != nil:
-			a.errs = os.NewSyscallError("write", err)
+			a.err = os.NewSyscallError("write", err)
 		default:
 			a.n = n
 		}
--- a/pkg/answerbuffer/answerbuffer.go
+++ b/pkg/answerbuffer/answerbuffer.go
@@ -79,7 +79,10 @@
 
 // New returns a buffer of at most limit bytes.
 func New(limit int64) *Buffer {
-	return &Buffer{limit: limit, organisations: map[string]*organisation{}, accounts: map[*Account]struct{}{}, waiting: map[*Account]struct{}{}}
+	return &Buffer{
+		limit: limit, organisations: map[string]*organisation{},
+		accounts: map[*Account]struct{}{}, waiting: map[*Account]struct{}{},
+	}
 }
 
 // Held is the number of bytes that are held or promised, including the minimum of answers
@@ -128,13 +131,13 @@
 	a.charge(-Minimum)
 }
 
-// Sent tells that granted bytes are held no more, since the caller's connection took them.
+// Sent records that the caller's connection took granted bytes, which are no longer held.
 func (a *Account) Sent(now time.Duration, bytes int64) {
 	a.Progress(now, bytes)
 	a.Return(bytes)
 }
 
-// Progress tells that the caller's connection took bytes that were not granted.
+// Progress records that the caller's connection took bytes that were not granted.
 func (a *Account) Progress(now time.Duration, bytes int64) {
 	a.progress, a.progressAt = a.recent(now)+bytes, now
 }
@@ -241,9 +244,9 @@
 // equalShare is the part of the limit for each organisation that has an account.
 func (b *Buffer) equalShare() int64 { return b.limit / int64(max(1, len(b.organisations))) }
 
-// rankWith is how early an answer with bytes more to hold is told to wait or aborted: its unread
-// remainder, of which the part that the caller's recent progress stands for is left out. An
-// answer whose caller recently took as much as is unread counts half.
+// rankWith returns the rank of an answer with bytes more to hold: its unread remainder, reduced by
+// the caller's recent progress. Answers with a higher rank wait and are aborted first. If the
+// caller recently took as much as is unread, the rank is half the remainder.
 func (a *Account) rankWith(now time.Duration, bytes int64) int64 {
 	unread := a.granted + bytes
 	if unread <= 0 {
@@ -255,6 +258,7 @@
 // Rank is the rank of an answer with everything that it asks for.
 func (a *Account) Rank(now time.Duration) int64 { return a.rankWith(now, a.asked) }
 
+// compareRank orders answers by rank, and those of equal rank by their opening.
 func compareRank(now time.Duration, x, y *Account) int {
 	return cmp.Or(cmp.Compare(x.Rank(now), y.Rank(now)), cmp.Compare(x.number, y.number))
 }
@@ -287,6 +291,7 @@
 	a.charge(bytes)
 }
 
+// charge adds to what the answer is counted with; grant also adds to what it was granted.
 func (a *Account) charge(bytes int64) {
 	a.org.held += bytes
 	a.buffer.held += bytes
--- a/pkg/ingress/rollouts.go
+++ b/pkg/ingress/rollouts.go
@@ -74,10 +74,12 @@
 // gets the newer one in answer to its first write.
 func (l *Listing) Digest() uint64 { return Digest(l.Upstreams) + l.Orders.digest() }
 
+// digest adds up the digests of the orders, so that their sequence does not matter.
 func (o *Orders) digest() (sum uint64) {
 	for i := range o.Rollouts {
 		r := &o.Rollouts[i]
-		sum += xxhash.Sum64String(fmt.Sprintf("%q %d %d %d %t", r.Order.Service, r.Order.ID, r.phase(), r.Command, r.Record.Hold))
+		sum += xxhash.Sum64String(fmt.Sprintf("%q %d %d %d %t",
+			r.Order.Service, r.Order.ID, r.phase(), r.Command, r.Record.Hold))
 	}
 	for _, r := range o.Refused {
 		sum += xxhash.Sum64String(fmt.Sprintf("refused %q %q", r.Service, r.Version))
--- a/pkg/ingress/urgency.go
+++ b/pkg/ingress/urgency.go
@@ -16,6 +16,7 @@
 
 func urgencyOf(r *Route, priority int) urgency { return urgency{priority, r.Priority} }
 
+// compareUrgency orders by urgency, the most urgent first.
 func compareUrgency(a, b urgency) int {
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.route, b.route))
 }
--- a/pkg/ingress/versions.go
+++ b/pkg/ingress/versions.go
@@ -28,11 +28,13 @@
 // before it are used. Without any order, every version is used.
 type versions struct{ services map[string]*serviceVersions }
 
+// serviceVersions is what is known of the versions of one service.
 type serviceVersions struct {
 	// rollout is the order in force, if ordered.
 	rollout Rollout
 	ordered bool
-	since   time.Duration
+	// since is the earliest time at which the order can have been given.
+	since time.Duration
 	// only is the version that a completed order left as the only one, if completed.
 	only      string
 	completed bool
@@ -183,6 +185,7 @@
 	return slices.Contains(s.excluded, version)
 }
 
+// exclude takes a version out of use, unless a completed order left it as the only one.
 func (s *serviceVersions) exclude(version string) {
 	if s.isExcluded(version) || s.completed && version == s.only {
 		return
--- a/pkg/node/rollout.go
+++ b/pkg/node/rollout.go
@@ -96,7 +96,10 @@
 }
 
 func newRolloutSet() rolloutSet {
-	return rolloutSet{byService: map[string]*serviceRollout{}, members: map[string]rolloutMember{}, unreadEnds: map[string]orderEnd{}}
+	return rolloutSet{
+		byService: map[string]*serviceRollout{}, members: map[string]rolloutMember{},
+		unreadEnds: map[string]orderEnd{},
+	}
 }
 
 // useRollouts takes over the orders that were read together with a configuration set.
@@ -167,23 +170,23 @@
 		for _, name := range s.target {
 			r.members[name] = rolloutMember{rollout: s, target: true}
 		}
-		r.disabledVersions = slices.DeleteFunc(r.disabledVersions, func(b disabledVersion) bool {
-			return b.serviceVersion == serviceVersion{service, s.order.Version}
+		r.disabledVersions = slices.DeleteFunc(r.disabledVersions, func(d disabledVersion) bool {
+			return d.serviceVersion == serviceVersion{service, s.order.Version}
 		})
 	}
-	for _, b := range r.disabledVersions {
+	for _, d := range r.disabledVersions {
 		var names []string
 		others := 0
 		for name, object := range set.Upstreams {
 			switch labels := object.GetMeta().GetLabels(); {
-			case labels[serviceLabel] != b.service:
-			case labels[versionLabel] == b.version:
+			case labels[serviceLabel] != d.service:
+			case labels[versionLabel] == d.version:
 				names = append(names, name)
 			default:
 				others++
 			}
 		}
-		if b.proven && others == 0 {
+		if d.proven && others == 0 {
 			continue
 		}
 		for _, name := range names {
@@ -216,7 +219,7 @@
 }
 
 // learnPhase takes over a phase that the store holds or another instance told of. Phases never
-// go back; Completed stands against a revert that was not stored.
+// go back; Completed replaces a revert that was not stored.
 func (n *Node) learnPhase(s *serviceRollout, phase rollout.Phase) {
 	if phase > s.phase && s.phase != rollout.Completed || phase == rollout.Completed && s.phase != phase {
 		n.changePhase(s, phase, "", false)
@@ -259,6 +262,7 @@
 	n.view.EachLive(func(m membership.Member) { n.sendEnd(m.Incarnation, s) })
 }
 
+// sendEnd tells one instance how an order ended; any phase but Completed is sent as a revert.
 func (n *Node) sendEnd(to uint64, s *serviceRollout) {
 	phase := pb.RolloutPhase_ROLLOUT_PHASE_REVERTED
 	if s.phase == rollout.Completed {
@@ -283,7 +287,10 @@
 		n.learnEnd(s, end.phase)
 		return
 	}
-	if _, known := n.rollouts.unreadEnds[m.Service]; n.cfg.Rollouts.Enabled() && (known || len(n.rollouts.unreadEnds) < maxUnreadEnds) {
+	if !n.cfg.Rollouts.Enabled() {
+		return
+	}
+	if _, known := n.rollouts.unreadEnds[m.Service]; known || len(n.rollouts.unreadEnds) < maxUnreadEnds {
 		n.rollouts.unreadEnds[m.Service] = end
 	}
 }
@@ -294,7 +301,11 @@
 		return true
 	}
 	m := n.rollouts.members[upstream]
-	return m.rollout != nil && (m.rollout.phase == rollout.Reverted && m.target || m.rollout.phase == rollout.Completed && !m.target)
+	if m.rollout == nil {
+		return false
+	}
+	phase := m.rollout.phase
+	return phase == rollout.Reverted && m.target || phase == rollout.Completed && !m.target
 }
 
 // notifyOwner tells an owner that granted an upstream which must not be used how its order
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -76,6 +76,8 @@
 	return s.phase == rollout.Completed || s.record.Order == s.order.ID && s.record.Phase.Final()
 }
 
+// stepRollout starts or gives up deciding on an order, as this instance now does or not, and carries
+// out its plan if one is due.
 func (n *Node) stepRollout(s *serviceRollout) (changed bool) {
 	h, decides := n.decidesOn(s)
 	if !decides {
@@ -133,6 +135,7 @@
 	}
 }
 
+// stopDeciding gives up the decision. A write in progress stays known.
 func (s *serviceRollout) stopDeciding() {
 	s.rolloutDecision = rolloutDecision{writer: s.writer}
 }
--- a/pkg/node/rollout_silence.go
+++ b/pkg/node/rollout_silence.go
@@ -11,9 +11,9 @@
 
 // Silent instances.
 //
-// Requests that are in progress for long are evidence against a version. At an instance that
-// cannot be heard they are none: its reports are missing. An owner that was cut off from the
-// other instances reverted good versions for that reason.
+// Requests that are in progress for long are evidence against a version, except at an
+// instance that cannot be heard: its reports are missing. Otherwise, an owner that is cut off
+// from the other instances would revert good versions.
 
 const (
 	// pingAfter is the silence of an instance with requests at a version after which it is
--- a/pkg/scheduler/holdoff.go
+++ b/pkg/scheduler/holdoff.go
@@ -67,7 +67,8 @@
 func (p *Pool) shedHeldOff(now time.Duration, entry uint64) {
 	var shed []*request
 	for _, s := range p.requests.slots {
-		if r := s.value; r != nil && r.ID.Entry == entry && r.state == stateWaiting && p.heldOffUntil(now, r.Class, entry) > r.latestStart {
+		if r := s.value; r != nil && r.ID.Entry == entry && r.state == stateWaiting &&
+			p.heldOffUntil(now, r.Class, entry) > r.latestStart {
 			shed = append(shed, r)
 		}
 	}
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -170,7 +170,8 @@
 // the classes that depend on it. It must be called after each change of
 // inFlight, limit, quarantine, allowance or configuration.
 func (p *Pool) refreshFree(u *upstream) {
-	free := u.present && !u.Leaving && !u.quarantined && !u.exhausted() && u.inFlight < p.limitOf(u) && !p.prefillBudgetExceeded(u)
+	free := u.present && !u.Leaving && !u.quarantined && !u.exhausted() &&
+		u.inFlight < p.limitOf(u) && !p.prefillBudgetExceeded(u)
 	if free == u.free {
 		return
 	}
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -31,7 +31,10 @@
 	if u.Service {
 		return speed{fixed: usual * u.slotTime}
 	}
-	return speed{fixed: usual * u.prefill.fixed, perPrompt: usual * u.prefill.perToken, perOutput: usual * u.expectedInterToken(inFlight)}
+	return speed{
+		fixed: usual * u.prefill.fixed, perPrompt: usual * u.prefill.perToken,
+		perOutput: usual * u.expectedInterToken(inFlight),
+	}
 }
 
 // finishTime estimates the time in nanoseconds until a request would finish on
@@ -64,7 +67,11 @@
 // meetsInterToken reports whether an engine meets the inter-token target even
 // while it prefills a prompt.
 func (p *Pool) meetsInterToken(now time.Duration, u *upstream) bool {
-	return u.Service || u.slowdown.usual(now)*u.expectedInterToken(uint32(u.limit))*p.config.PromptSlowdown <= float64(p.config.TargetInterToken)
+	if u.Service {
+		return true
+	}
+	interToken := u.slowdown.usual(now) * u.expectedInterToken(uint32(u.limit)) * p.config.PromptSlowdown
+	return interToken <= float64(p.config.TargetInterToken)
 }
 
 // chooseUpstream returns the free upstream with the least expected finish time,
--- a/pkg/scheduler/prefill.go
+++ b/pkg/scheduler/prefill.go
@@ -14,8 +14,8 @@
 }
 
 const (
-	// prefillMemory is the weight of the earlier samples relative to a new one.
-	prefillMemory = 0.98
+	// prefillDecay is the factor by which a new sample reduces the weight of the earlier ones.
+	prefillDecay = 0.98
 	// minPrefillWeight is the weight of samples from which the model is used.
 	minPrefillWeight = 4
 	// minTokenSpread is the least standard deviation of the prompts, as a fraction of
@@ -29,11 +29,11 @@
 // observe adds an answer whose first token came after the given nanoseconds, with tokens
 // prompt tokens to be read before it.
 func (m *prefillModel) observe(tokens, time float64) {
-	m.weight = m.weight*prefillMemory + 1
-	m.tokens = m.tokens*prefillMemory + tokens
-	m.time = m.time*prefillMemory + time
-	m.tokensSquared = m.tokensSquared*prefillMemory + tokens*tokens
-	m.product = m.product*prefillMemory + tokens*time
+	m.weight = m.weight*prefillDecay + 1
+	m.tokens = m.tokens*prefillDecay + tokens
+	m.time = m.time*prefillDecay + time
+	m.tokensSquared = m.tokensSquared*prefillDecay + tokens*tokens
+	m.product = m.product*prefillDecay + tokens*time
 	if m.weight < minPrefillWeight {
 		return
 	}
@@ -53,7 +53,7 @@
 }
 
 // minSlopeFraction bounds the time per token from below, as a fraction of the mean time
-// per token, since a few odd samples may fit a falling line.
+// per token, since outliers may fit a falling line.
 const minSlopeFraction = 0.1
 
 // prefill returns the time in nanoseconds that prompt tokens take to be read.
--- a/pkg/scheduler/retries.go
+++ b/pkg/scheduler/retries.go
@@ -46,6 +46,7 @@
 	due, madeAt, deadline time.Duration
 }
 
+// sameFlow reports whether a request is of the tier, kind and organisation of the booking.
 func (b *booking) sameFlow(d *Descriptor) bool {
 	return b.tier == d.Tier && b.kind == d.Kind && b.org == d.Org
 }
@@ -57,6 +58,7 @@
 	costs []slotCost
 }
 
+// slotCost is the sum of the costs of the bookings of one tier and class.
 type slotCost struct {
 	tier  uint8
 	class uint32
@@ -219,13 +221,11 @@
 }
 
 // bookRetry returns the retry delay of a request that is shed for lack of capacity,
-// and books its return: in the first slot after the expected wait and the least
-// delay in which the capacity that more urgent work and earlier bookings leave
-// suffices. The delay is never longer than the caller can use, even if that is less
-// than the least delay, which is 0 for a request that is refused on arrival. Callers
-// for which no slot has room return as newcomers, spread over the time that they can
-// use, in which a burst may end. If the expected wait alone is longer than a caller can
-// use, the delay says so.
+// and books its return in the first slot that is after both wait, the expected wait,
+// and least, and has room: capacity left by more urgent work and earlier bookings.
+// least is 0 for a request that is refused on arrival. The delay is cut to what the
+// caller can use, unless wait alone exceeds that. Callers for which no slot has room
+// return as newcomers, spread over the time that they can use, in which a burst may end.
 func (p *Pool) bookRetry(now time.Duration, d *Descriptor, wait, least time.Duration) time.Duration {
 	s := &p.retries
 	delay := max(wait, least)
@@ -268,8 +268,8 @@
 }
 
 // latestUsefulRetry returns the longest delay that the caller honours and after which
-// its request can still be answered, within the horizon. StartBy does not bound it, since each attempt
-// gets a new one.
+// its request can still be answered, within the horizon. StartBy does not bound it, since each
+// attempt gets a new one.
 func (p *Pool) latestUsefulRetry(now time.Duration, d *Descriptor) time.Duration {
 	left := d.Deadline - now
 	idle := p.classes[d.Class].idle.serviceTime(d.PromptLength, d.MeanOutput)
--- a/pkg/scheduler/shedding.go
+++ b/pkg/scheduler/shedding.go
@@ -335,7 +335,8 @@
 	if retryAfter > 0 {
 		retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
 	}
-	p.pendingSheds = append(p.pendingSheds, Decision{ID: d.ID, Attempt: d.Attempt, Reason: reason, RetryAfter: retryAfter})
+	p.pendingSheds = append(p.pendingSheds,
+		Decision{ID: d.ID, Attempt: d.Attempt, Reason: reason, RetryAfter: retryAfter})
 }
 
 // discard removes a waiting request without a decision.
