daemon: instances of tests get different addresses

The fixture drew each address by itself and released it before it drew the next, which could be the same. Change: the addresses of an instance are drawn together.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -71,11 +71,17 @@
 }
 
 // freeAddress returns an address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+func freeAddress(t *testing.T) string { return freeAddresses(t, 1)[0] }
+
+// freeAddresses returns different addresses that were free a moment ago.
+func freeAddresses(t *testing.T, count int) (addresses []string) {
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
 
 type instance struct {
@@ -101,9 +107,10 @@
 
 func (s *testEnvironment) tryStart(extra string) (*instance, error) {
 	s.t.Helper()
-	callerAddress, adminAddress := freeAddress(s.t), freeAddress(s.t)
+	addresses := freeAddresses(s.t, 3)
+	callerAddress, adminAddress, peerAddress := addresses[0], addresses[1], addresses[2]
 	text := fmt.Sprintf("[instance]\nname = entry-%d\nfailure_domain = z\nregion = r\n[listen]\ncaller = %s\nadmin = %s\npeer = %s\n[platform]\naddress = %s\n[bootstrap]\noperator_token_sha256 = %s\n%s",
-		s.instanceCount, callerAddress, adminAddress, freeAddress(s.t), s.platform, tokenDigest("op"), extra)
+		s.instanceCount, callerAddress, adminAddress, peerAddress, s.platform, tokenDigest("op"), extra)
 	loaded, err := settings.Parse("test", []byte(text))
 	require.NoError(s.t, err)
 	d, err := New(loaded, s.log, func(cfg node.Config, seed uint64) nodeloop.Machine { return node.New(cfg, seed) })
