node, scheduler, gateway: what a second reading of the change found

Cause: (1) an entry that refused a permit for a version out of use told the owner that the order in force had been reverted, even if that order had not ended. (2) The queues passed in one step of a tier had no bound, so that a decision took longer with the number of organisations that wait. (3) A refused order was logged with the errors of all of them. (4) The default concurrency stood twice. Change: only the end of an order is told; at most 64 queues are passed in a step; each refused order carries its reason; one constant.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -99,15 +99,11 @@
 		next[r.Service] = true
 	}
 	previous := g.refusedOrders.Swap(&next)
-	for service := range next {
-		if previous != nil && (*previous)[service] {
+	for _, r := range refused {
+		if previous != nil && (*previous)[r.Service] {
 			continue
 		}
-		line := eventlog.RolloutRefused{Service: service}
-		if err := errors.Join(faults...); err != nil {
-			line.Error = err.Error()
-		}
-		g.log.Write(line)
+		g.log.Write(eventlog.RolloutRefused{Service: r.Service, Error: r.Reason})
 		g.metrics.Count("rollouts", "refused")
 	}
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -75,11 +75,12 @@
 
 	g, store, out := newRolloutGateway(t, 0.1)
 	require.Equal(t, rollout.Bounds{ExposeShare: 0.1, ExposeSlack: 50, Rollback: 5 * time.Second}, g.nodeConfig().Rollouts)
-	store.orders = ingress.Orders{Refused: []ingress.RefusedOrder{{Service: "r"}}}
+	store.orders = ingress.Orders{Refused: []ingress.RefusedOrder{{Service: "r", Reason: "no version"}, {Service: "q", Reason: "no time"}}}
 	_, err = g.readListing(g.ctx)
 	require.NoError(t, err)
 	require.Equal(t, []string{"upstreams", "orders"}, store.calls)
 	require.Contains(t, out.String(), `"service":"r","error":"no version"`)
+	require.Contains(t, out.String(), `"service":"q","error":"no time"`)
 	store.orders = ingress.Orders{Rollouts: []ingress.Rollout{judging(7)}}
 	store.commands = map[string]ingress.RolloutCommand{"s": {Order: 7, Command: rollout.Hold}}
 	for range 2 {
--- a/pkg/ingress/rollouts.go
+++ b/pkg/ingress/rollouts.go
@@ -33,6 +33,8 @@
 	Service string
 	// Version is the version that it names; empty if that can not be read.
 	Version string
+	// Reason is why the order can not be read.
+	Reason string
 }
 
 // Orders are the orders of one listing, at most one for each service.
--- a/pkg/node/rollout.go
+++ b/pkg/node/rollout.go
@@ -309,9 +309,11 @@
 }
 
 // notifyOwner tells an owner that granted an upstream which must not be used how its order
-// ended. It may have missed the message and be unable to read the store.
+// ended. It may have missed the message and be unable to read the store. An upstream may also
+// be forbidden for an earlier order, which says nothing about one that has not ended.
 func (n *Node) notifyOwner(owner uint64, upstream string) {
-	if m := n.rollouts.members[upstream]; m.rollout != nil && n.rolloutForbids(upstream) {
+	m := n.rollouts.members[upstream]
+	if m.rollout != nil && m.rollout.phase.Final() && n.rolloutForbids(upstream) {
 		n.sendEnd(owner, m.rollout)
 	}
 }
--- a/pkg/node/rollout_decide.go
+++ b/pkg/node/rollout_decide.go
@@ -15,8 +15,6 @@
 const (
 	// reportRepeat is the time after which an instance that has not answered is asked again.
 	reportRepeat = 400 * time.Millisecond
-	// defaultSlots is taken for upstreams without a configured concurrency.
-	defaultSlots = 8
 )
 
 // rolloutDecision is what the owner of a service's pool keeps of its order. The zero value is
@@ -176,7 +174,7 @@
 		upstream := &h.def.Upstreams[index]
 		accepts, slots := n.accepts(upstream.Name), int(upstream.Spec.GetConcurrency())
 		if slots == 0 {
-			slots = defaultSlots
+			slots = scheduler.DefaultConcurrency
 		}
 		if !m.target {
 			u.CurrentInFlight += h.sched.InFlight(uint32(index))
--- a/pkg/scheduler/limit.go
+++ b/pkg/scheduler/limit.go
@@ -6,9 +6,11 @@
 	"time"
 )
 
+// DefaultConcurrency is the initial limit of an upstream without a configured one.
+const DefaultConcurrency = 8
+
 // Constants of the adaptive concurrency limit.
 const (
-	defaultConcurrency    = 8
 	defaultMaxConcurrency = 256
 	// A window of the limit ends after windowSamples samples, or after
 	// windowTime with at least minWindowSamples.
@@ -119,7 +121,7 @@
 	}
 	u.limit = float64(config.Concurrency)
 	if config.Concurrency == 0 {
-		u.limit = defaultConcurrency
+		u.limit = DefaultConcurrency
 	}
 	u.slotTime = u.priorInterToken()
 	u.slotCost = decodeCost
--- a/pkg/scheduler/pass.go
+++ b/pkg/scheduler/pass.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// maxPassScan bounds the requests of one queue that are looked at for one that a
-// free upstream takes.
-const maxPassScan = 64
+const (
+	// maxPassScan bounds the requests of one queue that are looked at for one that a
+	// free upstream takes.
+	maxPassScan = 64
+	// maxPassedQueues bounds the queues that are passed in one step of a tier, so that
+	// a decision does not take longer with the number of organisations that wait.
+	maxPassedQueues = 64
+)
 
 // passBlocked returns the first request behind r in its queue that a free upstream
 // takes, and that upstream, or nil. r itself is taken by none.
--- a/pkg/scheduler/permits.go
+++ b/pkg/scheduler/permits.go
@@ -27,6 +27,9 @@
 			// upstream yet, or whose entry is held off.
 			queue := r.orgQueue
 			if r, u = p.passBlocked(now, r); u == nil {
+				if len(passed) == maxPassedQueues {
+					break
+				}
 				p.deactivate(queue)
 				passed = append(passed, queue)
 				continue
--- a/pkg/scheduler/prefill_test.go
+++ b/pkg/scheduler/prefill_test.go
@@ -79,3 +79,24 @@
 		require.Equal(t, 10*time.Second, p.nextAnyUpstream, "when the long prompt accepts any engine")
 	}
 }
+
+// TestPassingIsBounded guards against a decision that looks at the queue of every
+// organisation while no engine takes their prompts.
+func TestPassingIsBounded(t *testing.T) {
+	p := poolWith(Config{TargetInterToken: 100 * time.Millisecond, PromptSlowdown: 4},
+		Upstream{Name: "slow", Concurrency: 4, MaxConcurrency: 4, FixedLimit: true, PrefillTokensPerSecond: 10_000, DecodePerToken: 40 * time.Millisecond},
+		Upstream{Name: "fast", Concurrency: 1, MaxConcurrency: 1, FixedLimit: true, PrefillTokensPerSecond: 10_000, DecodePerToken: 10 * time.Millisecond})
+	submit := func(sequence uint64, org, prompt uint32) {
+		p.Submit(0, Descriptor{ID: GlobalID{1, sequence}, Attempt: 1, Org: org, PromptLength: prompt,
+			MeanOutput: 10, HighOutput: 20, Deadline: 24 * time.Hour, StartBy: 12 * time.Hour})
+	}
+	submit(1, 0, 5000)
+	require.Len(t, p.Step(0, nil), 1, "takes the fast engine")
+	for org := uint32(1); org <= 2*maxPassedQueues; org++ {
+		submit(uint64(1+org), org, 5000)
+	}
+	submit(1000, 2*maxPassedQueues+1, 100)
+	require.Empty(t, p.Step(0, nil), "behind more queues than are passed in one step")
+	require.Equal(t, 2*maxPassedQueues+1, p.waiting)
+	require.NotZero(t, p.nextAnyUpstream, "the pool steps again")
+}
