--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -8,6 +8,7 @@
 // cases are the scripts by name.
 var cases = map[string]func(l *lab){
 	"service":  serviceCase,
+	"stop":     stopCase,
 	"innocent": innocentCase,
 	"parts":    partsCase,
 	"tenants":  tenantsCase,
