answerhead, forward: a status that is none breaks the answer

Seen by callers: an answer with the status 000 came as an answer. Here a status of 600 to 999 and a status line with control bytes or of HTTP/2.0 were relayed, and after a status below 100, with a sign or of 101 the bytes behind it were taken for the answer: a body with a head in it became a 200. Cause: net/http parses three characters as a number and no more; the exchange took each status below 200 for an interim answer. Change: answerhead.Reader stands between an upstream's connection and net/http. It checks the status line against RFC 9112, with statuses 100 to 599 but 101, which no request asks for, and keeps the limit on heads. A head with a fault passes on no byte; the exchange is broken and its connection closed. Evidence: TestBrokenAnswersAreNotRelayed, 40 answers on three kinds of route, on new and kept connections, net/http as the caller's parser.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/citrongate/citrongate/internal/answerhead"
 )
 
 const (
@@ -42,8 +44,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// head bounds the bytes that reader may read for the head of an answer.
-	head *headReader
+	// head is what reader reads from. It checks and bounds the heads of answers.
+	head *answerhead.Reader
 	// served are the ids of the requests that the connection has carried last, the
 	// newest at the end. A second copy of one of their answers may still arrive.
 	served []string
@@ -136,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headReader{Reader: raw}
+	head := answerhead.NewReader(raw)
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -201,8 +201,10 @@
 
 // readFinalResponse reads the next response that is not an interim (1xx) one.
 func (x *exchange) readFinalResponse() (*http.Response, error) {
-	x.conn.head.begin(x.client.options.MaxHeadBytes)
-	defer x.conn.head.end()
+	buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // what is buffered can be read without an error
+	if err := x.conn.head.Begin(buffered, x.client.options.MaxHeadBytes); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(x.conn.reader, x.http)
 		if err != nil || response.StatusCode >= http.StatusOK {
--- /dev/null
+++ b/internal/gateway/broken_answers_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/citrongate/citrongate/internal/testserver"
+	"github.com/citrongate/citrongate/pkg/ingress"
+)
+
+// wholeAnswer stands in the body of a broken answer, where it must not be taken for an answer.
+const wholeAnswer = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 5\r\n\r\nwrong"
+
+// invalidStatuses are no status of an answer; 101 is none since no request asks for another protocol.
+var invalidStatuses = []string{"000", "001", "099", "101", "600", "666", "999", "+20", "-00", " 20", "20 ", "2x0", "0x1", "20", "2000"}
+
+// invalidStatusLines violate the grammar of the first line.
+var invalidStatusLines = []string{
+	"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.x 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK", "HTTP/1.1  200 OK",
+	"HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 \x7f",
+}
+
+// brokenAnswers are answers that are none by the grammar of HTTP/1.1, by what is wrong in them. Each
+// has the request's id and the upstream's signature.
+func brokenAnswers() map[string]string {
+	const own = "\r\nId: a\r\nSeal: x\r\n"
+	all := map[string]string{}
+	for _, status := range invalidStatuses {
+		all["status "+status] = "HTTP/1.1 " + status + " OK" + own + "Content-Length: 5\r\n\r\nwrong"
+		all["status "+status+" before an answer"] = "HTTP/1.1 " + status + " OK" + own + "\r\n" + wholeAnswer
+	}
+	for _, line := range invalidStatusLines {
+		all[line] = line + own + "Content-Length: 5\r\n\r\nwrong"
+	}
+	return all
+}
+
+// brokenUpstream starts a server that answers every request on a connection, after the number of
+// sound ones, with the given text, and then closes the connection.
+func brokenUpstream(t *testing.T, sound int, text string) string {
+	return testserver.Listen(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for i := 0; ; i++ {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if i == sound {
+				_, _ = io.WriteString(c, text)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 5\r\n\r\nsound")
+		}
+	})
+}
+
+// TestBrokenAnswersAreNotRelayed guards against a broken answer that reaches a caller as an answer of
+// the upstream, on new and on kept connections, and on each kind of route.
+func TestBrokenAnswersAreNotRelayed(t *testing.T) {
+	for name, text := range brokenAnswers() {
+		for kind, routeKind := range map[string]ingress.RouteKind{"idempotent": ingress.Idempotent, "not idempotent": ingress.NonIdempotent, "stream": ingress.Stream} {
+			for on, sound := range map[string]int{"new connection": 0, "kept connection": 1} {
+				if routeKind == ingress.Stream && sound > 0 {
+					continue // the sound answer is no stream
+				}
+				t.Run(fmt.Sprintf("%q, %s, %s", name, kind, on), func(t *testing.T) {
+					t.Parallel()
+					front, _ := gatewayOf(t, brokenUpstream(t, sound, text), &ingress.Route{Kind: routeKind, MaxSends: 1}, time.Minute)
+					for range sound {
+						_, body, err := readStatus(t, front, "HTTP/1.1")
+						require.NoError(t, err)
+						require.Equal(t, "sound", body)
+					}
+					status, body, err := readStatus(t, front, "HTTP/1.1")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusGatewayTimeout, status, "the refusal of the test's node")
+					require.NotContains(t, body, "wrong")
+				})
+			}
+		}
+	}
+}
