answerhead: a line of a head that is no field breaks the answer

Seen by callers: an answer in whose head the name of a field held a blank or a control byte came as an answer, with the line passed on or with a body that was not the server's. Cause: net/http accepts a blank in a name. A length or a transfer coding with such a name is unknown to it, so that the body was read to the end of the connection, with its chunk sizes as text. A line that starts with a blank was added to the value before it, here to the signature. Change: answerhead checks each line of a head, of interim answers too: the name is a token (golang.org/x/net/http/httpguts, which was in the module graph already), the value has no control bytes. Lines that continue another are refused as well; RFC 9112 permits a gateway to do so, section 5.2. Control bytes in names and values were refused by net/http before; their cases stay as tests. Evidence: 22 lines in TestBrokenAnswersAreNotRelayed, first, last and in an interim answer.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,6 +1,6 @@
 // Package answerhead checks the heads of HTTP/1.1 responses against the grammar of RFC 9112.
-// net/http accepts heads that the grammar does not have, such as a status of 000, and then
-// reads a body that the sender did not mean. A Reader stands between a connection and
+// net/http accepts heads that the grammar does not have, such as a status of 000 or a length
+// whose name ends with a blank, and then reads a body that the sender did not mean. A Reader stands between a connection and
 // net/http, and passes on no byte of a head in which it has found a fault.
 package answerhead
 
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Errors is the namespace of errors of this package.
@@ -121,7 +122,7 @@
 	case r.state == atStatusLine:
 		return r.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return checkField(line)
 	case r.interim:
 		r.state = atStatusLine
 	default:
@@ -149,6 +150,16 @@
 	return nil
 }
 
+// checkField checks field-name ":" field-value. A line that continues the one before, which starts
+// with a blank, is obsolete: a gateway may replace such an answer by a failure.
+func checkField(line []byte) error {
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue || !httpguts.ValidHeaderFieldName(string(name)) || !validText(value) {
+		return malformed("header", line)
+	}
+	return nil
+}
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 // validText reports whether a text has no control bytes but tabs. Bytes above 127 are permitted.
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -26,14 +26,29 @@
 	{"HTTP/2.0 200 OK", false, false}, {"HTTP/1.1 200 O\x00K", false, false}, {"HTTP/1.1 2000 OK", false, false}, {"", false, false},
 }
 
+// fieldLines are drawn for heads.
+var fieldLines = []struct {
+	text  string
+	valid bool
+}{
+	{"A: b", true}, {"!#$%&'*+-.^_`|~09azAZ:", true}, {"A:\t\xc3\xa4 : \"b\"  ", true}, {"Content-Length: 5", true},
+	{"Content-Length : 5", false}, {" A: b", false}, {"\tA: b", false}, {": b", false}, {"A", false}, {"A B: c", false},
+	{"A\x00: b", false}, {"A: \x00", false}, {"A: b\rC: d", false}, {"\xe4: b", false}, {"A: \x7f", false},
+}
+
 // drawHead draws interim heads and a final one, and whether all are valid.
 func drawHead(t *rapid.T) (text string, valid bool) {
 	valid = true
 	for {
 		line := rapid.SampledFrom(statusLines).Draw(t, "status line")
 		end := rapid.SampledFrom([]string{"\r\n", "\n"}).Draw(t, "line end")
-		text += line.text + end + "A: b" + end + end
+		text += line.text + end
 		valid = valid && line.valid
+		for _, field := range rapid.SliceOfN(rapid.SampledFrom(fieldLines), 0, 4).Draw(t, "fields") {
+			text += field.text + end
+			valid = valid && field.valid
+		}
+		text += end
 		if !line.interim {
 			return text, valid
 		}
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -27,6 +27,13 @@
 	"HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 \x7f",
 }
 
+// invalidFields are lines of a head that are no field. Most of them hide the framing of the body.
+var invalidFields = []string{
+	"Content-Length : 5", "Content-Length\t: 5", "Content-Length\x00: 5", "Transfer-Encoding : chunked", "X Y: 1", "X\x01Y: 1",
+	" X: 1", "\tX: 1", "X\x7f: 1", "X\xe4: 1", "X(Y): 1", "X\"Y: 1", "X@Y: 1", ": 1", "no colon", "X: 1\x00", "X: 1\x01", "X: 1\r2",
+	"X: \x7f", "X\rY: 1", "\r", "X: 1\n \x01",
+}
+
 // brokenAnswers are answers that are none by the grammar of HTTP/1.1, by what is wrong in them. Each
 // has the request's id and the upstream's signature.
 func brokenAnswers() map[string]string {
@@ -39,6 +46,12 @@
 	for _, line := range invalidStatusLines {
 		all[line] = line + own + "Content-Length: 5\r\n\r\nwrong"
 	}
+	for _, line := range invalidFields {
+		const ok = "HTTP/1.1 200 OK\r\n"
+		all[line+" first"] = ok + line + own + "Content-Length: 5\r\n\r\nwrong"
+		all[line+" last"] = ok + own[2:] + line + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
+		all[line+" in an interim answer"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + wholeAnswer
+	}
 	return all
 }
 
