answerhead, forward: faulty framing breaks the answer

Seen by a test: chunks of an HTTP/1.0 answer reached callers as its body, with their sizes as text, or cut at a length that stood beside them; a chunked body whose trailers are no fields was complete; and a connection was used again after an answer with both a length and chunks. Cause: net/http drops Transfer-Encoding of HTTP/1.0 and Content-Length beside it before its user sees them, and accepts blanks in the names of trailers. Change: answerhead refuses a transfer coding in HTTP/1.0 (RFC 9112, 6.1) and remembers two framings, after which the connection is closed. Names of trailers are checked at the end of the body. Evidence: cases of TestBrokenAnswersAreNotRelayed, TestMalformedEndsAreNotComplete, TestLengthAndChunksEndTheConnection.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/joomcode/errorx"
@@ -34,6 +35,11 @@
 	maxQuotedBytes = 60
 )
 
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
 // state says which line of an answer comes next.
 type state uint8
 
@@ -56,7 +62,11 @@
 	line []byte
 	// interim is true if the head that is being read is not the final one.
 	interim bool
-	err     error
+	// minor is the minor version of HTTP that the head states.
+	minor byte
+	// length and coding are true if the head states a length and a transfer coding.
+	length, coding bool
+	err            error
 }
 
 // NewReader returns a reader of a connection.
@@ -71,6 +81,10 @@
 	return r.err
 }
 
+// TwoFramings reports whether the final head states a length and a transfer coding. The coding
+// goes before the length, but what follows the body may be meant as a part of it.
+func (r *Reader) TwoFramings() bool { return r.length && r.coding }
+
 // Read implements io.Reader. It fails on a fault in a head, and once more bytes were read for it
 // than the limit.
 func (r *Reader) Read(p []byte) (int, error) {
@@ -122,7 +136,7 @@
 	case r.state == atStatusLine:
 		return r.checkStatusLine(line)
 	case len(line) > 0:
-		return checkField(line)
+		return r.checkField(line)
 	case r.interim:
 		r.state = atStatusLine
 	default:
@@ -146,17 +160,34 @@
 	if err != nil || !isDigit(digits[0]) || status < minStatus || status > maxStatus || status == statusSwitchingProtocols {
 		return malformed("status", line)
 	}
-	r.state, r.interim = atField, status < minFinalStatus
+	r.state, r.interim, r.minor = atField, status < minFinalStatus, line[version-1]
+	r.length, r.coding = false, false
 	return nil
 }
 
 // checkField checks field-name ":" field-value. A line that continues the one before, which starts
-// with a blank, is obsolete: a gateway may replace such an answer by a failure.
-func checkField(line []byte) error {
+// with a blank, is obsolete: a gateway may replace such an answer by a failure. HTTP/1.0 has no
+// transfer codings, so that the end of a body with one can't be told.
+func (r *Reader) checkField(line []byte) error {
 	name, value, hasValue := bytes.Cut(line, []byte(":"))
 	if !hasValue || !httpguts.ValidHeaderFieldName(string(name)) || !validText(value) {
 		return malformed("header", line)
 	}
+	r.length = r.length || bytes.EqualFold(name, contentLength)
+	r.coding = r.coding || bytes.EqualFold(name, transferEncoding)
+	if r.coding && r.minor == '0' {
+		return malformed("framing in HTTP/1.0", line)
+	}
+	return nil
+}
+
+// CheckTrailers returns an error if the trailers that net/http has read have an invalid name.
+func CheckTrailers(trailers http.Header) error {
+	for name := range trailers {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformed("trailer", []byte(name))
+		}
+	}
 	return nil
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -148,7 +148,7 @@
 	}
 	x.relay.Load, x.relay.LoadInvalid = head.Load, head.LoadInvalid
 	x.relay.Progress.Head(head)
-	keeps := !response.Close && response.ProtoAtLeast(1, 1)
+	keeps := !response.Close && response.ProtoAtLeast(1, 1) && !x.conn.head.TwoFramings()
 	if result, ok := x.notRunResult(response, head); ok {
 		return result, response.Header, x.skipRefusalBody(response) == nil && keeps
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/citrongate/citrongate/internal/answerhead"
 )
 
 // isStream reports whether an answer is the stream of events that was asked for. A
@@ -49,12 +51,10 @@
 				return failed
 			}
 		}
-		switch {
-		case err == io.EOF && stream:
-			return x.endStream(response)
-		case err == io.EOF:
-			return nil
-		case err != nil:
+		if err == io.EOF {
+			return x.endBody(response, stream)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -129,6 +129,17 @@
 	return nil
 }
 
+// endBody ends a body that has ended by its framing.
+func (x *exchange) endBody(response *http.Response, stream bool) error {
+	if err := answerhead.CheckTrailers(response.Trailer); err != nil {
+		return err
+	}
+	if stream {
+		return x.endStream(response)
+	}
+	return nil
+}
+
 // endStream ends a stream whose body has ended. A stream that ends inside an event broke
 // off, however its body was framed; lines between events are relayed. A closed connection
 // alone does not prove that a stream without events is complete.
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,9 +53,65 @@
 		all[line+" last"] = ok + own[2:] + line + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
 		all[line+" in an interim answer"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + wholeAnswer
 	}
+	// RFC 9112, section 6.1: the framing of such an answer is faulty, whatever else it says.
+	for _, more := range []string{"", "Content-Length: 5\r\n", "Content-Length: 15\r\n", "Connection: keep-alive\r\n"} {
+		all["chunks of HTTP/1.0 "+more] = "HTTP/1.0 200 OK" + own + more + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
+	}
 	return all
 }
 
+// malformedEnds follow the bytes of a chunked body, whose end they do not state properly.
+var malformedEnds = []string{
+	"", "0", "0\r\n", "0\n\n", "0\r\n\n", "00x\r\n\r\n", "-0\r\n\r\n", "0\r\nX Y: 1\r\n\r\n", "0\r\n X: 1\r\n\r\n", "0\r\nX : 1\r\n\r\n",
+	"0\r\nX\x00: 1\r\n\r\n", "0\r\nX: \x01\r\n\r\n", "0\r\nno colon\r\n\r\n", "0\r\nX: 1\r\n", "0\r\n: 1\r\n\r\n", "5\r\nmore", "5\r\nmore!",
+	"5\r\nmore!!\r\n0\r\n\r\n", "4\r\nmore!\r\n0\r\n\r\n", "0x4\r\nmore\r\n0\r\n\r\n", "4 4\r\nmore\r\n0\r\n\r\n",
+}
+
+// TestMalformedEndsAreNotComplete guards against a chunked body that does not end properly and is
+// relayed as complete.
+func TestMalformedEndsAreNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n"
+	for _, end := range malformedEnds {
+		for kind, c := range map[string]struct {
+			route ingress.RouteKind
+			start string
+		}{
+			"not idempotent": {ingress.NonIdempotent, head + "\r\n4\r\nbody\r\n"},
+			"stream":         {ingress.Stream, head + "Content-Type: text/event-stream\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n"},
+		} {
+			t.Run(fmt.Sprintf("%q, %s", end, kind), func(t *testing.T) {
+				t.Parallel()
+				front, _ := gatewayOf(t, brokenUpstream(t, 0, c.start+end), &ingress.Route{Kind: c.route, MaxSends: 1}, time.Minute)
+				_, body, err := readStatus(t, front, "HTTP/1.1")
+				require.Error(t, err, "%q looks complete", body)
+			})
+		}
+	}
+}
+
+// TestLengthAndChunksEndTheConnection guards against another request on a connection on which an
+// answer stated two framings: what follows it may be the rest of that answer.
+func TestLengthAndChunksEndTheConnection(t *testing.T) {
+	const both = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 200\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	var connections atomic.Int64
+	upstream := testserver.Listen(t, func(c net.Conn) {
+		connections.Add(1)
+		for reader := bufio.NewReader(c); ; {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, both)
+		}
+	})
+	front, _ := gatewayOf(t, upstream, &ingress.Route{Kind: ingress.Idempotent, MaxSends: 1}, time.Minute)
+	for range 2 {
+		_, body, err := readStatus(t, front, "HTTP/1.1")
+		require.NoError(t, err)
+		require.Equal(t, "body", body)
+	}
+	require.EqualValues(t, 2, connections.Load())
+}
+
 // brokenUpstream starts a server that answers every request on a connection, after the number of
 // sound ones, with the given text, and then closes the connection.
 func brokenUpstream(t *testing.T, sound int, text string) string {
