forward: a reset while the request is being written is no end of a body

Seen by callers: a 200 without a length, sent at once to a long upload, whose connection was reset while the upload was being written, came as a complete answer with a part of its body. Cause: the kernel reports a reset once. The write of the request, which goes on beside the read, took the error, and the read saw the end of an orderly close, which ends such a body. Change: at the end of a body that only the connection's end marks, the exchange looks at the write. If it failed, the body is broken off, but for EPIPE, which is the error of a write after an orderly close. If it is in progress, poll(2) tells whether the connection has ended in both directions; then the write fails at once. The first 8 KiB of a request are always written before the answer is read, so that an answer to a request of which no byte could be written is recognised: it was relayed before. Evidence: TestResetIsNoEnd, TestOrderlyCloseIsAnEnd (answers that ended in order stay complete), TestAnswerToNothing; TestResetDuringUpload with net/http as the caller, on each kind of route and with a stream that another upstream continues.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -235,19 +236,40 @@
 // usable reports whether an idle connection is open and has no bytes to read.
 // Bytes that arrived since the last answer belong to no request.
 func (c *conn) usable() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
 	usable := false
-	err = control.Control(func(fd uintptr) {
+	err := c.control(func(fd int) {
 		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		usable = n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
 	})
 	return err == nil && usable
 }
+
+// shutDown reports whether the connection has ended in both directions. After an orderly close by
+// the other end alone, it has not.
+func (c *conn) shutDown() (ended bool, err error) {
+	controlErr := c.control(func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd)}} // without events, it reports errors and the end
+		var n int
+		for n, err = unix.Poll(fds, 0); err == unix.EINTR; n, err = unix.Poll(fds, 0) {
+		}
+		ended = n > 0
+	})
+	return ended, errors.Join(controlErr, err)
+}
+
+// control calls f with the descriptor of the connection.
+func (c *conn) control(f func(fd int)) error {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return control.Control(func(fd uintptr) { f(int(fd)) })
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"syscall"
 	"time"
 )
 
 const (
-	// concurrentWriteBytes is the size above which a body is written while the
-	// answer is read, since an upstream may answer before it has read a long body.
+	// concurrentWriteBytes is the part of a request that is written before the answer
+	// is read. The rest is written meanwhile, since an upstream may answer before it
+	// has read a long body.
 	concurrentWriteBytes = 8 << 10
 	// copyBytes is the size of one read of a body.
 	copyBytes = 16 << 10
@@ -84,9 +86,29 @@
 	return Result{Status: status, Unsent: unsent, Detail: err.Error()}
 }
 
-// send writes the request, in the background if its body is long.
+// send writes the request, what is beyond concurrentWriteBytes of it in the background.
 func (x *exchange) send() {
 	x.written = make(chan struct{})
+	message, err := x.message()
+	if err != nil {
+		x.writeErr = err
+		close(x.written)
+		return
+	}
+	now := message[:min(len(message), concurrentWriteBytes)]
+	x.write(now)
+	if rest := message[len(now):]; len(rest) > 0 && x.writeErr == nil {
+		go func() {
+			defer close(x.written)
+			x.write(rest)
+		}()
+		return
+	}
+	close(x.written)
+}
+
+// message returns the request as it is written.
+func (x *exchange) message() ([]byte, error) {
 	x.http = &http.Request{
 		Method: x.request.Method, URL: &url.URL{Opaque: x.request.URI}, Host: x.request.Host,
 		Header: x.request.Header, ProtoMajor: 1, ProtoMinor: 1,
@@ -95,20 +117,15 @@
 		x.http.Body = io.NopCloser(bytes.NewReader(x.request.Body))
 		x.http.ContentLength = int64(len(x.request.Body))
 	}
-	if len(x.request.Body) > concurrentWriteBytes {
-		go x.write()
-		return
-	}
-	x.write()
+	var message bytes.Buffer
+	err := x.http.Write(&message)
+	return message.Bytes(), err
 }
 
-func (x *exchange) write() {
-	defer close(x.written)
-	var message bytes.Buffer
-	if x.writeErr = x.http.Write(&message); x.writeErr != nil {
-		return
-	}
-	x.writtenBytes, x.writeErr = x.conn.Write(message.Bytes())
+func (x *exchange) write(p []byte) {
+	var n int
+	n, x.writeErr = x.conn.Write(p)
+	x.writtenBytes += n
 }
 
 // fullySent reports whether the complete request has been written by now.
@@ -132,10 +149,39 @@
 	}
 }
 
+// Errors of answers whose connection failed.
+var (
+	errReset    = errors.New("the connection was reset before the body's end, which nothing but its close would have marked")
+	errNotAsked = errors.New("the answer came before any byte of the request could be written")
+)
+
+// wasReset reports whether the connection, whose end was just read, was reset or timed out. The
+// kernel reports such an error once, to the read or to the write of the request. If the write got
+// it, the read sees the same end as of an orderly close. A write after an orderly close fails with
+// EPIPE.
+func (x *exchange) wasReset() bool {
+	select {
+	case <-x.written:
+	default:
+		ended, err := x.conn.shutDown()
+		if err != nil {
+			return true // it can't be told
+		}
+		if !ended {
+			return false
+		}
+		<-x.written // the write fails at once
+	}
+	return x.writeErr != nil && !errors.Is(x.writeErr, syscall.EPIPE)
+}
+
 // receive reads the answer and relays it. reusable is true if the connection can
 // be used for another request.
 func (x *exchange) receive() (result Result, header http.Header, reusable bool) {
 	response, head, err := x.head()
+	if err == nil && x.nothingSent() {
+		err = errNotAsked
+	}
 	if err != nil {
 		status := Broken
 		switch {
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -27,6 +27,11 @@
 	return err
 }
 
+// endsWithConnection reports whether an answer has a body that only the end of the connection ends.
+func endsWithConnection(response *http.Response) bool {
+	return !hasEndMarker(response) && response.Body != http.NoBody
+}
+
 // hasEndMarker reports whether a body has a length or is chunked, so that its end
 // can be told from a connection that ended early.
 func hasEndMarker(response *http.Response) bool {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -134,6 +134,9 @@
 	if err := answerhead.CheckTrailers(response.Trailer); err != nil {
 		return err
 	}
+	if endsWithConnection(response) && x.wasReset() {
+		return errReset
+	}
 	if stream {
 		return x.endStream(response)
 	}
