httpconn, client: other readers of answers check heads too

Cause: the store's client, the client of engines and services and the client of the own API read answers with net/http, so that what was mended for forwarded requests held there too: a write counted as acknowledged by a broken answer, a call to a service as complete with a body that was not its own. Change: the connections of httpconn's transports check the head of each answer with answerhead.Checker; a kept connection begins anew when a request gets it. The client of the own API uses such a transport, with TLS; its heads are now bounded by 64 KiB in place of net/http's 10 MB. The list of broken answers is testserver.BrokenAnswers, so that all readers get the same. Bytes without end were handled by all of these: TestEndlessAnswerEndsItsConnection and TestEndlessAnswersEndTheirConnection stay, nothing was changed for them.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,12 +1,11 @@
 // Package answerhead checks the heads of HTTP/1.1 responses against the grammar of RFC 9112.
 // net/http accepts heads that the grammar does not have, such as a status of 000 or a length
-// whose name ends with a blank, and then reads a body that the sender did not mean. A Reader stands between a connection and
-// net/http, and passes on no byte of a head in which it has found a fault.
+// whose name ends with a blank, and then reads a body that the sender did not mean. A Checker looks at what is read from a
+// connection before net/http does.
 package answerhead
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -50,17 +49,13 @@
 	atField
 )
 
-// Reader reads from a connection and checks the head of one answer with the interim (1xx)
-// heads before it. The zero value with a source checks nothing until Begin.
-type Reader struct {
-	source io.Reader
-	state  state
-	// bounded is true if the heads have a limit, of which left bytes may still be read.
-	bounded bool
-	left    int
-	// line holds the start of a line whose end has not been read yet.
+// Checker checks the bytes of an answer up to the end of its head, with those of the interim
+// (1xx) heads before it. The zero value checks nothing until Begin.
+type Checker struct {
+	state state
+	// line holds the start of a line whose end has not come yet.
 	line []byte
-	// interim is true if the head that is being read is not the final one.
+	// interim is true if the head that is being checked is not the final one.
 	interim bool
 	// minor is the minor version of HTTP that the head states.
 	minor byte
@@ -69,85 +64,51 @@
 	err            error
 }
 
-// NewReader returns a reader of a connection.
-func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+// Begin starts a head.
+func (c *Checker) Begin() { *c = Checker{state: atStatusLine, line: c.line[:0]} }
 
-// Begin starts a head, of which buffered was read before. Together with the interim heads before
-// it, the head may have limit bytes; 0 means no limit.
-func (r *Reader) Begin(buffered []byte, limit int) error {
-	r.state, r.bounded, r.left, r.err = atStatusLine, limit > 0, limit, nil
-	r.line, r.interim = r.line[:0], false
-	r.err = r.check(buffered)
-	return r.err
-}
-
-// TwoFramings reports whether the final head states a length and a transfer coding. The coding
-// goes before the length, but what follows the body may be meant as a part of it.
-func (r *Reader) TwoFramings() bool { return r.length && r.coding }
-
-// Read implements io.Reader. It fails on a fault in a head, and once more bytes were read for it
-// than the limit.
-func (r *Reader) Read(p []byte) (int, error) {
-	if r.err != nil {
-		return 0, r.err
-	}
-	if r.state == afterHead {
-		return r.source.Read(p)
-	}
-	if r.bounded {
-		if r.left <= 0 {
-			return 0, ErrTooLarge.New("the answer's headers are larger than max_answer_header_bytes; check the upstream or raise the limit")
-		}
-		p = p[:min(len(p), r.left)]
-	}
-	n, err := r.source.Read(p)
-	r.left -= n
-	if r.err = r.check(p[:n]); r.err != nil {
-		return 0, r.err
-	}
-	return n, err
-}
-
-// check checks the next bytes as far as they belong to a head.
-func (r *Reader) check(p []byte) error {
-	for r.state != afterHead {
+// Check checks the next bytes as far as they belong to a head. Once it has returned an error, it
+// returns that until Begin.
+func (c *Checker) Check(p []byte) error {
+	for c.err == nil && c.state != afterHead {
 		line, rest, ends := bytes.Cut(p, []byte("\n"))
 		if !ends {
-			r.line = append(r.line, p...)
-			return nil
+			c.line = append(c.line, p...)
+			break
 		}
 		p = rest
-		if len(r.line) > 0 {
-			r.line = append(r.line, line...)
-			line = r.line
-		}
-		err := r.checkLine(bytes.TrimSuffix(line, []byte("\r")))
-		r.line = r.line[:0]
-		if err != nil {
-			return err
+		if len(c.line) > 0 {
+			c.line = append(c.line, line...)
+			line = c.line
 		}
+		c.err = c.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		c.line = c.line[:0]
 	}
-	return nil
+	return c.err
 }
 
+// TwoFramings reports whether the final head states a length and a transfer coding. The coding
+// goes before the length, but what follows the body may be meant as a part of it.
+func (c *Checker) TwoFramings() bool { return c.length && c.coding }
+
 // checkLine checks one line without its end.
-func (r *Reader) checkLine(line []byte) error {
+func (c *Checker) checkLine(line []byte) error {
 	switch {
-	case r.state == atStatusLine:
-		return r.checkStatusLine(line)
+	case c.state == atStatusLine:
+		return c.checkStatusLine(line)
 	case len(line) > 0:
-		return r.checkField(line)
-	case r.interim:
-		r.state = atStatusLine
+		return c.checkField(line)
+	case c.interim:
+		c.state = atStatusLine
 	default:
-		r.state = afterHead
+		c.state = afterHead
 	}
 	return nil
 }
 
 // checkStatusLine checks HTTP-version SP status-code [ SP reason-phrase ]. The grammar has a
 // space even without a reason, but many servers leave it out.
-func (r *Reader) checkStatusLine(line []byte) error {
+func (c *Checker) checkStatusLine(line []byte) error {
 	const version, code = len("HTTP/1.1"), len("HTTP/1.1 200")
 	switch {
 	case len(line) < code, !bytes.HasPrefix(line, []byte("HTTP/1.")), !isDigit(line[version-1]), line[version] != ' ':
@@ -160,22 +121,22 @@
 	if err != nil || !isDigit(digits[0]) || status < minStatus || status > maxStatus || status == statusSwitchingProtocols {
 		return malformed("status", line)
 	}
-	r.state, r.interim, r.minor = atField, status < minFinalStatus, line[version-1]
-	r.length, r.coding = false, false
+	c.state, c.interim, c.minor = atField, status < minFinalStatus, line[version-1]
+	c.length, c.coding = false, false
 	return nil
 }
 
 // checkField checks field-name ":" field-value. A line that continues the one before, which starts
 // with a blank, is obsolete: a gateway may replace such an answer by a failure. HTTP/1.0 has no
 // transfer codings, so that the end of a body with one can't be told.
-func (r *Reader) checkField(line []byte) error {
+func (c *Checker) checkField(line []byte) error {
 	name, value, hasValue := bytes.Cut(line, []byte(":"))
 	if !hasValue || !httpguts.ValidHeaderFieldName(string(name)) || !validText(value) {
 		return malformed("header", line)
 	}
-	r.length = r.length || bytes.EqualFold(name, contentLength)
-	r.coding = r.coding || bytes.EqualFold(name, transferEncoding)
-	if r.coding && r.minor == '0' {
+	c.length = c.length || bytes.EqualFold(name, contentLength)
+	c.coding = c.coding || bytes.EqualFold(name, transferEncoding)
+	if c.coding && c.minor == '0' {
 		return malformed("framing in HTTP/1.0", line)
 	}
 	return nil
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -9,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/citrongate/citrongate/internal/httpconn"
 	"github.com/citrongate/citrongate/pkg/answer"
 )
 
@@ -141,6 +141,9 @@
 	return answer.RanUnknown
 }
 
+// dialTimeout bounds the time to open a connection to an entry instance.
+const dialTimeout = 2 * time.Second
+
 const (
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
@@ -167,12 +170,7 @@
 // could close a reused connection while the request is being sent, and it would
 // then be unknown whether the request arrived.
 func NewHTTP(roots *x509.CertPool) *http.Client {
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
-		TLSClientConfig:   &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
-		DisableKeepAlives: true,
-	}}
+	return &http.Client{Transport: httpconn.NewTransport(httpconn.Options{
+		DialTimeout: dialTimeout, TLS: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
+	})}
 }
--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -16,50 +16,6 @@
 	"github.com/citrongate/citrongate/pkg/ingress"
 )
 
-// wholeAnswer stands in the body of a broken answer, where it must not be taken for an answer.
-const wholeAnswer = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 5\r\n\r\nwrong"
-
-// invalidStatuses are no status of an answer; 101 is none since no request asks for another protocol.
-var invalidStatuses = []string{"000", "001", "099", "101", "600", "666", "999", "+20", "-00", " 20", "20 ", "2x0", "0x1", "20", "2000"}
-
-// invalidStatusLines violate the grammar of the first line.
-var invalidStatusLines = []string{
-	"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.x 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK", "HTTP/1.1  200 OK",
-	"HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 \x7f",
-}
-
-// invalidFields are lines of a head that are no field. Most of them hide the framing of the body.
-var invalidFields = []string{
-	"Content-Length : 5", "Content-Length\t: 5", "Content-Length\x00: 5", "Transfer-Encoding : chunked", "X Y: 1", "X\x01Y: 1",
-	" X: 1", "\tX: 1", "X\x7f: 1", "X\xe4: 1", "X(Y): 1", "X\"Y: 1", "X@Y: 1", ": 1", "no colon", "X: 1\x00", "X: 1\x01", "X: 1\r2",
-	"X: \x7f", "X\rY: 1", "\r", "X: 1\n \x01",
-}
-
-// brokenAnswers are answers that are none by the grammar of HTTP/1.1, by what is wrong in them. Each
-// has the request's id and the upstream's signature.
-func brokenAnswers() map[string]string {
-	const own = "\r\nId: a\r\nSeal: x\r\n"
-	all := map[string]string{}
-	for _, status := range invalidStatuses {
-		all["status "+status] = "HTTP/1.1 " + status + " OK" + own + "Content-Length: 5\r\n\r\nwrong"
-		all["status "+status+" before an answer"] = "HTTP/1.1 " + status + " OK" + own + "\r\n" + wholeAnswer
-	}
-	for _, line := range invalidStatusLines {
-		all[line] = line + own + "Content-Length: 5\r\n\r\nwrong"
-	}
-	for _, line := range invalidFields {
-		const ok = "HTTP/1.1 200 OK\r\n"
-		all[line+" first"] = ok + line + own + "Content-Length: 5\r\n\r\nwrong"
-		all[line+" last"] = ok + own[2:] + line + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
-		all[line+" in an interim answer"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + wholeAnswer
-	}
-	// RFC 9112, section 6.1: the framing of such an answer is faulty, whatever else it says.
-	for _, more := range []string{"", "Content-Length: 5\r\n", "Content-Length: 15\r\n", "Connection: keep-alive\r\n"} {
-		all["chunks of HTTP/1.0 "+more] = "HTTP/1.0 200 OK" + own + more + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
-	}
-	return all
-}
-
 // malformedEnds follow the bytes of a chunked body, whose end they do not state properly.
 var malformedEnds = []string{
 	"", "0", "0\r\n", "0\n\n", "0\r\n\n", "00x\r\n\r\n", "-0\r\n\r\n", "0\r\nX Y: 1\r\n\r\n", "0\r\n X: 1\r\n\r\n", "0\r\nX : 1\r\n\r\n",
@@ -135,7 +91,7 @@
 // TestBrokenAnswersAreNotRelayed guards against a broken answer that reaches a caller as an answer of
 // the upstream, on new and on kept connections, and on each kind of route.
 func TestBrokenAnswersAreNotRelayed(t *testing.T) {
-	for name, text := range brokenAnswers() {
+	for name, text := range testserver.BrokenAnswers("Id: a\r\nSeal: x\r\n", "wrong") {
 		for kind, routeKind := range map[string]ingress.RouteKind{"idempotent": ingress.Idempotent, "not idempotent": ingress.NonIdempotent, "stream": ingress.Stream} {
 			for on, sound := range map[string]int{"new connection": 0, "kept connection": 1} {
 				if routeKind == ingress.Stream && sound > 0 {
--- a/internal/httpconn/caller.go
+++ b/internal/httpconn/caller.go
@@ -30,10 +30,10 @@
 	timeout time.Duration
 	// reads reuses connections; the transport repeats a read whose connection the
 	// server has just closed.
-	reads *http.Transport
+	reads *Transport
 	// writes opens a new connection for each call, so that a server closing an idle
 	// connection never leaves it unknown whether a write took effect.
-	writes *http.Transport
+	writes *Transport
 }
 
 // NewCaller returns a client of the service at address, with at most connections
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,10 +1,12 @@
 // Package httpconn provides HTTP transports that record exactly whether any byte
-// of a request was handed to a connection, and that never hand one request to two
-// connections. It owns the connections of its transports and never retries.
+// of a request was handed to a connection, that never hand one request to two
+// connections, and that accept no answer whose head violates the grammar of HTTP.
+// It owns the connections of its transports and never retries.
 package httpconn
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -12,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/citrongate/citrongate/internal/answerhead"
 )
 
 // errTooLarge is returned if a response body is larger than the limit of the call.
@@ -30,6 +34,8 @@
 	// opens a new connection. A request on a reused connection may meet a server
 	// that is closing it as idle, and it is then unknown whether the request ran.
 	Reuse bool
+	// TLS is used for addresses with the scheme https; nil selects net/http's default.
+	TLS *tls.Config
 }
 
 // idleTimeout is shorter than the keep-alive time of common servers (60 s or
@@ -39,27 +45,54 @@
 // maxResponseHeaderBytes bounds the header block of a response.
 const maxResponseHeaderBytes = 64 << 10
 
+// Transport is an HTTP transport that checks the heads of answers. It is safe for
+// concurrent use.
+type Transport struct{ base *http.Transport }
+
 // NewTransport returns a transport. The context of a request that is to be guarded
 // comes from Track.
-func NewTransport(o Options) *http.Transport {
+func NewTransport(o Options) *Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			raw, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: raw}, nil
-		},
+	secure := &tls.Dialer{NetDialer: dialer, Config: o.TLS}
+	return &Transport{base: &http.Transport{
+		DialContext:            dialWith(dialer.DialContext),
+		DialTLSContext:         dialWith(secure.DialContext),
 		MaxConnsPerHost:        o.MaxPerHost,
 		MaxIdleConnsPerHost:    4,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      !o.Reuse,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}}
+}
+
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialWith returns a function that dials and wraps the connection.
+func dialWith(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
 	}
 }
 
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.beginAnswer()
+		}
+	}}
+	return t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
 // Guard tracks the writes of one request and ensures that at most one connection
 // receives bytes of it.
 type Guard struct {
@@ -136,10 +169,34 @@
 	}
 }
 
-// conn asks the guard of its current request for permission before each write.
+// conn asks the guard of its current request for permission before each write, and
+// checks the head of each answer.
 type conn struct {
 	net.Conn
 	guard atomic.Pointer[Guard]
+
+	// mu guards head: net/http reads a kept connection while it hands it to a request.
+	mu   sync.Mutex
+	head answerhead.Checker
+}
+
+// beginAnswer expects the head of an answer.
+func (c *conn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Begin()
+}
+
+// Read fails on a fault in the head of an answer. The size of a head is bounded by
+// net/http.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fault := c.head.Check(p[:n]); fault != nil {
+		return 0, fault
+	}
+	return n, err
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -63,7 +63,7 @@
 
 // post sends one guarded request and reports whether any byte of it may have been
 // sent.
-func post(t *testing.T, transport *http.Transport, address, body string) (bool, error) {
+func post(t *testing.T, transport *Transport, address, body string) (bool, error) {
 	t.Helper()
 	ctx, guard := Track(context.Background())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/call/x", bytes.NewReader([]byte(body)))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -37,8 +37,8 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	// requests opens a new connection for each request; see httpconn.Options.Reuse.
-	requests  *http.Transport
-	auxiliary *http.Transport
+	requests  *httpconn.Transport
+	auxiliary *httpconn.Transport
 	// maxAnswer bounds the body of a plain service's answer, in bytes.
 	maxAnswer int64
 
