gateway: a planned stop answers every request that it has read

Seen by callers: at the end of the grace requests were cut without an answer, those that waited for a place and those that an upstream had, among them requests that may not be repeated. Cause: a stop refused new requests, but let those that waited go on waiting, and passed them on however little of the grace was left; its end closed all connections. A deadline just before the end of the stop left no time for the answer. Change: once the stop has taken 0.35 of the grace, requests that no upstream has and whose deadline lies beyond the stop are refused with 503, with a Retry-After spread over 0.3 s, and none is passed on. Those that an upstream has are waited for; at the end of the stop they get 502, which promises nothing, or are cut if a part was answered. Deadlines of requests taken late leave 0.2 s for the answer.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -88,7 +88,13 @@
 // the node is awaited.
 func (c *call) serveUntil(ctx, wait context.Context) {
 	for {
-		switch a := c.mailbox.Next(wait).(type) {
+		action, refusal := c.awaitAction(wait)
+		if refusal != nil {
+			c.g.loop.Post(node.CallerDisconnected{ID: c.id})
+			c.endWithRefusal(*refusal)
+			return
+		}
+		switch a := action.(type) {
 		case node.Dispatch:
 			if c.exchange(ctx, a) {
 				return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,14 +45,6 @@
 	readTimeout = 10 * time.Second
 	// idleTimeout closes caller connections without a request.
 	idleTimeout = 60 * time.Second
-	// minStopMargin is left between the end of a planned stop and the time at
-	// which the platform ends the process.
-	minStopMargin = 300 * time.Millisecond
-	// acceptFraction is the fraction of a planned stop's grace period during which
-	// callers with an outdated discovery answer are still served, and
-	// longRequestFraction that for requests that might outlast the stop.
-	acceptFraction      = 0.55
-	longRequestFraction = 0.35
 	// retryExtraFraction is the fraction of the fixed allowance for repeated sends
 	// that is used, since restarted instances get their share of it again.
 	retryExtraFraction = 0.6
@@ -115,6 +107,7 @@
 	closing atomic.Bool
 	// stopStarted is the boot time at which a planned stop started.
 	stopStarted atomic.Int64
+	planned     plannedStop
 	// discoveryTTL is how long callers may cache a discovery answer.
 	discoveryTTL atomic.Int64
 
@@ -142,6 +135,7 @@
 			func(message string) { metrics.Count("log_lines_dropped", message) }),
 		mailboxes: nodeloop.NewMailboxes(),
 		drained:   make(chan struct{}),
+		planned:   newPlannedStop(),
 		bounds:    boundsOf(s.GetGateway()),
 		rollouts:  rolloutBounds(s.GetGateway()),
 		ctx:       ctx, stop: stop,
@@ -358,31 +352,6 @@
 	g.discoveryTTL.Store(int64(settings.Duration(next.GetGateway().GetDiscoveryTtl())))
 }
 
-// Drain starts a planned stop without waiting for its end.
-func (g *Gateway) Drain() {
-	g.drainOnce.Do(func() {
-		g.stopStarted.Store(int64(boottime.Now()))
-		g.leaving.Store(true)
-		g.log.Write(eventlog.StopStarted{GraceMs: eventlog.Milliseconds(g.grace())})
-		g.loop.Post(node.Drain{})
-		g.goRun(func() { g.announce(g.ctx) })
-	})
-}
-
-// WaitDrained waits for the end of a planned stop: until no request is in flight, or
-// until shortly before the grace period ends.
-func (g *Gateway) WaitDrained(ctx context.Context) {
-	limit, cancel := context.WithTimeout(ctx, g.grace()-minStopMargin)
-	defer cancel()
-	select {
-	case <-g.drained:
-	case <-limit.Done():
-		return
-	}
-	nodeloop.WaitWhile(limit, func() bool { return g.inFlight.Load() > 0 || g.servers[0].Busy() })
-	g.servers[0].Drain(limit)
-}
-
 // Close stops immediately, closes all connections and waits for background work.
 func (g *Gateway) Close() {
 	g.closing.Store(true)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -78,7 +78,7 @@
 // that had the request, if any. At the end of a planned stop it is this instance
 // that closes the connection, which is logged as a refusal.
 func (c *call) logCallerDisconnected(upstream string) {
-	if c.g.closing.Load() {
+	if c.g.closing.Load() || isClosed(c.g.planned.ended) {
 		c.logRefused(answer.Refusal{Code: "draining", Ran: c.execution.Ran(), Reason: "the time for the planned stop was over"}, 0)
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -87,22 +87,6 @@
 	return j, g.checkPlannedStop(j)
 }
 
-// checkPlannedStop refuses a request that might not be answered before the end of
-// a planned stop. Right after the start of the stop every request is accepted,
-// since callers may not know of it yet and most answers end well before their
-// deadline.
-func (g *Gateway) checkPlannedStop(j *admittedRequest) *answer.Refusal {
-	if !g.leaving.Load() {
-		return nil
-	}
-	started := time.Duration(g.stopStarted.Load())
-	if j.arrived-started < time.Duration(float64(g.grace())*longRequestFraction) || j.deadline <= started+g.grace()-minStopMargin {
-		return nil
-	}
-	return &answer.Refusal{Code: "draining", Ran: answer.RanNo, Reason: "this instance is stopping and may end before the answer",
-		Remedy: "retry at another instance of the discovery answer"}
-}
-
 // notReadyRefusal is the refusal of a request that this instance cannot authorise
 // for now.
 func (g *Gateway) notReadyRefusal(reason string) *answer.Refusal {
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -31,6 +31,36 @@
 	require.Equal(t, http.StatusServiceUnavailable, refusalStatus(*refusal))
 }
 
+// TestRefusedInStop guards against a request that waits through a planned stop until it is cut, or that
+// is refused as not run although an upstream may have it.
+func TestRefusedInStop(t *testing.T) {
+	const grace = 10 * time.Second
+	for _, ran := range []answer.Ran{answer.RanNo, answer.RanUnknown, answer.RanYes} {
+		for _, outlasts := range []bool{false, true} {
+			g := &Gateway{settings: &pb.Settings{Gateway: &pb.GatewaySettings{Grace: grace.String()}}, planned: newPlannedStop()}
+			g.stopStarted.Store(int64(time.Hour))
+			c := &call{g: g, admittedRequest: &admittedRequest{deadline: time.Hour + time.Second}}
+			if outlasts {
+				c.deadline += grace
+			}
+			c.execution.Add(ran)
+			require.Nil(t, c.refusalInStop(), "no planned stop, or its start")
+			close(g.planned.late)
+			refusal := c.refusalInStop()
+			require.Equal(t, outlasts && ran == answer.RanNo, refusal != nil)
+			if refusal != nil {
+				require.Equal(t, http.StatusServiceUnavailable, refusalStatus(*refusal))
+				require.Less(t, refusal.RetryAfter, notReadyRetryAfter)
+			}
+			close(g.planned.ended)
+			refusal = c.refusalInStop()
+			require.NotNil(t, refusal)
+			require.Equal(t, ran, refusal.Ran)
+			require.Equal(t, ran == answer.RanNo, refusalStatus(*refusal) == http.StatusServiceUnavailable)
+		}
+	}
+}
+
 // TestRefusalStatus guards against a status that misleads the caller: 429 and 503
 // say that the request has not run, so they are used only where that is known.
 func TestRefusalStatus(t *testing.T) {
--- a/internal/nodeloop/mailbox.go
+++ b/internal/nodeloop/mailbox.go
@@ -63,19 +63,27 @@
 // Next returns the next action, waiting for it if necessary. It returns nil if
 // ctx ends first.
 func (m *Mailbox) Next(ctx context.Context) node.Action {
+	action, _ := m.NextUnless(ctx, nil)
+	return action
+}
+
+// NextUnless is Next that also ends if there is no action and interrupt is closed.
+func (m *Mailbox) NextUnless(ctx context.Context, interrupt <-chan struct{}) (action node.Action, interrupted bool) {
 	for {
 		m.mu.Lock()
 		if len(m.actions) > 0 {
 			a := m.actions[0]
 			m.actions = m.actions[1:]
 			m.mu.Unlock()
-			return a
+			return a, false
 		}
 		m.mu.Unlock()
 		select {
 		case <-m.wake:
+		case <-interrupt:
+			return nil, true
 		case <-ctx.Done():
-			return nil
+			return nil, false
 		}
 	}
 }
@@ -123,6 +131,15 @@
 	return true
 }
 
+// CancelExchanges cancels the exchanges in progress.
+func (r *Mailboxes) CancelExchanges() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, m := range r.byRequest {
+		m.Deliver(node.CancelUpstream{ID: id})
+	}
+}
+
 // Len returns the number of requests that have not ended.
 func (r *Mailboxes) Len() int {
 	r.mu.Lock()
