forward, httpconn: tests of answers that end inside their head

It can't here: http.ReadResponse fails at each byte, with a close and with a reset, on new and on kept connections. Nothing was changed.

--- a/internal/httpconn/broken_answers_test.go
+++ b/internal/httpconn/broken_answers_test.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// TestCutAnswersAreNone guards against an answer whose connection ends inside its head or its body, at any
+// byte, and that counts as one.
+func TestCutAnswersAreNone(t *testing.T) {
+	for _, whole := range []string{soundAnswer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n"} {
+		for cut := range len(whole) {
+			caller := NewCaller(answering(t, whole[:cut]), 1, 5*time.Second)
+			answer := caller.Call(context.Background(), http.MethodPut, "/", nil, []byte("x"), 100)
+			require.Error(t, answer.Err, "%q", whole[:cut])
+			require.True(t, answer.Lost)
+			require.Empty(t, answer.Body)
+			caller.Close()
+		}
+	}
+}
+
 // endlessStarts are followed by a text without end: no answer, a head and a body.
 var endlessStarts = map[string]string{
 	"no answer": "", "status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX: ", "interim answers": "HTTP/1.1 103 E\r\n\r\n",
