daemon: a recorded outcome without a valid status is no answer

Cause: the outcome of a call that may not be repeated comes from another instance, or is repeated from its record. One without a status was written as a 200 with an empty body, since the number 0 left the status of the head as it was; one with control bytes in its type was passed on in the head. Change: such an outcome is refused as internal, with ran yes. Evidence: TestInvalidOutcomeIsNoAnswer. Measured: fails without the check, passes with it.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -23,9 +23,11 @@
 	ErrTooLarge = Errors.NewType("too_large")
 )
 
+// MaxStatus is the highest status of an answer.
+const MaxStatus = 599
+
 const (
 	minStatus = 100
-	maxStatus = 599
 	// minFinalStatus is the lowest status of a final answer; those below are interim.
 	minFinalStatus = 200
 	// statusSwitchingProtocols ends HTTP on a connection. No request of this program asks for it.
@@ -118,7 +120,7 @@
 	}
 	digits := line[version+1 : code]
 	status, err := strconv.Atoi(string(digits))
-	if err != nil || !isDigit(digits[0]) || status < minStatus || status > maxStatus || status == statusSwitchingProtocols {
+	if err != nil || !isDigit(digits[0]) || status < minStatus || status > MaxStatus || status == statusSwitchingProtocols {
 		return malformed("status", line)
 	}
 	c.state, c.interim, c.minor = atField, status < minFinalStatus, line[version-1]
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/citrongate/citrongate/internal/answerhead"
 	"github.com/citrongate/citrongate/internal/eventlog"
 	"github.com/citrongate/citrongate/internal/httpfront"
 	"github.com/citrongate/citrongate/internal/nodeloop"
@@ -111,9 +115,22 @@
 			Remedy: "ask the service for the state that the call left"})
 		return
 	}
+	if !validOutcome(o) {
+		c.refuse(answer.Refusal{Code: "internal", Ran: answer.RanYes,
+			Reason: fmt.Sprintf("the call ran, but the record of its answer is invalid: status %d", o.GetHttpStatus()),
+			Remedy: "ask the service for the state that the call left; run the same version everywhere"})
+		return
+	}
 	_ = c.answer.Outcome(o)
 }
 
+// validOutcome reports whether a recorded outcome, which another instance may have sent, can be
+// the answer of a service.
+func validOutcome(o *pb.BindingOutcome) bool {
+	status := o.GetHttpStatus()
+	return status >= http.StatusOK && status <= answerhead.MaxStatus && httpguts.ValidHeaderFieldValue(o.GetContentType())
+}
+
 // nodeResults maps the status of an exchange with an upstream to the result that
 // is reported to the node. NotSent is reported as node.DispatchFailed instead.
 var nodeResults = map[upstream.Status]node.UpstreamResult{
