forward: lines of a stream may end with CR

Seen by a test: a stream that broke off inside an event was complete if the event's first line followed a comment that ended with CR, and an event with two ids passed as one with one id if CR stood between them. A sound stream whose lines end with CR brought no event, and was broken at its end. Cause: only LF and CR LF were line ends; the standard of event streams has CR too. Change: cutLine and lineEnd know all three. Where a line ended with CR alone, the CR of an empty line ends the event at once; after LF or CR LF, an LF may follow it. Evidence: TestEventEndsOfCR, cases of TestStreamEndsInsideEventInAnyFraming.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -274,6 +274,44 @@
 	}
 }
 
+// TestEventEndsOfCR guards against events that are held back until the end of the stream since its lines end
+// with CR, and then taken for a truncated one, and against a line that hides behind a CR. Each text is read
+// in pieces of every size; its events are complete with their last byte.
+func TestEventEndsOfCR(t *testing.T) {
+	for _, events := range [][]string{
+		{"id: 1\rdata: x\r\r", "id: 2\rdata: y\r\r"},
+		{"id: 1\rdata: x\n\n", "id: 2\r\ndata: y\r\r", "id: 3\ndata: z\r\n\r\n"},
+	} {
+		text := strings.Join(events, "")
+		for size := 1; size <= len(text); size++ {
+			s := eventSplitter{order: eventOrder{numbered: true}}
+			out := ""
+			for from := 0; from < len(text); from += size {
+				to := min(len(text), from+size)
+				complete, _, err := s.add([]byte(text[from:to]))
+				require.NoError(t, err)
+				out += string(complete)
+				require.Equal(t, wholeEvents(events, to), out, "pieces of %d bytes", size)
+			}
+			require.False(t, s.insideEvent())
+		}
+	}
+	s := eventSplitter{order: eventOrder{numbered: true}}
+	_, _, err := s.add([]byte("id: 1\ndata: x\rid: 9\n\n"))
+	require.Error(t, err, "an event with two ids")
+}
+
+// wholeEvents returns the events that end within a number of bytes.
+func wholeEvents(events []string, length int) (whole string) {
+	for _, e := range events {
+		if len(whole)+len(e) > length {
+			break
+		}
+		whole += e
+	}
+	return whole
+}
+
 // answerOnce starts a server that reads one request of each connection and answers it
 // with a function, and returns its address.
 func answerOnce(t *testing.T, answer func(c net.Conn)) string {
--- a/internal/forward/eventorder.go
+++ b/internal/forward/eventorder.go
@@ -43,8 +43,7 @@
 func parseEvent(block []byte) (e event) {
 	for len(block) > 0 {
 		var line []byte
-		line, block, _ = bytes.Cut(block, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
+		line, block, _ = cutLine(block)
 		name, value, hasValue := bytes.Cut(line, []byte(":"))
 		switch {
 		case len(line) == 0:
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -23,9 +23,8 @@
 func (s *eventSplitter) insideEvent() bool {
 	rest := s.pending
 	for len(rest) > 0 {
-		line, after, complete := bytes.Cut(rest, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		if !complete || len(line) > 0 && line[0] != ':' {
+		line, after, ended := cutLine(rest)
+		if !ended || len(line) > 0 && line[0] != ':' {
 			return true
 		}
 		rest = after
@@ -76,25 +75,58 @@
 // byteOrderMark may stand at the start of a stream.
 var byteOrderMark = []byte("\ufeff")
 
-// longestEventEnd is the longest text that ends an event: an empty line after a
-// line. Both may end with LF alone.
-const longestEventEnd = "\n\r\n"
+// longestEventEnd is the longest text that may be the start of an event's end, after which more has
+// to be read.
+const longestEventEnd = "\r\n\r"
 
 // eventEnd returns the offset after the first end of an event that starts at or
-// after from, or -1.
+// after from, or -1: a line end and an empty line. Where lines end with CR alone, the end
+// is found at once, since the next byte may come much later.
 func eventEnd(p []byte, from int) int {
 	for {
-		next := bytes.IndexByte(p[from:], '\n')
-		if next < 0 {
+		at := lineEnd(p[from:])
+		if at < 0 {
 			return -1
 		}
-		from += next + 1
-		rest := p[from:]
-		if len(rest) > 0 && rest[0] == '\n' {
-			return from + 1
+		next, onlyCR := from+at+1, p[from+at] == '\r'
+		if onlyCR && next < len(p) && p[next] == '\n' {
+			next, onlyCR = next+1, false
 		}
-		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
-			return from + 2
+		switch rest := p[next:]; {
+		case len(rest) == 0, len(rest) == 1 && rest[0] == '\r' && !onlyCR:
+			return -1
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
+			return next + 2
+		case rest[0] == '\r', rest[0] == '\n':
+			return next + 1
 		}
+		from = next
+	}
+}
+
+// cutLine cuts p after its first line, which is returned without its end. ended is false if no line
+// ends in p.
+func cutLine(p []byte) (line, rest []byte, ended bool) {
+	at := lineEnd(p)
+	if at < 0 {
+		return p, nil, false
+	}
+	rest = p[at+1:]
+	if p[at] == '\r' {
+		rest = bytes.TrimPrefix(rest, []byte("\n"))
+	}
+	return p[:at], rest, true
+}
+
+// lineEnd returns the offset of the first byte of a line end, or -1. Lines of a stream end with LF,
+// CR LF or CR.
+func lineEnd(p []byte) int {
+	lf := bytes.IndexByte(p, '\n')
+	if lf >= 0 {
+		p = p[:lf]
+	}
+	if cr := bytes.IndexByte(p, '\r'); cr >= 0 {
+		return cr
 	}
+	return lf
 }
--- a/internal/forward/stream_end_test.go
+++ b/internal/forward/stream_end_test.go
@@ -46,6 +46,9 @@
 			"after a field":           {"id: 2\ndata: y\n", Broken},
 			"inside a comment":        {": kee", Broken},
 			"inside an empty CR line": {"data: y\n\r", Broken},
+			"inside a field, CR":      {": c\rdata: y\n", Broken},
+			"after a field, CR":       {"id: 2\rdata: y\r", Broken},
+			"after a comment, CR":     {": keep-alive\r", Complete},
 		} {
 			t.Run(framing+", "+name, func(t *testing.T) {
 				got := &caller{}
