forward: the stand-in of TestRequestBytesAreBounded keeps its connections

The stand-in closed each connection after its answer without saying so, and the last request of the test took it from the idle ones before the close had arrived: it may have run then and is rightly broken. Change: the stand-in reads further requests on a connection, as a server does that does not announce a close. All checks stay.

--- a/internal/forward/requestbytes_test.go
+++ b/internal/forward/requestbytes_test.go
@@ -24,15 +24,17 @@
 	var atUpstream, most atomic.Int64
 	goOn := make(chan struct{})
 	address := testserver.Listen(t, func(c net.Conn) {
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
+		for reader := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, r.Body)
+			most.Store(max(most.Load(), atUpstream.Add(n)))
+			<-goOn
+			atUpstream.Add(-n)
+			_, _ = io.WriteString(c, plain("a", "ok"))
 		}
-		n, _ := io.Copy(io.Discard, r.Body)
-		most.Store(max(most.Load(), atUpstream.Add(n)))
-		<-goOn
-		atUpstream.Add(-n)
-		_, _ = io.WriteString(c, plain("a", "ok"))
 	})
 	var waited atomic.Int64
 	client := NewClient(Options{DialTimeout: time.Second, MaxIdle: 4, ReadHead: readHead, MaxRequestBytes: limit,
