--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: ## run all tests, with the race detector
 	GO=$(GO) bash scripts/test.sh
 
-RAPID_PACKAGES = $(shell grep -ln 'pgregory.net/rapid' -r pkg --include=*_test.go | xargs -n1 dirname | sort -u | sed 's,^,./,')
+RAPID_PACKAGES = $(shell grep -ln 'pgregory.net/rapid' -r pkg internal --include=*_test.go | xargs -n1 dirname | sort -u | sed 's,^,./,')
 
 soak: ## run the generated tests with new seeds and more cases
 	$(GO) test -count=1 $(RAPID_PACKAGES) -rapid.seed=0 -rapid.checks=1000
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -12,6 +12,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/citrongate/citrongate/internal/fixedseed"
 )
 
 // statusLines are drawn for heads; the invalid ones are those that net/http accepts too.
