gateway, answerhead: refusals of a planned stop are counted; wrapped lines

Change: the counter refusals counts them with the reason draining, as it does those of new requests.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,7 +1,7 @@
 // Package answerhead checks the heads of HTTP/1.1 responses against the grammar of RFC 9112.
 // net/http accepts heads that the grammar does not have, such as a status of 000 or a length
-// whose name ends with a blank, and then reads a body that the sender did not mean. A Checker looks at what is read from a
-// connection before net/http does.
+// whose name ends with a blank, and then reads a body that the sender did not mean. A Checker
+// looks at what is read from a connection before net/http does.
 package answerhead
 
 import (
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -90,6 +90,7 @@
 	for {
 		action, refusal := c.awaitAction(wait)
 		if refusal != nil {
+			c.g.metrics.Count("refusals", refusal.Code)
 			c.g.loop.Post(node.CallerDisconnected{ID: c.id})
 			c.endWithRefusal(*refusal)
 			return
--- a/internal/gateway/plannedstop.go
+++ b/internal/gateway/plannedstop.go
@@ -107,7 +107,8 @@
 	if !g.leaving.Load() || j.arrived-started < g.longRequestTime() || !g.outlastsStop(j.deadline) {
 		return nil
 	}
-	return &answer.Refusal{Code: "draining", Ran: answer.RanNo, Reason: "this instance is stopping and may end before the answer",
+	return &answer.Refusal{Code: "draining", Ran: answer.RanNo,
+		Reason: "this instance is stopping and may end before the answer",
 		Remedy: "retry at another instance of the discovery answer"}
 }
 
@@ -137,7 +138,8 @@
 // refusalInStop returns the refusal of a request that is in no exchange, or nil if it may go on. A
 // request that an upstream may have run goes on until the end of the stop: nobody else can answer it.
 func (c *call) refusalInStop() *answer.Refusal {
-	refusal := &answer.Refusal{Code: "draining", Ran: c.execution.Ran(), Remedy: "retry at another instance of the discovery answer"}
+	refusal := &answer.Refusal{Code: "draining", Ran: c.execution.Ran(),
+		Remedy: "retry at another instance of the discovery answer"}
 	switch {
 	case isClosed(c.g.planned.ended):
 		refusal.Reason = "the time for the planned stop was over"
