gateway: tests of broken answers share a gateway for each kind of route

Change: one gateway for each kind of route and connection; the upstream's text changes between the cases. The cases and checks are the same.

--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -27,17 +27,19 @@
 // relayed as complete.
 func TestMalformedEndsAreNotComplete(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n"
-	for _, end := range malformedEnds {
-		for kind, c := range map[string]struct {
-			route ingress.RouteKind
-			start string
-		}{
-			"not idempotent": {ingress.NonIdempotent, head + "\r\n4\r\nbody\r\n"},
-			"stream":         {ingress.Stream, head + "Content-Type: text/event-stream\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n"},
-		} {
+	for kind, c := range map[string]struct {
+		route ingress.RouteKind
+		start string
+	}{
+		"not idempotent": {ingress.NonIdempotent, head + "\r\n4\r\nbody\r\n"},
+		"stream":         {ingress.Stream, head + "Content-Type: text/event-stream\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n"},
+	} {
+		upstream := &brokenUpstream{}
+		front := gatewayToBroken(t, upstream, c.route)
+		for _, end := range malformedEnds {
 			t.Run(fmt.Sprintf("%q, %s", end, kind), func(t *testing.T) {
-				t.Parallel()
-				front, _ := gatewayOf(t, brokenUpstream(t, 0, c.start+end), &ingress.Route{Kind: c.route, MaxSends: 1}, time.Minute)
+				text := c.start + end
+				upstream.text.Store(&text)
 				_, body, err := readStatus(t, front, "HTTP/1.1")
 				require.Error(t, err, "%q looks complete", body)
 			})
@@ -68,38 +70,49 @@
 	require.EqualValues(t, 2, connections.Load())
 }
 
-// brokenUpstream starts a server that answers every request on a connection, after the number of
-// sound ones, with the given text, and then closes the connection.
-func brokenUpstream(t *testing.T, sound int, text string) string {
-	return testserver.Listen(t, func(c net.Conn) {
-		reader := bufio.NewReader(c)
-		for i := 0; ; i++ {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			if i == sound {
-				_, _ = io.WriteString(c, text)
-				return
-			}
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 5\r\n\r\nsound")
+// brokenUpstream is a server that answers each request on a connection, after the number of sound ones, with
+// the current text and then closes the connection.
+type brokenUpstream struct {
+	sound int
+	text  atomic.Pointer[string]
+}
+
+// serve handles one connection.
+func (u *brokenUpstream) serve(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
 		}
-	})
+		_, _ = io.Copy(io.Discard, r.Body)
+		if i == u.sound {
+			_, _ = io.WriteString(c, *u.text.Load())
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 5\r\n\r\nsound")
+	}
+}
+
+// gatewayToBroken starts a gateway to the server, with a route of the kind.
+func gatewayToBroken(t *testing.T, u *brokenUpstream, kind ingress.RouteKind) (front string) {
+	front, _ = gatewayOf(t, testserver.Listen(t, u.serve), &ingress.Route{Kind: kind, MaxSends: 1}, time.Minute)
+	return front
 }
 
 // TestBrokenAnswersAreNotRelayed guards against a broken answer that reaches a caller as an answer of
 // the upstream, on new and on kept connections, and on each kind of route.
 func TestBrokenAnswersAreNotRelayed(t *testing.T) {
-	for name, text := range testserver.BrokenAnswers("Id: a\r\nSeal: x\r\n", "wrong") {
-		for kind, routeKind := range map[string]ingress.RouteKind{"idempotent": ingress.Idempotent, "not idempotent": ingress.NonIdempotent, "stream": ingress.Stream} {
-			for on, sound := range map[string]int{"new connection": 0, "kept connection": 1} {
-				if routeKind == ingress.Stream && sound > 0 {
-					continue // the sound answer is no stream
-				}
+	for kind, routeKind := range map[string]ingress.RouteKind{"idempotent": ingress.Idempotent, "not idempotent": ingress.NonIdempotent, "stream": ingress.Stream} {
+		for on, sound := range map[string]int{"new connection": 0, "kept connection": 1} {
+			if routeKind == ingress.Stream && sound > 0 {
+				continue // the sound answer is no stream
+			}
+			upstream := &brokenUpstream{sound: sound}
+			front := gatewayToBroken(t, upstream, routeKind)
+			for name, text := range testserver.BrokenAnswers("Id: a\r\nSeal: x\r\n", "wrong") {
 				t.Run(fmt.Sprintf("%q, %s, %s", name, kind, on), func(t *testing.T) {
-					t.Parallel()
-					front, _ := gatewayOf(t, brokenUpstream(t, sound, text), &ingress.Route{Kind: routeKind, MaxSends: 1}, time.Minute)
+					upstream.text.Store(&text)
 					for range sound {
 						_, body, err := readStatus(t, front, "HTTP/1.1")
 						require.NoError(t, err)
