--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -67,7 +67,7 @@
 }
 
 // Begin starts a head.
-func (c *Checker) Begin() { *c = Checker{state: atStatusLine, line: c.line[:0]} }
+func (c *Checker) Begin() { *c = Checker{state: atStatusLine} }
 
 // Check checks the next bytes as far as they belong to a head. Once it has returned an error, it
 // returns that until Begin.
@@ -86,6 +86,9 @@
 		c.err = c.checkLine(bytes.TrimSuffix(line, []byte("\r")))
 		c.line = c.line[:0]
 	}
+	if c.state == afterHead {
+		c.line = nil // a connection may stay idle for long
+	}
 	return c.err
 }
 
--- a/internal/gateway/plannedstop.go
+++ b/internal/gateway/plannedstop.go
@@ -48,15 +48,17 @@
 		g.loop.Post(node.Drain{})
 		g.goRun(func() { g.announce(g.ctx) })
 		g.goRun(func() {
-			select {
-			case <-time.After(g.longRequestTime()):
-				close(g.planned.late)
-			case <-g.ctx.Done():
-			}
+			nodeloop.WaitWhile(g.ctx, func() bool { return g.sinceStop() < g.longRequestTime() })
+			close(g.planned.late)
 		})
 	})
 }
 
+// sinceStop is the time since the start of the planned stop. It goes on while the machine is suspended.
+func (g *Gateway) sinceStop() time.Duration {
+	return boottime.Now() - time.Duration(g.stopStarted.Load())
+}
+
 // longRequestTime is how long after its start a planned stop takes requests that might outlast it.
 func (g *Gateway) longRequestTime() time.Duration {
 	return time.Duration(float64(g.grace()) * longRequestFraction)
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -34,7 +34,7 @@
 	// opens a new connection. A request on a reused connection may meet a server
 	// that is closing it as idle, and it is then unknown whether the request ran.
 	Reuse bool
-	// TLS is used for addresses with the scheme https; nil selects net/http's default.
+	// TLS is used for addresses with the scheme https; nil selects the default configuration.
 	TLS *tls.Config
 }
 
@@ -53,10 +53,9 @@
 // comes from Track.
 func NewTransport(o Options) *Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	secure := &tls.Dialer{NetDialer: dialer, Config: o.TLS}
 	return &Transport{base: &http.Transport{
 		DialContext:            dialWith(dialer.DialContext),
-		DialTLSContext:         dialWith(secure.DialContext),
+		DialTLSContext:         dialWith(dialTLS(dialer.DialContext, o.TLS)),
 		MaxConnsPerHost:        o.MaxPerHost,
 		MaxIdleConnsPerHost:    4,
 		IdleConnTimeout:        idleTimeout,
@@ -80,6 +79,34 @@
 	}
 }
 
+// dialTLS returns a function that dials and secures the connection. Its timeout is that of the
+// request: an instance that is busy may take longer for a handshake than for a connection.
+func dialTLS(dial dialFunc, config *tls.Config) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		own := config.Clone()
+		if own == nil {
+			own = &tls.Config{}
+		}
+		if own.ServerName == "" {
+			own.ServerName = host
+		}
+		secured := tls.Client(raw, own)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
