gateway: TestGeneratedAnswers waits for the upstream's close

The stand-in closes each connection after its answer without saying so, and the next request took the connection before the close had arrived; it may have run then and rightly gets a failure. Change: each answer is judged after the upstream has closed its connection, so that the gateway sees it. A request that doesn't reach the upstream fails the test. All checks stay.

--- a/internal/gateway/generated_answers_test.go
+++ b/internal/gateway/generated_answers_test.go
@@ -178,6 +178,9 @@
 		resets bool
 	}
 	var next atomic.Pointer[script]
+	// closed receives a value when the upstream has closed a connection that it had not announced to
+	// close. A request that crosses the close may have run and is rightly answered with a failure.
+	closed := make(chan struct{}, 1)
 	upstream := testserver.Listen(t, func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
@@ -189,6 +192,8 @@
 		if s.resets {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
+		_ = c.Close()
+		closed <- struct{}{}
 	})
 	for kind, sound := range map[ingress.RouteKind][]string{
 		ingress.Idempotent: soundAnswers, ingress.NonIdempotent: soundAnswers, ingress.Stream: soundStreams,
@@ -200,6 +205,11 @@
 				text, resets := changedAnswer(rt, sound)
 				next.Store(&script{text, resets})
 				status, got, err := readStatus(t, front, "HTTP/1.1")
+				select {
+				case <-closed:
+				case <-time.After(10 * time.Second):
+					require.FailNow(rt, "the request has not reached the upstream", "%q", text)
+				}
 				want, complete := referenceBody(text, resets)
 				message := fmt.Sprintf("%q, resets %v: status %d, body %q, error %v; by the RFC %q, %v", text, resets, status, got, err, want, complete)
 				require.NotErrorIs(rt, err, os.ErrDeadlineExceeded, message)
