--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -181,7 +181,7 @@
 	next := &snapshot{table: table, engines: map[string]*ingress.Service{}}
 	config := table.Config()
 	for i := range config.Services {
-		if config.Services[i].Slots > 0 {
+		if config.Services[i].ModelEngine {
 			next.engines[config.Services[i].Name] = &config.Services[i]
 		}
 	}
--- a/internal/simtest/experiment/load.go
+++ b/internal/simtest/experiment/load.go
@@ -202,7 +202,7 @@
 func configuration(p Pattern, quotaLowered bool) *ingress.Config {
 	c := &ingress.Config{
 		Version: 1, KeysRequired: true,
-		Services: []ingress.Service{{Name: service, Slots: slots, TokensPerEvent: tokensPerEvent, KVCacheTokens: engineMemory}},
+		Services: []ingress.Service{{Name: service, ModelEngine: true, Slots: slots, TokensPerEvent: tokensPerEvent, KVCacheTokens: engineMemory}},
 	}
 	for _, k := range kinds {
 		c.Routes = append(c.Routes, ingress.Route{
--- a/pkg/ingress/admission_test.go
+++ b/pkg/ingress/admission_test.go
@@ -49,3 +49,12 @@
 	}
 	require.Equal(t, ingress.RevocationUnconfirmed, table.Admit(0, ingress.Confirmation{}, bounds, "h", "/a/x", "k").Verdict, "never confirmed")
 }
+
+// TestNoOrganisationIsLeft guards against admitting requests after the last organisation was removed.
+func TestNoOrganisationIsLeft(t *testing.T) {
+	table := ingress.NewTable(&ingress.Config{Routes: []ingress.Route{{Name: "keyed", Host: "h", PathPrefix: "/"}}, KeysRequired: true})
+	confirmed := ingress.Confirmation{Known: true}
+	for _, key := range []string{"", "k"} {
+		require.Equal(t, ingress.NoKey, table.Admit(0, confirmed, ingress.Bounds{Apply: time.Second}, "h", "/x", key).Verdict)
+	}
+}
--- a/pkg/ingress/config.go
+++ b/pkg/ingress/config.go
@@ -106,8 +106,10 @@
 	Name string
 	// MaxConnections limits the connections of all callers to one upstream.
 	MaxConnections int
-	// Slots is the number of requests that a model engine runs concurrently; 0 for
-	// plain services, whose upstreams register their own number.
+	// ModelEngine is true if the upstreams are model engines, false for plain services.
+	ModelEngine bool
+	// Slots is the number of requests that a model engine runs concurrently; 0 if its
+	// upstreams register their own number, as those of plain services do.
 	Slots int
 	// TokensPerEvent is the number of output tokens in one event of a stream.
 	TokensPerEvent int
@@ -145,7 +147,8 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	// KeysRequired is true if requests on routes that are not public need a key.
+	// KeysRequired is true if requests on routes that are not public need a key, also
+	// while there are no organisations: then no key is valid.
 	KeysRequired bool
 	Limits       Limits
 }
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -18,7 +18,7 @@
 			{Name: "deep", Host: "h.example", PathPrefix: "/a/b/", Kind: ingress.Stream, Priority: 1, ModelCall: true, Backends: []ingress.Backend{{Service: "models", Weight: 1}}},
 			{Name: "mid", Host: "h.example", PathPrefix: "/a/", Kind: ingress.NonIdempotent, Priority: 40, Backends: []ingress.Backend{{Service: "plain", Weight: 3}, {Service: "models", Weight: 1}}},
 		},
-		Services:      []ingress.Service{{Name: "plain"}, {Name: "models", Slots: 10}},
+		Services:      []ingress.Service{{Name: "plain"}, {Name: "models", ModelEngine: true, Slots: 10}},
 		Organisations: []ingress.Organisation{{Name: "o", Keys: []string{"k1", "k2"}, Priority: 0, HasPriority: true}},
 	}
 }
@@ -163,3 +163,14 @@
 	observe(upstream("a", "2", false))
 	require.Equal(t, []string{"a/2"}, names(r), "another incarnation")
 }
+
+// TestEngineWithoutSlots guards against model calls that find no upstream because the
+// engine of their service states no number of slots.
+func TestEngineWithoutSlots(t *testing.T) {
+	c := &ingress.Config{Version: 1, Services: []ingress.Service{{Name: "models", ModelEngine: true}},
+		Routes: []ingress.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: ingress.Stream, ModelCall: true, Backends: []ingress.Backend{{Service: "models", Weight: 1}}}}}
+	set := ingress.Objects(1, c, []ingress.Upstream{{ID: "a", Incarnation: "1", Service: "models", Address: "10.0.0.1:80", FailureDomain: "z", Slots: 3}})
+	spec := set.Upstreams["a/1"].GetUpstream()
+	require.Equal(t, "engine", spec.GetType())
+	require.Equal(t, uint32(3), spec.GetConcurrency(), "the upstream's own number holds")
+}
--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -107,8 +107,11 @@
 	}
 	spec := &pb.UpstreamSpec{Address: u.Address, Type: "service", FailureDomain: u.FailureDomain}
 	slots := u.Slots
-	if service.Slots > 0 {
-		slots, spec.Type, spec.Models = service.Slots, "engine", []string{AnyModel}
+	if service.ModelEngine {
+		spec.Type, spec.Models = "engine", []string{AnyModel}
+		if service.Slots > 0 {
+			slots = service.Slots
+		}
 	}
 	if slots <= 0 {
 		slots = defaultSlots
