ingress, routing: a service's name is data, not a part of a selector

Cause: ingress wrote the name into a label selector. A name that is no label value failed the build of the whole routing table, each time; the tables of routes and keys came into force meanwhile. Ruled out: the entries of the servers, the match of the route, the age of the configuration. Change: services are routes by labels, whose values are compared and never parsed; ids of pools stay the same for names that worked before. A failed build is logged with its reason, which was only counted. Related: labels of upstreams were compared as one joined text, which two services could share; entries of servers could not name a service of more than 253 bytes. Tests of pkg/node: only the known red one fails.

--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -39,6 +39,8 @@
 		d.pendingOrders.complete(a.Order, a)
 	case node.ConfigInForce:
 		d.configInForce(a)
+	case node.ConfigUnusable:
+		d.log.Write(eventlog.InternalFault{What: "putting a configuration in force", Error: a.Err.Error()})
 	case node.Count:
 		d.metrics.Count(a.Name, a.Reason)
 	case node.Drained:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -340,6 +340,8 @@
 		g.metrics.Count(a.Name, a.Reason)
 	case node.ConfigInForce:
 		g.log.Write(eventlog.TableInForce{Revision: a.Revision})
+	case node.ConfigUnusable:
+		g.log.Write(eventlog.InternalFault{What: "putting a configuration in force", Error: a.Err.Error()})
 	case node.Drained:
 		close(g.drained)
 	}
--- a/pkg/configstate/plan.go
+++ b/pkg/configstate/plan.go
@@ -106,6 +106,7 @@
 		Upstreams:     maps.Clone(s.Upstreams),
 		Routes:        maps.Clone(s.Routes),
 		Operators:     maps.Clone(s.Operators),
+		LabelRoutes:   maps.Clone(s.LabelRoutes),
 	}
 }
 
--- a/pkg/configstate/set.go
+++ b/pkg/configstate/set.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 
+	"k8s.io/apimachinery/pkg/labels"
+
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
 
@@ -34,6 +36,10 @@
 	Upstreams     map[string]*pb.Object
 	Routes        map[string]*pb.Object
 	Operators     map[string]*pb.Object
+	// LabelRoutes are the routes of an external configuration, by name: each sends the
+	// requests that have its labels to the upstreams that have them. Labels may have any text
+	// as their value, which selectors can not express.
+	LabelRoutes map[string]labels.Set
 }
 
 // NewSet returns a set of the given objects, which must not be modified
--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 
+	"k8s.io/apimachinery/pkg/labels"
+
 	"github.com/citrongate/citrongate/pkg/configstate"
 	pb "github.com/citrongate/citrongate/proto/citrongate/v1"
 )
@@ -23,7 +25,7 @@
 // objects that the scheduler routes by: a tier for each priority, a request
 // kind for each route and priority, and a route by label for each service.
 func Objects(revision uint64, config *Config, upstreams []Upstream) *configstate.Set {
-	b := builder{config: config, services: map[string]*Service{}}
+	b := builder{config: config, services: map[string]*Service{}, routes: map[string]labels.Set{}}
 	for i := range config.Services {
 		b.services[config.Services[i].Name] = &config.Services[i]
 	}
@@ -33,13 +35,16 @@
 	for i := range upstreams {
 		b.addUpstream(&upstreams[i])
 	}
-	return configstate.NewSet(revision, b.objects)
+	set := configstate.NewSet(revision, b.objects)
+	set.LabelRoutes = b.routes
+	return set
 }
 
 type builder struct {
 	config   *Config
 	services map[string]*Service
 	objects  []*pb.Object
+	routes   map[string]labels.Set
 }
 
 func (b *builder) add(kind, name string, labels map[string]string, o *pb.Object) {
@@ -92,11 +97,11 @@
 	return r.Priority
 }
 
+// addServices adds a route for each service. Operators may give a service any name, so it is
+// compared as a label's value and never parsed as a part of a selector.
 func (b *builder) addServices() {
 	for _, s := range b.config.Services {
-		selector := LabelService + "=" + s.Name
-		b.add(configstate.KindRoute, s.Name, nil,
-			&pb.Object{Spec: &pb.Object_Route{Route: &pb.RouteSpec{Order: 1, Requests: selector, Upstreams: selector}}})
+		b.routes[s.Name] = labels.Set{LabelService: s.Name}
 	}
 }
 
--- a/pkg/node/action.go
+++ b/pkg/node/action.go
@@ -159,6 +159,13 @@
 // ConfigInForce reports that a new configuration revision is in force.
 type ConfigInForce struct{ Revision uint64 }
 
+// ConfigUnusable reports that a configuration revision can not be put in force, and that the
+// one before it stays.
+type ConfigUnusable struct {
+	Revision uint64
+	Err      error
+}
+
 // Count adds one to a counter, for example ("refusals", "shed_overload").
 type Count struct{ Name, Reason string }
 
@@ -185,5 +192,6 @@
 func (OrderResult) isAction()      {}
 func (ChangeDone) isAction()       {}
 func (ConfigInForce) isAction()    {}
+func (ConfigUnusable) isAction()   {}
 func (Count) isAction()            {}
 func (Drained) isAction()          {}
--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		// Accepted sets are validated, so an error here is a bug in this release.
 		n.count("config", "build_failed")
+		n.emit(ConfigUnusable{Revision: set.Revision, Err: err})
 		return
 	}
 	n.trackRemovedUpstreams(set)
--- a/pkg/routing/build.go
+++ b/pkg/routing/build.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"k8s.io/apimachinery/pkg/labels"
@@ -93,7 +95,7 @@
 			Upstream: Upstream{Name: name, Address: spec.GetAddress(), FailureDomain: spec.GetFailureDomain(), Spec: spec},
 			labels:   upstreamLabels(o),
 		}
-		text := u.labels.String()
+		text := signatureText(u.labels)
 		if _, ok := signatures[text]; !ok {
 			signatures[text] = len(signatures)
 		}
@@ -109,6 +111,16 @@
 	slices.SortFunc(t.upstreams, func(a, b *upstreamInfo) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// signatureText returns a text that is equal only for equal labels, whatever their values.
+func signatureText(set labels.Set) string {
+	var text []byte
+	for _, key := range slices.Sorted(maps.Keys(set)) {
+		text = strconv.AppendQuote(text, key)
+		text = strconv.AppendQuote(text, set[key])
+	}
+	return string(text)
+}
+
 // upstreamLabels returns the labels of an upstream except its name.
 func upstreamLabels(o *pb.Object) labels.Set {
 	spec := o.GetUpstream()
@@ -122,7 +134,6 @@
 }
 
 func (t *Table) addRoutes(set *configstate.Set) error {
-	keys := map[string]struct{}{}
 	for name, o := range set.Routes {
 		spec := o.GetRoute()
 		requests, err := configstate.ParseSelector(spec.GetRequests())
@@ -134,15 +145,12 @@
 			return ErrBuild.Wrap(err, "Route/%s: upstreams", name)
 		}
 		t.routes = append(t.routes, &route{name: name, order: spec.GetOrder(), requests: requests, upstreams: upstreams})
-		requirements, _ := requests.Requirements()
-		for _, r := range requirements {
-			keys[r.Key()] = struct{}{}
-		}
 	}
-	for key := range keys {
-		t.keys = append(t.keys, key)
+	for name, values := range set.LabelRoutes {
+		selector := labels.SelectorFromSet(values)
+		t.routes = append(t.routes, &route{name: name, requests: selector, upstreams: selector})
 	}
-	slices.Sort(t.keys)
+	t.addKeys()
 	slices.SortFunc(t.routes, func(a, b *route) int {
 		if a.order != b.order {
 			return int(int64(a.order) - int64(b.order))
@@ -152,3 +160,15 @@
 	t.addDestinations()
 	return nil
 }
+
+// addKeys collects the label keys that request selectors name.
+func (t *Table) addKeys() {
+	keys := map[string]struct{}{}
+	for _, route := range t.routes {
+		requirements, _ := route.requests.Requirements()
+		for _, r := range requirements {
+			keys[r.Key()] = struct{}{}
+		}
+	}
+	t.keys = slices.Sorted(maps.Keys(keys))
+}
