platform, poison: every part of a prompt counts, however many it has

Cause: the first 64 parts of a prompt were kept; and the registry kept 512 records in all, so that with long prompts the record of the part was displaced before its third end. Ruled out: the exchange between instances and the finding of ends. The limits of the registry follow the longest prompt, up to 11 MB; those with the fewest ends are displaced first. Weighing costs a step for each part, not one for each request and rival. Log lines give the first 64 parts.

--- a/internal/eventlog/lines.go
+++ b/internal/eventlog/lines.go
@@ -45,7 +45,7 @@
 	Detail    string  `json:"detail,omitempty" about:"what was observed"`
 	AfterMs   float64 `json:"after_ms" about:"time since the send"`
 	Events    uint64  `json:"events" about:"number of complete events that were relayed"`
-	Parts     string  `json:"parts,omitempty" about:"ids of the parts of the prompt that other prompts may have too, in hexadecimal, if the answer broke off"`
+	Parts     string  `json:"parts,omitempty" about:"ids of the first 64 parts of the prompt that other prompts may have too, in hexadecimal, and the number of the others, if the answer broke off"`
 }
 
 // Spec describes the line.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -65,9 +65,6 @@
 	Lifts []poison.Key
 }
 
-// MaxPromptParts bounds the parts of a prompt that are distinguished.
-const MaxPromptParts = 64
-
 // RequestHead holds the values that the gateway reads from the headers of a request.
 type RequestHead struct {
 	// ID is the caller's id of this attempt.
@@ -82,8 +79,7 @@
 	Prefix uint64
 	// Shared holds the prompt's prefixes that are shared with other requests.
 	Shared scheduler.SharedPrefixes
-	// Parts identifies the parts of the prompt that other prompts may have too, at most
-	// MaxPromptParts.
+	// Parts identifies the parts of the prompt that other prompts may have too, each once.
 	Parts []uint64
 	// Remaining is how long the caller will wait, if HasDeadline.
 	Remaining   time.Duration
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -43,11 +43,18 @@
 	c.g.log.Write(line)
 }
 
-// partsText returns the parts of a prompt in hexadecimal, separated by spaces.
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 64
+
+// partsText returns the parts of a prompt in hexadecimal, separated by spaces. Of more than
+// maxLoggedParts it gives the number of the others.
 func partsText(parts []uint64) string {
-	texts := make([]string, len(parts))
-	for i, part := range parts {
-		texts[i] = strconv.FormatUint(part, 16)
+	var texts []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		texts = append(texts, strconv.FormatUint(part, 16))
+	}
+	if more := len(parts) - maxLoggedParts; more > 0 {
+		texts = append(texts, "and "+strconv.Itoa(more)+" more")
 	}
 	return strings.Join(texts, " ")
 }
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -20,10 +20,13 @@
 	// partExchangeInterval is the time after which each instance sends records to one
 	// other, so that an instance that missed a change or has started learns of it.
 	partExchangeInterval = time.Second
-	// maxExchanged bounds the records that are sent at a time; more are sent in turn.
-	maxExchanged = 24
-	// maxAnsweredExchanged bounds the parts that are sent at a time as answered: 0.5 KB.
-	maxAnsweredExchanged = 64
+	// minExchanged is the number of records that are sent at a time; more are sent in turn.
+	// Of many, exchangedShare is their share that is sent, at most maxExchanged: 16 KB.
+	minExchanged, maxExchanged = 24, 512
+	// minAnsweredExchanged and maxAnsweredExchanged are the same for the parts that are sent
+	// as answered: 0.5 to 8 KB.
+	minAnsweredExchanged, maxAnsweredExchanged = 64, 1024
+	exchangedShare                             = 64
 )
 
 const (
@@ -260,15 +263,17 @@
 	if len(live) == 0 {
 		return
 	}
-	records, answered := n.poison.Records(), n.poison.NextAnswered(maxAnsweredExchanged)
+	records := n.poison.Records()
+	answered := n.poison.NextAnswered(exchanged(n.poison.AnsweredCount(), minAnsweredExchanged, maxAnsweredExchanged))
 	if len(records) == 0 && len(answered) == 0 {
 		return
 	}
 	// Instances start at different members, so that each is told by some soon.
 	to := live[(n.self+n.partStore.exchanges)%uint64(len(live))]
-	if windows := uint64(len(records)+maxExchanged-1) / maxExchanged; windows > 0 {
-		first := int(n.partStore.exchanges/uint64(len(live))%windows) * maxExchanged
-		records = records[first:min(first+maxExchanged, len(records))]
+	size := exchanged(len(records), minExchanged, maxExchanged)
+	if windows := uint64((len(records) + size - 1) / size); windows > 0 {
+		first := int(n.partStore.exchanges/uint64(len(live))%windows) * size
+		records = records[first:min(first+size, len(records))]
 	}
 	message := n.partsMessage(records)
 	message.GetPromptParts().Answered = answeredToProto(answered)
@@ -276,6 +281,11 @@
 	n.partStore.exchanges++
 }
 
+// exchanged returns how many of a number of entries are sent at a time.
+func exchanged(entries, least, most int) int {
+	return min(max(least, entries/exchangedShare), most)
+}
+
 // answeredToProto groups keys, which are in order, by pool.
 func answeredToProto(keys []poison.Key) (groups []*pb.AnsweredParts) {
 	for _, key := range keys {
--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -51,33 +51,56 @@
 	}
 }
 
+// TestPoisonedPartOfLongPrompts is TestPoisonedPartIsStopped for prompts of many parts, half of which no other
+// prompt has. It guards against a part that is not blocked, or not refused, because it stands behind many others.
+func TestPoisonedPartOfLongPrompts(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, length := range []int{61, 80, 300, 1000} {
+			t.Run(fmt.Sprint(length, " parts, seed ", seed), func(t *testing.T) {
+				w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+				w.length = length
+				w.play(3*time.Second, 60, 0)
+				w.play(12*time.Second, 60, 2+6*w.random.Float64())
+				w.check()
+				require.GreaterOrEqual(t, len(w.ends), poisonEnds-2)
+			})
+		}
+	}
+}
+
 // TestBlockOutlivesTakeoverAndRestarts guards against a block, or the ends counted so far, that
 // are lost when the pool's owner ends, when instances are restarted in turn, and when all of
-// them are restarted at once.
+// them are restarted at once; with short prompts and with long ones, of which not all suspects are
+// told to the other instances at once.
 func TestBlockOutlivesTakeoverAndRestarts(t *testing.T) {
-	for seed := range uint64(12) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
-			w.play(3*time.Second, 60, 0)
-			for seed%2 == 0 && len(w.ends) < 2 {
-				w.play(poisonTickTime, 60, 4)
-			}
-			w.restart(w.owner())
-			w.play(9*time.Second, 60, 4)
-			require.NotEmpty(t, w.parts, "the block is in the store")
-			ends := len(w.ends)
-			for _, at := range w.order {
-				w.restart(at)
-				w.play(3*time.Second, 60, 4)
-			}
-			for _, at := range w.order {
-				w.restart(at)
-			}
-			w.play(6*time.Second, 60, 4)
-			require.Equal(t, ends, len(w.ends), "upstreams ended after the block")
-			require.LessOrEqual(t, w.late, poisonLate)
-		})
+	for length, seeds := range map[int]uint64{0: 12, 300: 4} {
+		for seed := range seeds {
+			t.Run(fmt.Sprint(length, " further parts, seed ", seed), func(t *testing.T) { playTakeoverAndRestarts(t, seed, length) })
+		}
+	}
+}
+
+func playTakeoverAndRestarts(t *testing.T, seed uint64, length int) {
+	w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
+	w.length = length
+	w.play(3*time.Second, 60, 0)
+	for seed%2 == 0 && len(w.ends) < 2 {
+		w.play(poisonTickTime, 60, 4)
 	}
+	w.restart(w.owner())
+	w.play(9*time.Second, 60, 4)
+	require.NotEmpty(t, w.parts, "the block is in the store")
+	ends := len(w.ends)
+	for _, at := range w.order {
+		w.restart(at)
+		w.play(3*time.Second, 60, 4)
+	}
+	for _, at := range w.order {
+		w.restart(at)
+	}
+	w.play(6*time.Second, 60, 4)
+	require.Equal(t, ends, len(w.ends), "upstreams ended after the block")
+	require.LessOrEqual(t, w.late, poisonLate)
 }
 
 // TestBlockWithoutStore guards against a block that needs the store: it comes into force while
--- a/pkg/node/poison_world_test.go
+++ b/pkg/node/poison_world_test.go
@@ -50,6 +50,8 @@
 	rejected float64
 	// harmless is true if the part ends no upstream any more.
 	harmless bool
+	// length is the number of further parts of each prompt, of which every second one is new.
+	length int
 }
 
 func newPoisonWorld(t *testing.T, seed uint64, upstreams int, addresses ...string) *poisonWorld {
@@ -83,8 +85,11 @@
 // part are those of sound ones, in random order.
 func (w *poisonWorld) submit(withPoison bool) {
 	parts := []uint64{uint64(1 + w.random.IntN(2)), uint64(10 + w.random.IntN(20))}
+	for i := range w.length {
+		parts = append(parts, longPart(i, w.nextID*uint64(i%2)))
+	}
 	if withPoison {
-		parts = slices.Insert(parts, w.random.IntN(3), w.poison)
+		parts = slices.Insert(parts, w.random.IntN(len(parts)+1), w.poison)
 	}
 	at := w.order[w.random.IntN(len(w.order))]
 	w.nextID++
@@ -100,6 +105,9 @@
 	w.collect(at)
 }
 
+// longPart returns the part at an index of long prompts; request is 0 for one that all have.
+func longPart(index int, request uint64) uint64 { return 1<<32*(1+request) + uint64(index) }
+
 // blockedBy reports whether the part must be blocked everywhere by now.
 func (w *poisonWorld) blockedBy() bool {
 	return len(w.ends) >= poisonEnds && w.now > w.ends[poisonEnds-1]+poisonContact
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -16,18 +16,21 @@
 	for _, ending := range endings {
 		r.pool(now, pool).addEnd(ending)
 		for _, parts := range ending.Young {
+			r.noteLength(parts)
 			for _, part := range parts {
 				r.addEnd(now, Key{pool, part}, ending)
 			}
 		}
 	}
+	rivals := r.rivalsIn(pool)
 	for _, ending := range endings {
 		for _, parts := range ending.Young {
 			// Of parts that cannot be told apart the later one is blocked, since fewer other
 			// prompts have it; that explains the ends.
 			for _, part := range slices.Backward(parts) {
-				if key := (Key{pool, part}); r.convicted(key) {
+				if key := (Key{pool, part}); r.convicted(key, rivals) {
 					r.block(now, key)
+					rivals = r.rivalsIn(pool)
 				}
 			}
 		}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -34,10 +34,25 @@
 	liftedRetention = time.Minute
 	// maxTrialFactor bounds the duration of a block, as a multiple of Config.Trial.
 	maxTrialFactor = 16
-	// maxRecords bounds the records and maxEnds the ends of each.
-	maxRecords, maxEnds = 512, 16
-	// maxAnswered bounds the parts that are remembered as answered.
-	maxAnswered = 4096
+	// maxEnds bounds the ends of a record.
+	maxEnds = 16
+	// maxTold bounds the records that changed and are told to all instances at a time.
+	maxTold = 512
+)
+
+// Limits of the parts that are kept. Of prompts with more parts more are kept, so that a part
+// that ends upstreams is not displaced by the others of the prompts it comes with.
+const (
+	// minRecords is the limit of records while prompts are short. With long ones they are
+	// those of recordedPrompts, up to maxRecords, about 8 MB.
+	minRecords, maxRecords = 512, 32_768
+	recordedPrompts        = 16
+	// minAnswered, maxAnswered and answeredPrompts are the same for the parts that are
+	// remembered as answered, up to about 3 MB.
+	minAnswered, maxAnswered = 4096, 65_536
+	answeredPrompts          = 64
+	// displacedShare is the fraction of the records that is removed when they reach the limit.
+	displacedShare = 8
 )
 
 // Config holds the settings of a Registry.
@@ -107,6 +122,8 @@
 	unreported struct{ from, to time.Duration }
 	blocked    int
 	changed    []Key
+	// longest is the largest number of parts of a prompt that was seen.
+	longest int
 }
 
 // New returns an empty registry.
@@ -163,21 +180,36 @@
 	if !r.Enabled() {
 		return
 	}
+	r.noteLength(parts)
 	for _, part := range parts {
 		key := Key{pool, part}
 		r.Lift(now, key)
-		r.answered.add(key)
+		r.answered.add(key, r.answeredLimit())
 	}
 }
 
+func (r *Registry) noteLength(parts []uint64) { r.longest = max(r.longest, len(parts)) }
+
+func (r *Registry) recordLimit() int {
+	return min(max(minRecords, recordedPrompts*r.longest), maxRecords)
+}
+
+func (r *Registry) answeredLimit() int {
+	return min(max(minAnswered, answeredPrompts*r.longest), maxAnswered)
+}
+
 // AnsweredElsewhere records that other instances saw a part answered. It lifts nothing, since the
 // part may have been answered before the ends that count against it here.
 func (r *Registry) AnsweredElsewhere(key Key) {
 	if r.Enabled() && !r.answered.has(key) {
-		r.answered.add(key)
+		r.answered.add(key, r.answeredLimit())
 	}
 }
 
+// AnsweredCount returns the number of parts that are remembered as answered, at least one half
+// of which are different ones.
+func (r *Registry) AnsweredCount() int { return len(r.answered.newer) + len(r.answered.older) }
+
 // NextAnswered returns up to limit parts that are known to have been answered, others at each
 // call until all were returned.
 func (r *Registry) NextAnswered(limit int) []Key {
@@ -236,18 +268,23 @@
 }
 
 // TakeChanges returns the records that changed since the last call and of which other
-// instances must know.
+// instances must know. Of more than maxTold it returns those that matter most; the others are
+// told when all records are exchanged.
 func (r *Registry) TakeChanges() []Record {
 	if len(r.changed) == 0 {
 		return nil
 	}
 	slices.SortFunc(r.changed, CompareKeys)
 	keys := slices.Compact(r.changed)
+	keys = slices.DeleteFunc(keys, func(key Key) bool { return r.records[key] == nil })
+	if len(keys) > maxTold {
+		slices.SortStableFunc(keys, func(a, b Key) int { return compareWeight(r.records[b], r.records[a]) })
+		keys = keys[:maxTold]
+		slices.SortFunc(keys, CompareKeys)
+	}
 	var changes []Record
 	for _, key := range keys {
-		if record := r.records[key]; record != nil {
-			changes = append(changes, record.clone())
-		}
+		changes = append(changes, r.records[key].clone())
 	}
 	r.changed = r.changed[:0]
 	return changes
@@ -280,8 +317,8 @@
 }
 
 func (r *Registry) create(now time.Duration, key Key, state State) *Record {
-	if len(r.records) >= maxRecords {
-		r.removeOldest()
+	if len(r.records) >= r.recordLimit() {
+		r.displace()
 	}
 	record := &Record{Key: key, Touched: now}
 	r.records[key] = record
@@ -289,17 +326,20 @@
 	return record
 }
 
-// removeOldest removes the record that changed least recently, a blocked one last.
-func (r *Registry) removeOldest() {
+// displace removes the records that matter least.
+func (r *Registry) displace() {
 	keys := r.keys()
-	oldest := slices.MinFunc(keys, func(a, b Key) int {
-		x, y := r.records[a], r.records[b]
-		if blocked := cmp.Compare(btoi(x.State == Blocked), btoi(y.State == Blocked)); blocked != 0 {
-			return blocked
-		}
-		return cmp.Compare(x.Touched, y.Touched)
-	})
-	r.remove(oldest)
+	slices.SortStableFunc(keys, func(a, b Key) int { return compareWeight(r.records[a], r.records[b]) })
+	for _, key := range keys[:max(1, len(keys)/displacedShare)] {
+		r.remove(key)
+	}
+}
+
+// compareWeight orders records by how much it would cost to forget them: of blocked parts
+// least, then by the number of their ends and by when they changed last.
+func compareWeight(a, b *Record) int {
+	return cmp.Or(cmp.Compare(btoi(a.State == Blocked), btoi(b.State == Blocked)), cmp.Compare(btoi(a.Kept()), btoi(b.Kept())),
+		cmp.Compare(len(a.Ends), len(b.Ends)), cmp.Compare(a.Touched, b.Touched))
 }
 
 func btoi(b bool) int {
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -1,6 +1,8 @@
 package poison_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -363,3 +365,100 @@
 		require.Equal(t, missed, blocked(r, 8*time.Second, bad), "an instance is missed: %v", missed)
 	}
 }
+
+// TestPartOfLongPrompts guards against a part that is never blocked because its prompts have many others,
+// wherever it stands in them, against sound parts that are blocked in its place, and against records without
+// bound. Each upstream that ends takes several other long prompts with it, most of whose parts are new.
+func TestPartOfLongPrompts(t *testing.T) {
+	const upstreams, young = 5, 6
+	for _, length := range []int{4, 63, 64, 65, 100, 1000, 2000} {
+		random := rand.New(rand.NewPCG(uint64(length), 10))
+		for range 4 {
+			r := poison.New(config)
+			next := uint64(1 << 32)
+			// A prompt has parts that all have, and of its own.
+			prompt := func() (parts []uint64) {
+				for i := range length {
+					next++
+					parts = append(parts, next)
+					if i < length/2 {
+						parts[i] = uint64(1000 + i)
+					}
+				}
+				return parts
+			}
+			for range 30 {
+				r.Answered(0, pool, prompt())
+				r.CountAnswer(0, pool)
+			}
+			var with [][]uint64
+			for i := range upstreams {
+				at := time.Duration(i+1) * time.Second
+				deadly := prompt()
+				deadly = slices.Insert(deadly, random.IntN(length), bad)
+				prompts := [][]uint64{deadly}
+				for range young {
+					prompts = append(prompts, prompt())
+				}
+				with = append(with, prompts...)
+				endUnder(r, at, prompts...)
+				r.Tick(at)
+				for _, record := range r.TakeChanges() {
+					require.Equal(t, record.State == poison.Blocked, record.Part == bad && i >= config.Ends-1, "%d parts, part %d", length, record.Part)
+				}
+			}
+			require.True(t, blocked(r, upstreams*time.Second, bad), "%d parts", length)
+			for _, parts := range with {
+				sound := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return part == bad })
+				require.False(t, blocked(r, upstreams*time.Second, sound...), "%d parts", length)
+			}
+			require.LessOrEqual(t, len(r.Records()), max(512, 16*(length+1)))
+		}
+	}
+}
+
+// BenchmarkAnswered measures what an answered request costs by the number of parts of its prompt, most of
+// which all prompts have.
+func BenchmarkAnswered(b *testing.B) {
+	for _, length := range []uint64{4, 64, 1000} {
+		b.Run(fmt.Sprint(length), func(b *testing.B) {
+			r := poison.New(config)
+			parts := make([]uint64, length)
+			n := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range parts {
+					parts[i] = uint64(i)
+					if i%4 == 3 {
+						n++
+						parts[i] = 1<<32 + n
+					}
+				}
+				r.Answered(time.Second, pool, parts)
+			}
+		})
+	}
+}
+
+// BenchmarkUpstreamEnded measures the end of an upstream under eight prompts by the number of their parts.
+func BenchmarkUpstreamEnded(b *testing.B) {
+	for _, length := range []uint64{4, 64, 1000} {
+		b.Run(fmt.Sprint(length), func(b *testing.B) {
+			r := poison.New(config)
+			n := uint64(0)
+			for b.Loop() {
+				var prompts [][]uint64
+				for range 8 {
+					parts := make([]uint64, length)
+					for i := range parts {
+						n++
+						parts[i] = n
+					}
+					prompts = append(prompts, parts)
+				}
+				endUnder(r, time.Duration(n)*time.Millisecond, prompts...)
+				r.TakeChanges()
+			}
+		})
+	}
+}
--- a/pkg/poison/pool_test.go
+++ b/pkg/poison/pool_test.go
@@ -59,3 +59,34 @@
 	to.AnsweredElsewhere(Key{Pool: 1, Part: 2})
 	require.True(t, to.AnyBlocked())
 }
+
+// TestEvidenceOfLongPromptsIsBounded guards against memory that grows with the number of parts of prompts, and
+// against counts of requests that differ from the requests that are kept.
+func TestEvidenceOfLongPromptsIsBounded(t *testing.T) {
+	r := New(Config{Ends: 3, Trial: time.Minute})
+	const length = 5000
+	for i := range uint64(30) {
+		var young [][]uint64
+		for n := range uint64(3) {
+			parts := []uint64{1, 1} // a part that stands twice counts once
+			for part := range uint64(length) {
+				parts = append(parts, 1+(i*3+n)*length+part)
+			}
+			young = append(young, parts)
+		}
+		at := time.Duration(i) * time.Second
+		r.Answered(at, 1, young[0])
+		r.UpstreamEnded(at, 1, Ending{Upstream: i, At: at, Young: young})
+	}
+	p := r.pools[1]
+	require.LessOrEqual(t, p.youngParts, maxYoungParts)
+	require.Equal(t, len(p.young), p.with[1])
+	require.LessOrEqual(t, len(p.with), p.youngParts)
+	require.LessOrEqual(t, len(r.records), maxRecords)
+	require.LessOrEqual(t, r.AnsweredCount(), maxAnswered)
+	r.TakeChanges()
+	for range maxPoolEnds {
+		r.pools[1].addEnd(Ending{Young: [][]uint64{make([]uint64, length)}})
+	}
+	require.Equal(t, map[uint64]int{0: len(p.young)}, p.with)
+}
--- a/pkg/poison/recent.go
+++ b/pkg/poison/recent.go
@@ -6,12 +6,12 @@
 	"slices"
 )
 
-// recent is a set of keys that keeps at least the last maxAnswered/2 that were added. It
-// has two halves; the older one is dropped when the newer is full.
+// recent is a set of keys that keeps at least the last ones that were added, half as many as its
+// limit. It has two halves; the older one is dropped when the newer is full.
 type recent struct{ newer, older map[Key]struct{} }
 
-func (s *recent) add(key Key) {
-	if s.newer == nil || len(s.newer) >= maxAnswered/2 {
+func (s *recent) add(key Key, limit int) {
+	if s.newer == nil || len(s.newer) >= limit/2 {
 		s.older, s.newer = s.newer, make(map[Key]struct{})
 	}
 	s.newer[key] = struct{}{}
--- a/pkg/poison/weigh.go
+++ b/pkg/poison/weigh.go
@@ -49,10 +49,11 @@
 
 // convicted reports whether a part is to be blocked. Upstreams that end for other reasons take
 // various parts with them, so that no part stands out; a part that ends them is under each
-// end.
-func (r *Registry) convicted(key Key) bool {
+// end. rivals are those of its pool.
+func (r *Registry) convicted(key Key, rivals rivals) bool {
 	record := r.records[key]
-	if record == nil || record.State != Suspect || len(record.Ends) == 0 {
+	// Most parts of a long prompt have few ends, which is never enough.
+	if record == nil || record.State != Suspect || len(record.Ends) < min(r.cfg.Ends, joinedTimes) {
 		return false
 	}
 	share, expected := r.share(record), r.pools[key.Pool].expectedAnswers(key.Part)
@@ -75,24 +76,55 @@
 	if count < need {
 		return false
 	}
-	leads, tied := r.compareRivals(record, knownGood || noisy)
+	leads, tied := rivals.compare(len(record.Ends), knownGood || noisy)
 	return leads && (!tied || count >= need+tieMargin)
 }
 
-// compareRivals compares a part with the other suspects of its pool; withAnswered includes
-// those that were answered before. leads is false if one has more ends, tied is true if one
-// has nearly as many.
-func (r *Registry) compareRivals(record *Record, withAnswered bool) (leads, tied bool) {
-	for key, rival := range r.records {
-		if rival == record || key.Pool != record.Pool || rival.State != Suspect || !withAnswered && r.answered.has(key) {
+// rivals are the largest numbers of ends of suspects of one pool: of all of them, and of those
+// that were not answered before.
+type rivals struct{ all, unanswered topTwo }
+
+// rivalsIn returns the rivals of a pool. It is called once for all parts under the ends that
+// were found, since the prompts there may have thousands.
+func (r *Registry) rivalsIn(pool uint64) (in rivals) {
+	for key, record := range r.records {
+		if key.Pool != pool || record.State != Suspect {
 			continue
 		}
-		if len(rival.Ends) > len(record.Ends) {
-			return false, false
+		in.all.add(len(record.Ends))
+		if !r.answered.has(key) {
+			in.unanswered.add(len(record.Ends))
 		}
-		tied = tied || float64(len(rival.Ends)) >= nearlyAsMany*float64(len(record.Ends))
 	}
-	return true, tied
+	return in
+}
+
+// compare compares a suspect that has the given number of ends with the others; withAnswered
+// includes those that were answered before. leads is false if one has more ends, tied is true
+// if one has nearly as many.
+func (in rivals) compare(ends int, withAnswered bool) (leads, tied bool) {
+	top := in.unanswered
+	if withAnswered {
+		top = in.all
+	}
+	most := top.others(ends)
+	return most <= ends, float64(most) >= nearlyAsMany*float64(ends)
+}
+
+// topTwo are the two largest of some numbers above 0, or 0.
+type topTwo struct{ first, second int }
+
+func (t *topTwo) add(n int) {
+	t.second = max(t.second, min(n, t.first))
+	t.first = max(t.first, n)
+}
+
+// others returns the largest number without one that equals own.
+func (t topTwo) others(own int) int {
+	if own == t.first {
+		return t.second
+	}
+	return t.first
 }
 
 // share returns the share of the ends in a part's pool, since the first that counts against
