--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -18,8 +18,12 @@
 // NoOrganisation is the organisation that requests without a key are assigned to.
 const NoOrganisation = "none"
 
-// defaultSlots is used for an upstream that registers no number of slots.
-const defaultSlots = 4
+const (
+	// defaultSlots is used for an upstream that registers no number of slots.
+	defaultSlots = 4
+	// maxSlots bounds the number of requests that one upstream runs concurrently.
+	maxSlots = 1 << 16
+)
 
 // Objects translates a configuration and the registered upstreams into the
 // objects that the scheduler routes by: a tier for each priority, a request
@@ -121,6 +125,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
+	slots = min(slots, maxSlots)
 	spec.Concurrency, spec.MaxConcurrency, spec.FixedLimit = uint32(slots), uint32(slots), true
 	b.add(configstate.KindUpstream, u.Name(), map[string]string{LabelService: u.Service, labelVersion: u.Version},
 		&pb.Object{Spec: &pb.Object_Upstream{Upstream: spec}})
