poison, node, ingress: comments and figures after a second reading

Cause and change: comments on limits read awkwardly, a parameter had the name of a package, and the memory of the records was an estimate. Tests of pkg/poison and pkg/ingress pass.

--- a/pkg/ingress/objects.go
+++ b/pkg/ingress/objects.go
@@ -51,8 +51,8 @@
 	routes   map[string]labels.Set
 }
 
-func (b *builder) add(kind, name string, labels map[string]string, o *pb.Object) {
-	o.Meta = &pb.ObjectMeta{Kind: kind, Name: name, Labels: labels}
+func (b *builder) add(kind, name string, values map[string]string, o *pb.Object) {
+	o.Meta = &pb.ObjectMeta{Kind: kind, Name: name, Labels: values}
 	b.objects = append(b.objects, o)
 }
 
--- a/pkg/node/parts.go
+++ b/pkg/node/parts.go
@@ -20,11 +20,10 @@
 	// partExchangeInterval is the time after which each instance sends records to one
 	// other, so that an instance that missed a change or has started learns of it.
 	partExchangeInterval = time.Second
-	// minExchanged is the number of records that are sent at a time; more are sent in turn.
-	// Of many, exchangedShare is their share that is sent, at most maxExchanged: 16 KB.
-	minExchanged, maxExchanged = 24, 512
-	// minAnsweredExchanged and maxAnsweredExchanged are the same for the parts that are sent
-	// as answered: 0.5 to 8 KB.
+	// minExchanged is the number of records that are sent at a time, and minAnsweredExchanged
+	// that of parts that were answered; more are sent in turn. Of many, one in exchangedShare is
+	// sent at a time, up to the maxima: 16 KB and 8 KB.
+	minExchanged, maxExchanged                 = 24, 512
 	minAnsweredExchanged, maxAnsweredExchanged = 64, 1024
 	exchangedShare                             = 64
 )
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -44,14 +44,14 @@
 // that ends upstreams is not displaced by the others of the prompts it comes with.
 const (
 	// minRecords is the limit of records while prompts are short. With long ones they are
-	// those of recordedPrompts, up to maxRecords, about 8 MB.
+	// those of recordedPrompts, up to maxRecords, about 6 MB.
 	minRecords, maxRecords = 512, 32_768
 	recordedPrompts        = 16
 	// minAnswered, maxAnswered and answeredPrompts are the same for the parts that are
-	// remembered as answered, up to about 3 MB.
+	// remembered as answered, up to about 4 MB.
 	minAnswered, maxAnswered = 4096, 65_536
 	answeredPrompts          = 64
-	// displacedShare is the fraction of the records that is removed when they reach the limit.
+	// One in displacedShare of the records is removed when they reach the limit.
 	displacedShare = 8
 )
 
@@ -206,8 +206,8 @@
 	}
 }
 
-// AnsweredCount returns the number of parts that are remembered as answered, at least one half
-// of which are different ones.
+// AnsweredCount returns the number of parts that are remembered as answered. A part that was
+// answered again counts up to twice.
 func (r *Registry) AnsweredCount() int { return len(r.answered.newer) + len(r.answered.older) }
 
 // NextAnswered returns up to limit parts that are known to have been answered, others at each
@@ -335,8 +335,8 @@
 	}
 }
 
-// compareWeight orders records by how much it would cost to forget them: of blocked parts
-// least, then by the number of their ends and by when they changed last.
+// compareWeight orders records by what it would cost to forget them: those with few and old ends
+// come first, those of parts that were blocked once last but for those that are blocked.
 func compareWeight(a, b *Record) int {
 	return cmp.Or(cmp.Compare(btoi(a.State == Blocked), btoi(b.State == Blocked)), cmp.Compare(btoi(a.Kept()), btoi(b.Kept())),
 		cmp.Compare(len(a.Ends), len(b.Ends)), cmp.Compare(a.Touched, b.Touched))
