poison: a joint block passes on to the first part that is still suspected

Cause and change: found when reading again. The block was lost if the first of its other parts had been cleared meanwhile, and a record that was displaced could be looked up as a joint block. It passes on to the next one that is suspected, unless one of them is blocked already. No test showed the two faults before.

--- a/pkg/poison/joint.go
+++ b/pkg/poison/joint.go
@@ -31,8 +31,8 @@
 		return nil
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(r.joint), CompareKeys) {
-		if key.Pool == pool {
-			records = append(records, r.records[key])
+		if record := r.records[key]; record != nil && key.Pool == pool {
+			records = append(records, record)
 		}
 	}
 	return records
@@ -102,20 +102,26 @@
 	}
 }
 
-// passOn blocks the first of the parts that a block was joined with, with the others, for the ends
-// of the block.
+// passOn blocks the first suspect of the parts that a block was joined with, with those behind it,
+// for the ends of the block. If one of them is blocked already, that explains the ends.
 func (r *Registry) passOn(now time.Duration, from *Record, to []uint64) {
-	if from.State != Blocked || len(to) == 0 {
+	if from.State != Blocked {
 		return
 	}
-	key := Key{from.Pool, to[0]}
-	record := r.records[key]
-	if record == nil {
-		record = r.create(now, key, Suspect)
-	}
-	if record.State == Suspect {
-		record.Ends = mergeEnds(record.Ends, from.Ends, maxEnds)
-		r.block(now, key, to[1:])
+	for i, part := range to {
+		key := Key{from.Pool, part}
+		record := r.records[key]
+		if record == nil {
+			record = r.create(now, key, Suspect)
+		}
+		switch record.State {
+		case Suspect:
+			record.Ends = mergeEnds(record.Ends, from.Ends, maxEnds)
+			r.block(now, key, to[i+1:])
+			return
+		case Blocked, Trial:
+			return
+		}
 	}
 }
 
