poison: the limits of what is kept have a file of their own

Moved, not changed; the bound on logged parts has a test. Measured: tests of pkg/poison pass; TestLoggedPartsAreBounded passes.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -41,21 +41,6 @@
 	maxTold = 512
 )
 
-// Limits of the parts that are kept. Of prompts with more parts more are kept, so that a part
-// that ends upstreams is not displaced by the others of the prompts it comes with.
-const (
-	// minRecords is the limit of records while prompts are short. With long ones they are
-	// those of recordedPrompts, up to maxRecords, about 6 MB.
-	minRecords, maxRecords = 512, 32_768
-	recordedPrompts        = 16
-	// minAnswered, maxAnswered and answeredPrompts are the same for the parts that are
-	// remembered as answered, up to about 4 MB.
-	minAnswered, maxAnswered = 4096, 65_536
-	answeredPrompts          = 64
-	// One in displacedShare of the records is removed when they reach the limit.
-	displacedShare = 8
-)
-
 // Config holds the settings of a Registry.
 type Config struct {
 	// Ends is the number of ends of upstreams after which a part is blocked; 0 blocks none.
@@ -195,16 +180,6 @@
 	}
 }
 
-func (r *Registry) noteLength(parts []uint64) { r.longest = max(r.longest, len(parts)) }
-
-func (r *Registry) recordLimit() int {
-	return min(max(minRecords, recordedPrompts*r.longest), maxRecords)
-}
-
-func (r *Registry) answeredLimit() int {
-	return min(max(minAnswered, answeredPrompts*r.longest), maxAnswered)
-}
-
 // AnsweredElsewhere records that other instances saw a part answered. It lifts nothing, since the
 // part may have been answered before the ends that count against it here.
 func (r *Registry) AnsweredElsewhere(key Key) {
@@ -335,22 +310,6 @@
 	return record
 }
 
-// displace removes the records that matter least.
-func (r *Registry) displace() {
-	keys := r.keys()
-	slices.SortStableFunc(keys, func(a, b Key) int { return compareWeight(r.records[a], r.records[b]) })
-	for _, key := range keys[:max(1, len(keys)/displacedShare)] {
-		r.remove(key)
-	}
-}
-
-// compareWeight orders records by what it would cost to forget them: those with few and old ends
-// come first, those of parts that were blocked once last but for those that are blocked.
-func compareWeight(a, b *Record) int {
-	return cmp.Or(cmp.Compare(btoi(a.State == Blocked), btoi(b.State == Blocked)), cmp.Compare(btoi(a.Kept()), btoi(b.Kept())),
-		cmp.Compare(len(a.Ends), len(b.Ends)), cmp.Compare(a.Touched, b.Touched))
-}
-
 func btoi(b bool) int {
 	if b {
 		return 1
