--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -108,6 +108,8 @@
 	}
 }
 
+// playTakeoverAndRestarts ends the pool's owner after two ends or before, and restarts the instances once the part is
+// blocked. length is the number of further parts of each prompt.
 func playTakeoverAndRestarts(t *testing.T, seed uint64, length int) {
 	w := newPoisonWorld(t, seed, 12, "a", "b", "c", "d")
 	w.length = length
