poison: a joint block that another instance has narrowed ends waiting requests too

Cause: found when the whole change was read again. A record whose block is joined with fewer parts than the own one was merged in silence, so that requests it now concerns went on waiting at that instance, and its log did not have the change. Change: Merge reports it like a new block. TestSoundPartBesideAPoisonedOne restarts all instances too.

--- a/pkg/node/poison_test.go
+++ b/pkg/node/poison_test.go
@@ -69,8 +69,8 @@
 }
 
 // TestSoundPartBesideAPoisonedOne guards against a sound part that is blocked, so that no request with it is served,
-// because at first it came only together with one that ends upstreams. Half of the times an instance is restarted
-// between, or the pool's owner.
+// because at first it came only together with one that ends upstreams. In three of four worlds the pool's owner, one
+// instance or all of them are restarted between, so that the others or the store must know what came together.
 func TestSoundPartBesideAPoisonedOne(t *testing.T) {
 	for seed := range uint64(16) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -83,6 +83,10 @@
 				w.restart(w.owner())
 			case 1:
 				w.restart(w.order[seed/4])
+			case 2:
+				for _, at := range w.order {
+					w.restart(at)
+				}
 			}
 			w.companionOfAll = true
 			w.sound, w.answered = 0, 0
--- a/pkg/poison/joint_test.go
+++ b/pkg/poison/joint_test.go
@@ -159,3 +159,19 @@
 	require.True(t, blocked(r, now+2*time.Second, one, two))
 	require.False(t, blocked(r, now+2*time.Second, two))
 }
+
+// TestNarrowedBlockIsReported guards against requests that go on waiting for an upstream although another instance
+// has found out that the block applies to them.
+func TestNarrowedBlockIsReported(t *testing.T) {
+	owner, entry := together(one, two), poison.New(config)
+	exchange(after, owner, entry)
+	record, _ := owner.Record(poison.Key{Pool: pool, Part: two})
+	require.Equal(t, []uint64{one}, record.With)
+	require.False(t, entry.Merge(after, record), "nothing new")
+	owner.Answered(after, pool, []uint64{one})
+	record, _ = owner.Record(poison.Key{Pool: pool, Part: two})
+	require.Empty(t, record.With)
+	require.False(t, blocked(entry, after, two))
+	require.True(t, entry.Merge(after, record))
+	require.True(t, blocked(entry, after, two))
+}
--- a/pkg/poison/merge.go
+++ b/pkg/poison/merge.go
@@ -7,7 +7,7 @@
 )
 
 // Merge applies a record of another instance, or one from the store, whose times are on
-// this instance's clock. It returns true if the part is blocked since.
+// this instance's clock. It returns true if requests are blocked since that were not before.
 func (r *Registry) Merge(now time.Duration, other Record) (blocked bool) {
 	if !r.Enabled() || other.State == 0 || other.State > Lifted {
 		return false
@@ -16,10 +16,7 @@
 	if own == nil {
 		own = r.create(now, other.Key, Suspect)
 	} else if order := compareRecords(*own, other); order >= 0 {
-		if order == 0 {
-			r.mergeSame(own, other)
-		}
-		return false
+		return order == 0 && r.mergeSame(own, other)
 	}
 	before := own.State
 	own.Generation, own.Round, own.Ends = other.Generation, other.Round, mergeEnds(nil, other.Ends, maxEnds)
@@ -54,13 +51,16 @@
 }
 
 // mergeSame merges a record of the same state. The shorter block holds, since clocks start
-// when a record arrives; it is joined with the parts that nothing has taken out at either instance.
-func (r *Registry) mergeSame(own *Record, other Record) {
+// when a record arrives; it is joined with the parts that nothing has taken out at either
+// instance. It returns true if these have become fewer, so that more requests are blocked.
+func (r *Registry) mergeSame(own *Record, other Record) (fewer bool) {
+	joined := len(own.With)
 	own.Ends = mergeEnds(own.Ends, other.Ends, maxEnds)
 	r.setWith(own, slices.DeleteFunc(own.With, func(part uint64) bool { return !slices.Contains(other.With, part) }))
 	if own.State == Blocked {
 		own.Until = min(own.Until, other.Until)
 	}
+	return own.State == Blocked && len(own.With) < joined
 }
 
 // mergeEnds returns the ends of both lists in order of time, at most the newest limit of them.
