--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,4 +2,4 @@
 # Runs the case on a small deployment: 1 if the rule was broken, 0 if it held, 2 if it could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-RECORD="$here/record.txt" exec target/review-3 slashes
+RECORD="$here/record.txt" exec target/review-3 parts
