review: a part under which servers go dark is never blocked

Cause: an end of a server is looked for only after an answer broke (poison.Watch.Broke). Under a server that falls silent no answer breaks: callers leave after two seconds, and the outcome Canceled counts for nothing (pkg/node/parts.go, noteRelease).

--- a/review/_lab3/cases/main.go
+++ b/review/_lab3/cases/main.go
@@ -27,7 +27,7 @@
 )
 
 var cases = map[string]func(l *lab.Lab, trouble bool) (int, error){
-	"restart": restart, "parts": parts, "drill": drill, "slashes": slashes, "added": added,
+	"restart": restart, "silent": silent, "drill": drill, "parts": parts, "added": added,
 }
 
 func main() {
--- a/review/_lab3/lab/engine.go
+++ b/review/_lab3/lab/engine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,7 +28,10 @@
 	Gap     time.Duration
 	Slots   int
 	// KeptFor is how long after a crash the old entry of an engine stays in the store.
-	KeptFor  time.Duration
+	KeptFor time.Duration
+	// Dark is true if a crash is silent: connections stay open without a byte, and new ones get no
+	// answer until the engine is back.
+	Dark     bool
 	OnArrive func(e *Engine, r *http.Request)
 	OnCrash  func(e *Engine, r *http.Request)
 
@@ -39,6 +43,10 @@
 	down    bool
 	conns   map[net.Conn]bool
 	server  *http.Server
+	// listener is that of server.
+	listener net.Listener
+	// silent is closed when the engine goes dark.
+	silent chan struct{}
 }
 
 // Start starts the engine for the first time.
@@ -57,7 +65,7 @@
 	defer e.mu.Unlock()
 	e.starts++
 	e.id = fmt.Sprintf("i-%s-%d", e.name, e.starts)
-	e.conns, e.down = map[net.Conn]bool{}, false
+	e.conns, e.down, e.silent = map[net.Conn]bool{}, false, make(chan struct{})
 	e.server = &http.Server{Handler: e, ConnState: func(c net.Conn, s http.ConnState) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -68,6 +76,7 @@
 			delete(e.conns, c)
 		}
 	}}
+	e.listener = listener
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
 	return e.Lab.Register(e.id, e.Service, e.address, "ready", e.Slots, 1700000000000+int64(e.starts)*5000)
 }
@@ -84,6 +93,14 @@
 	}
 	e.down = true
 	server, id := e.server, e.id
+	time.AfterFunc(e.KeptFor, func() { e.Lab.Store.Remove("servers", id) })
+	if e.Dark {
+		close(e.silent)
+		listener := e.listener
+		e.mu.Unlock()
+		go e.beDark(listener, server)
+		return true
+	}
 	for c := range e.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -91,23 +108,48 @@
 	}
 	e.mu.Unlock()
 	_ = server.Close()
-	time.AfterFunc(e.KeptFor, func() { e.Lab.Store.Remove("servers", id) })
 	go func() {
 		time.Sleep(e.DownFor)
-		for {
-			listener, err := net.Listen("tcp", e.address)
-			if err == nil {
-				if err := e.serve(listener); err != nil {
-					panic(err)
-				}
-				return
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
+		e.startAgain()
 	}()
 	return true
 }
 
+// beDark leaves the connections of the engine open without a byte and new ones without an answer,
+// until the engine starts again. The connections of the dead process are reset then.
+func (e *Engine) beDark(listener net.Listener, server *http.Server) {
+	_ = listener.Close()
+	end, err := leaveUnanswered(e.address)
+	if err != nil {
+		panic(err)
+	}
+	time.Sleep(e.DownFor)
+	e.mu.Lock()
+	for c := range e.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	e.mu.Unlock()
+	_ = server.Close()
+	end()
+	e.startAgain()
+}
+
+// startAgain listens at the engine's address again, once that is free.
+func (e *Engine) startAgain() {
+	for {
+		listener, err := net.Listen("tcp", e.address)
+		if err == nil {
+			if err := e.serve(listener); err != nil {
+				panic(err)
+			}
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
@@ -117,8 +159,12 @@
 	header := w.Header()
 	header.Set("Attempt-Id", attempt)
 	e.mu.Lock()
-	id := e.id
+	id, silent := e.id, e.silent
 	e.mu.Unlock()
+	if isClosed(silent) {
+		<-r.Context().Done() // a dark machine answers nothing
+		panic(http.ErrAbortHandler)
+	}
 	if r.Header.Get("Expect-Instance") != id {
 		header.Set("Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -149,16 +195,31 @@
 			if e.crash() && e.OnCrash != nil {
 				e.OnCrash(e, r)
 			}
+			if e.Dark {
+				<-r.Context().Done()
+			}
 			panic(http.ErrAbortHandler)
 		}
 		select {
 		case <-time.After(e.Gap):
+		case <-silent:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Call is a client's request.
 type Call struct {
 	Method, Path, Parts, Body string
@@ -195,11 +256,30 @@
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
+	if c.Parts != "" {
+		abandon := time.AfterFunc(abandonAfter, cancel)
+		defer abandon.Stop()
+		return l.roundTrip(id, transport, request, func() { abandon.Reset(abandonAfter) })
+	}
+	return l.roundTrip(id, transport, request, func() {})
+}
+
+// abandonAfter is the gap after which a client abandons a stream, also before its first event.
+const abandonAfter = 2 * time.Second
+
+// roundTrip sends a request and reads its answer; read is called after each read.
+func (l *Lab) roundTrip(id string, transport *http.Transport, request *http.Request, read func()) (string, int, bool) {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return id, 0, false
 	}
-	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return id, response.StatusCode, err == nil
+	defer func() { _ = response.Body.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		read()
+		_, err := response.Body.Read(buffer)
+		if err != nil {
+			return id, response.StatusCode, errors.Is(err, io.EOF)
+		}
+	}
 }
