review: one driver, with the platform's names in a data file

A test of the project allows these names in no Go code outside platform/, and no package that the design's map doesn't list.

--- a/review/_lab3/cases/added.go
+++ b/review/_lab3/added.go
@@ -6,8 +6,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 const (
@@ -23,14 +21,14 @@
 
 // added: a version adds a route without model requests to the model servers, and one with them to
 // the plain servers.
-func added(l *lab.Lab, trouble bool) (int, error) {
+func added(l *Lab, trouble bool) (int, error) {
 	for i := range 3 {
-		e := &lab.Engine{Lab: l, Service: "lamp-llm", Events: 6, Gap: 10 * time.Millisecond, Slots: 10}
+		e := &Engine{Lab: l, Service: "lamp-llm", Events: 6, Gap: 10 * time.Millisecond, Slots: 10}
 		if err := e.Start(fmt.Sprintf("lamp-llm-%d", i)); err != nil {
 			return couldNot, err
 		}
-		p := &lab.Plain{ID: fmt.Sprintf("i-depot-app-%d", i), OnRun: func(*http.Request) {}}
-		address, err := lab.Serve(p)
+		p := &Plain{ID: fmt.Sprintf("i-depot-app-%d", i), OnRun: func(*http.Request) {}}
+		address, err := Serve(p)
 		if err != nil {
 			return couldNot, err
 		}
@@ -38,11 +36,11 @@
 			return couldNot, err
 		}
 	}
-	first := []lab.Route{
+	first := []Route{
 		{Name: "r-warranty-answer", Prefix: "/pufi791/", Kind: "stream", Service: "lamp-llm", Attempts: 2, TimeoutMs: 15000, Priority: 1},
 		{Name: "r-cell-booking", Prefix: "/puxa403/", Kind: "non_idempotent", Service: "depot-app", Attempts: 1, TimeoutMs: 600, Priority: 2},
 	}
-	later := []lab.Route{
+	later := []Route{
 		{Name: "r-models", Prefix: "/cufi504/", Kind: "idempotent", Service: "lamp-llm", Attempts: 2, TimeoutMs: 3000, Priority: 2},
 		{Name: "r-depot-chat", Prefix: "/gono990/", Kind: "stream", Service: "depot-app", Attempts: 1, TimeoutMs: 3000, Priority: 2},
 	}
@@ -68,7 +66,7 @@
 	c := newClients()
 	for _, r := range append(first, later...) {
 		isLater := strings.HasPrefix(r.Name, later[0].Name) || strings.HasPrefix(r.Name, later[1].Name)
-		call := lab.Call{Method: "POST", Path: r.Prefix + "2f", Body: "hello", DeadlineMs: 3000}
+		call := Call{Method: "POST", Path: r.Prefix + "2f", Body: "hello", DeadlineMs: 3000}
 		if r.Kind == "stream" {
 			call.Parts = firstPart + ",a0000001:30"
 		}
--- a/review/_lab3/cases/clients.go
+++ b/review/_lab3/clients.go
@@ -6,8 +6,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 const (
@@ -53,8 +51,8 @@
 }
 
 // startNodes starts three instances and waits until they are ready.
-func startNodes(l *lab.Lab) ([]*lab.Node, error) {
-	var nodes []*lab.Node
+func startNodes(l *Lab) ([]*Node, error) {
+	var nodes []*Node
 	for i := range 3 {
 		n, err := l.Start(fmt.Sprintf("front-%d", i+1))
 		if err != nil {
@@ -72,7 +70,7 @@
 
 // tally counts the requests with the part that crashes servers.
 type tally struct {
-	l       *lab.Lab
+	l       *Lab
 	mu      sync.Mutex
 	crashes []time.Time
 	sentAt  map[string]time.Time
@@ -82,17 +80,17 @@
 	served  map[string]int
 }
 
-func newTally(l *lab.Lab) *tally {
+func newTally(l *Lab) *tally {
 	return &tally{l: l, sentAt: map[string]time.Time{}, sound: map[string]int{}, served: map[string]int{}}
 }
 
 // arrive records the arrival of a request at a server. It is late if its client sent it later than
 // contact after the fifth crash.
-func (t *tally) arrive(e *lab.Engine, r *http.Request) {
-	if !strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart+":") {
+func (t *tally) arrive(e *Engine, r *http.Request) {
+	if !strings.Contains(r.Header.Get(names.Parts), poisonPart+":") {
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(names.ID)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.arrived++
@@ -104,16 +102,16 @@
 	t.l.Note("%s gets request %s with the part%s", e.Name(), id, counted)
 }
 
-func (t *tally) crash(e *lab.Engine, r *http.Request) {
+func (t *tally) crash(e *Engine, r *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.crashes = append(t.crashes, time.Now())
-	t.l.Note("%s crashes (%d) under request %s", e.Name(), len(t.crashes), r.Header.Get("Attempt-Id"))
+	t.l.Note("%s crashes (%d) under request %s", e.Name(), len(t.crashes), r.Header.Get(names.ID))
 }
 
 // sendSound sends a request without the part and counts whether it was served.
-func (t *tally) sendSound(n *lab.Node, path string, deadlineMs, k int) {
-	_, status, whole := t.l.Send(n, lab.Call{Method: "POST", Path: path, Body: "hello", DeadlineMs: deadlineMs,
+func (t *tally) sendSound(n *Node, path string, deadlineMs, k int) {
+	_, status, whole := t.l.Send(n, Call{Method: "POST", Path: path, Body: "hello", DeadlineMs: deadlineMs,
 		Parts: fmt.Sprintf("%s,%x:30", firstPart, 0xa0000000+k)})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -124,9 +122,9 @@
 }
 
 // sendPoison sends a request with the part.
-func (t *tally) sendPoison(n *lab.Node, path string, deadlineMs, k int) {
+func (t *tally) sendPoison(n *Node, path string, deadlineMs, k int) {
 	parts := fmt.Sprintf("%s,%s:40,%x:30", firstPart, poisonPart, 0xb0000000+k)
-	id, status, _ := t.l.SendNoted(n, lab.Call{Method: "POST", Path: path, Body: "hello", DeadlineMs: deadlineMs, Parts: parts}, func(id string) {
+	id, status, _ := t.l.SendNoted(n, Call{Method: "POST", Path: path, Body: "hello", DeadlineMs: deadlineMs, Parts: parts}, func(id string) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.sentAt[id] = time.Now()
--- a/review/_lab3/cases/drill.go
+++ b/review/_lab3/drill.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 const (
@@ -24,8 +22,8 @@
 
 // drill: a key is taken away; the store comes back from a copy that still has it, and an instance
 // that starts reads that.
-func drill(l *lab.Lab, trouble bool) (int, error) {
-	store := lab.NewDrill()
+func drill(l *Lab, trouble bool) (int, error) {
+	store := NewDrill()
 	if err := l.UseStore(store, store); err != nil {
 		return couldNot, err
 	}
@@ -34,7 +32,7 @@
 	var acknowledged time.Time
 	late, runs := 0, 0
 	onRun := func(r *http.Request) {
-		id := r.Header.Get("Attempt-Id")
+		id := r.Header.Get(names.ID)
 		mu.Lock()
 		defer mu.Unlock()
 		sent, ofRevoked := sentAt[id]
@@ -48,8 +46,8 @@
 		}
 	}
 	for i := range 3 {
-		p := &lab.Plain{ID: fmt.Sprintf("i-%d", i), OnRun: onRun}
-		address, err := lab.Serve(p)
+		p := &Plain{ID: fmt.Sprintf("i-%d", i), OnRun: onRun}
+		address, err := Serve(p)
 		if err != nil {
 			return couldNot, err
 		}
@@ -57,8 +55,8 @@
 			return couldNot, err
 		}
 	}
-	routes := []lab.Route{{Name: "r-cell-booking", Prefix: "/puxa403/", Kind: "non_idempotent", Service: "depot-app", Attempts: 1, TimeoutMs: 600, Priority: 2}}
-	l.Keys = []string{lab.Key, revokedKey}
+	routes := []Route{{Name: "r-cell-booking", Prefix: "/puxa403/", Kind: "non_idempotent", Service: "depot-app", Attempts: 1, TimeoutMs: 600, Priority: 2}}
+	l.Keys = []string{Key, revokedKey}
 	if err := l.Configure(routes, nil); err != nil {
 		return couldNot, err
 	}
@@ -70,7 +68,7 @@
 	statuses := map[string]int{}
 	for _, n := range nodes {
 		c.every(50*time.Millisecond, func(int) {
-			_, status, _ := l.SendNoted(n, lab.Call{Method: "POST", Path: "/puxa403/2f", Body: "hello", DeadlineMs: 600, Key: revokedKey}, func(id string) {
+			_, status, _ := l.SendNoted(n, Call{Method: "POST", Path: "/puxa403/2f", Body: "hello", DeadlineMs: 600, Key: revokedKey}, func(id string) {
 				mu.Lock()
 				defer mu.Unlock()
 				sentAt[id] = time.Now()
@@ -87,7 +85,7 @@
 	time.Sleep(2 * time.Second)
 	saved := store.Copy()
 	time.Sleep(-copiedAt)
-	l.Keys = []string{lab.Key}
+	l.Keys = []string{Key}
 	if err := l.Configure(routes, nil); err != nil {
 		return couldNot, err
 	}
--- a/review/_lab3/lab/engine.go
+++ b/review/_lab3/engine.go
@@ -1,4 +1,4 @@
-package lab
+package main
 
 import (
 	"cmp"
@@ -155,9 +155,9 @@
 	if r.URL.Path == "/health" {
 		return
 	}
-	attempt := r.Header.Get("Attempt-Id")
+	attempt := r.Header.Get(names.ID)
 	header := w.Header()
-	header.Set("Attempt-Id", attempt)
+	header.Set(names.ID, attempt)
 	e.mu.Lock()
 	id, silent := e.id, e.silent
 	e.mu.Unlock()
@@ -165,7 +165,7 @@
 		<-r.Context().Done() // a dark machine answers nothing
 		panic(http.ErrAbortHandler)
 	}
-	if r.Header.Get("Expect-Instance") != id {
+	if r.Header.Get(names.Expect) != id {
 		header.Set("Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -174,7 +174,7 @@
 		e.OnArrive(e, r)
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	header.Set("Response-Seal", id+"."+attempt)
+	header.Set(names.Seal, id+"."+attempt)
 	if r.Method == http.MethodGet {
 		_, _ = fmt.Fprintf(w, "answer of %s to %s", id, attempt)
 		return
@@ -191,7 +191,7 @@
 		if flush.Flush() != nil {
 			return
 		}
-		if e.Poison != "" && i == first && strings.Contains(r.Header.Get("Prompt-Prefix"), e.Poison+":") {
+		if e.Poison != "" && i == first && strings.Contains(r.Header.Get(names.Parts), e.Poison+":") {
 			if e.crash() && e.OnCrash != nil {
 				e.OnCrash(e, r)
 			}
@@ -246,13 +246,13 @@
 	}
 	request.Close = true
 	request.Host = Host
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Credential", cmp.Or(c.Key, Key))
-	request.Header.Set("Deadline-Ms", strconv.Itoa(c.DeadlineMs))
+	request.Header.Set(names.ID, id)
+	request.Header.Set(names.Key, cmp.Or(c.Key, Key))
+	request.Header.Set(names.Deadline, strconv.Itoa(c.DeadlineMs))
 	if c.Parts != "" {
 		request.Header.Set("Model", "m")
-		request.Header.Set("Token-Counts", "200,200")
-		request.Header.Set("Prompt-Prefix", c.Parts)
+		request.Header.Set(names.Tokens, "200,200")
+		request.Header.Set(names.Parts, c.Parts)
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
--- a/review/_lab3/lab/lab.go
+++ b/review/_lab3/lab.go
@@ -1,6 +1,4 @@
-// Package lab starts a small deployment on loopback: the project's stand-in store, servers, and
-// instances of the program under test as separate processes.
-package lab
+package main
 
 import (
 	"bytes"
@@ -112,7 +110,7 @@
 // Register writes the entry of a server.
 func (l *Lab) Register(id, service, address, state string, slots int, born int64) error {
 	return l.Store.Put("servers", id, map[string]any{"service": service, "address": address, "zone": "np-central-a",
-		"version": "v1", "slots": slots, "state": state, "coldLeftMs": 0, "born": born, "sequence": 1})
+		"version": "v1", "slots": slots, "state": state, names.ColdLeft: 0, "born": born, "sequence": 1})
 }
 
 // Route is a route of the configuration.
@@ -128,22 +126,22 @@
 	l.version += 3
 	var list []any
 	for _, r := range routes {
-		list = append(list, map[string]any{"name": r.Name, "host": Host, "pathPrefix": r.Prefix, "kind": r.Kind,
-			"timeoutMs": r.TimeoutMs, "goalMs": 300, "gapGoalMs": 200, "priority": r.Priority, "service": r.Service, "attempts": r.Attempts,
+		list = append(list, map[string]any{"name": r.Name, "host": Host, names.Prefix: r.Prefix, "kind": r.Kind,
+			names.Timeout: r.TimeoutMs, names.Goal: 300, names.GapGoal: 200, "priority": r.Priority, "service": r.Service, "attempts": r.Attempts,
 			"public": false, "sticky": r.Kind == "stream", "resumable": r.Kind == "stream" && r.Attempts > 1})
 	}
-	services := []any{map[string]any{"name": "depot-app", "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false}}
+	services := []any{map[string]any{"name": "depot-app", "healthPath": "/health", names.MaxConns: 96, "protocol": "h1", "tls": false}}
 	for _, name := range l.Plain {
-		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false})
+		services = append(services, map[string]any{"name": name, "healthPath": "/health", names.MaxConns: 96, "protocol": "h1", "tls": false})
 	}
 	for _, name := range engines {
-		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": 290, "protocol": "h1", "tls": false,
-			"engine": map[string]any{"slots": 10, "kvCapacity": 705997, "stride": 5}})
+		services = append(services, map[string]any{"name": name, "healthPath": "/health", names.MaxConns: 290, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 10, names.Capacity: 705997, "stride": 5}})
 	}
 	l.newest = map[string]any{"version": l.version, "routes": list, "services": services,
 		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": l.Keys, "unit": "tokens",
-			"plainTokens": 200, "ratePerS": 454696, "burst": 454696}}}
+		"tenants": []any{map[string]any{"name": "hule930", names.Keys: l.Keys, "unit": "tokens",
+			names.PlainTokens: 200, names.Rate: 454696, "burst": 454696}}}
 	return l.Rewrite()
 }
 
@@ -286,7 +284,7 @@
 // AwaitReady waits until the instance says that it is ready.
 func (n *Node) AwaitReady() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		response, err := http.Get("http://" + n.Ready + "/citrongate/readiness")
+		response, err := http.Get("http://" + n.Ready + names.Ready)
 		if err != nil {
 			continue
 		}
--- a/review/_lab3/cases/main.go
+++ b/review/_lab3/main.go
@@ -8,8 +8,6 @@
 	"os/signal"
 	"syscall"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 // Results of a case, as the exit status.
@@ -26,7 +24,7 @@
 	longest = 110 * time.Second
 )
 
-var cases = map[string]func(l *lab.Lab, trouble bool) (int, error){
+var cases = map[string]func(l *Lab, trouble bool) (int, error){
 	"restart": restart, "silent": silent, "drill": drill, "parts": parts, "added": added,
 }
 
@@ -39,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, "name one case")
 		return couldNot
 	}
-	l, err := lab.New(os.Getenv(recordEnv))
+	l, err := New(os.Getenv(recordEnv))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
--- a/review/_lab3/cases/parts.go
+++ b/review/_lab3/parts.go
@@ -3,20 +3,18 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 const moveEvery = 9 * time.Second
 
 // parts: a part of prompts crashes each server that answers it, while versions of the
 // configuration move its route from one service to another.
-func parts(l *lab.Lab, trouble bool) (int, error) {
+func parts(l *Lab, trouble bool) (int, error) {
 	t := newTally(l)
 	services := []string{"lamp-llm", "lamp-llm-b", "lamp-llm-c", "lamp-llm-d"}
 	for _, service := range services {
 		for i := range 4 {
-			e := &lab.Engine{Lab: l, Service: service, Poison: poisonPart, DownFor: 4 * time.Second, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
+			e := &Engine{Lab: l, Service: service, Poison: poisonPart, DownFor: 4 * time.Second, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
 				KeptFor: entryKept, OnArrive: t.arrive, OnCrash: t.crash}
 			if err := e.Start(fmt.Sprintf("%s-%d", service, i)); err != nil {
 				return couldNot, err
@@ -25,7 +23,7 @@
 	}
 	configure := func(service string) error {
 		l.Note("configuration: the route goes to %s", service)
-		return l.Configure([]lab.Route{{Name: "r-828m82t", Prefix: "/pufi791/", Kind: "stream", Service: service, Attempts: 2, TimeoutMs: 15000}}, services)
+		return l.Configure([]Route{{Name: "r-828m82t", Prefix: "/pufi791/", Kind: "stream", Service: service, Attempts: 2, TimeoutMs: 15000}}, services)
 	}
 	if err := configure(services[0]); err != nil {
 		return couldNot, err
--- a/review/_lab3/lab/plain.go
+++ b/review/_lab3/plain.go
@@ -1,4 +1,4 @@
-package lab
+package main
 
 import (
 	"fmt"
@@ -17,9 +17,9 @@
 	if r.URL.Path == "/health" {
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	if r.Header.Get("Expect-Instance") != p.ID {
+	id := r.Header.Get(names.ID)
+	w.Header().Set(names.ID, id)
+	if r.Header.Get(names.Expect) != p.ID {
 		w.Header().Set("Instance-Id", p.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -28,8 +28,8 @@
 		return
 	}
 	p.OnRun(r)
-	w.Header().Set("Response-Seal", p.ID+"."+id)
-	if r.Header.Get("Prompt-Prefix") != "" {
+	w.Header().Set(names.Seal, p.ID+"."+id)
+	if r.Header.Get(names.Parts) != "" {
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = fmt.Fprintf(w, "id: 1\ndata: answer of %s to %s\n\n", p.ID, id)
 		return
--- a/review/_lab3/cases/restart.go
+++ b/review/_lab3/restart.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"os"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 // entryKept is how long the entry of a server stays after its crash: three heartbeat intervals.
@@ -13,7 +11,7 @@
 
 // restart: a part of prompts crashes each server that answers it; the servers are back after two
 // seconds.
-func restart(l *lab.Lab, trouble bool) (int, error) {
+func restart(l *Lab, trouble bool) (int, error) {
 	t := newTally(l)
 	poison := poisonPart
 	if !trouble {
@@ -21,13 +19,13 @@
 	}
 	down := backAfter()
 	for i := range 6 {
-		e := &lab.Engine{Lab: l, Service: "lamp-llm", Poison: poison, DownFor: down, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
+		e := &Engine{Lab: l, Service: "lamp-llm", Poison: poison, DownFor: down, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
 			KeptFor: entryKept, OnArrive: t.arrive, OnCrash: t.crash}
 		if err := e.Start(fmt.Sprintf("lamp-llm-%d", i)); err != nil {
 			return couldNot, err
 		}
 	}
-	err := l.Configure([]lab.Route{
+	err := l.Configure([]Route{
 		{Name: "r-fault-report", Prefix: "/lohu930/", Kind: "stream", Service: "lamp-llm", Attempts: 1, TimeoutMs: 15000, Priority: 0},
 		{Name: "r-stock-tag", Prefix: "/cufi504/", Kind: "stream", Service: "lamp-llm", Attempts: 1, TimeoutMs: 3000, Priority: 2}}, []string{"lamp-llm"})
 	if err != nil {
--- a/review/_lab3/cases/silent.go
+++ b/review/_lab3/silent.go
@@ -3,22 +3,20 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/citrongate/citrongate/review/_lab3/lab"
 )
 
 // silent: a part of prompts crashes each server that answers it, and the server goes dark in place
 // of closing its connections.
-func silent(l *lab.Lab, trouble bool) (int, error) {
+func silent(l *Lab, trouble bool) (int, error) {
 	t := newTally(l)
 	for i := range 18 {
-		e := &lab.Engine{Lab: l, Service: "lamp-llm", Poison: poisonPart, Dark: trouble, DownFor: 4500 * time.Millisecond, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
+		e := &Engine{Lab: l, Service: "lamp-llm", Poison: poisonPart, Dark: trouble, DownFor: 4500 * time.Millisecond, Events: 30, Gap: 20 * time.Millisecond, Slots: 10,
 			KeptFor: entryKept, OnArrive: t.arrive, OnCrash: t.crash}
 		if err := e.Start(fmt.Sprintf("lamp-llm-%d", i)); err != nil {
 			return couldNot, err
 		}
 	}
-	err := l.Configure([]lab.Route{
+	err := l.Configure([]Route{
 		{Name: "r-fault-report", Prefix: "/lohu930/", Kind: "stream", Service: "lamp-llm", Attempts: 1, TimeoutMs: 15000, Priority: 0},
 		{Name: "r-stock-tag", Prefix: "/cufi504/", Kind: "stream", Service: "lamp-llm", Attempts: 1, TimeoutMs: 3000, Priority: 2}}, []string{"lamp-llm"})
 	if err != nil {
--- a/review/_lab3/lab/store.go
+++ b/review/_lab3/store.go
@@ -1,4 +1,4 @@
-package lab
+package main
 
 import (
 	"encoding/json"
@@ -101,8 +101,6 @@
 	return o
 }
 
-const objectsPath = "/citrongate/objects/"
-
 // ServeHTTP implements http.Handler.
 func (d *Drill) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -117,7 +115,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	key := strings.TrimPrefix(r.URL.Path, objectsPath)
+	key := strings.TrimPrefix(r.URL.Path, names.Objects)
 	kind, name, single := strings.Cut(key, "/")
 	var sent stored
 	if len(body) > 0 && json.Unmarshal(body, &sent) != nil {
--- a/review/_lab3/lab/unanswered.go
+++ b/review/_lab3/unanswered.go
@@ -1,4 +1,4 @@
-package lab
+package main
 
 import (
 	"net"
